--- /dev/null
+++ b/pkg/fulmarbudget/doc.go
@@ -0,0 +1,2 @@
+// Package fulmarbudget is described in docs/design.md.
+package fulmarbudget
--- /dev/null
+++ b/pkg/fulmarconfig/doc.go
@@ -0,0 +1,2 @@
+// Package fulmarconfig is described in docs/design.md.
+package fulmarconfig
--- /dev/null
+++ b/pkg/fulmarcost/doc.go
@@ -0,0 +1,2 @@
+// Package fulmarcost is described in docs/design.md.
+package fulmarcost
--- /dev/null
+++ b/pkg/fulmardedup/doc.go
@@ -0,0 +1,2 @@
+// Package fulmardedup is described in docs/design.md.
+package fulmardedup
--- /dev/null
+++ b/pkg/fulmargrant/doc.go
@@ -0,0 +1,2 @@
+// Package fulmargrant is described in docs/design.md.
+package fulmargrant
--- /dev/null
+++ b/pkg/fulmarguard/doc.go
@@ -0,0 +1,2 @@
+// Package fulmarguard is described in docs/design.md.
+package fulmarguard
--- /dev/null
+++ b/pkg/fulmarlease/doc.go
@@ -0,0 +1,2 @@
+// Package fulmarlease is described in docs/design.md.
+package fulmarlease
--- /dev/null
+++ b/pkg/fulmarmember/doc.go
@@ -0,0 +1,2 @@
+// Package fulmarmember is described in docs/design.md.
+package fulmarmember
--- /dev/null
+++ b/pkg/fulmarplan/doc.go
@@ -0,0 +1,2 @@
+// Package fulmarplan is described in docs/design.md.
+package fulmarplan
--- /dev/null
+++ b/pkg/fulmarqueue/doc.go
@@ -0,0 +1,2 @@
+// Package fulmarqueue is described in docs/design.md.
+package fulmarqueue
--- /dev/null
+++ b/pkg/fulmarrank/doc.go
@@ -0,0 +1,2 @@
+// Package fulmarrank is described in docs/design.md.
+package fulmarrank
--- /dev/null
+++ b/pkg/fulmarring/doc.go
@@ -0,0 +1,2 @@
+// Package fulmarring is described in docs/design.md.
+package fulmarring
--- /dev/null
+++ b/pkg/fulmarslot/doc.go
@@ -0,0 +1,2 @@
+// Package fulmarslot is described in docs/design.md.
+package fulmarslot
