Set a new request memory's horizon two skew bounds ahead

Cause: an id may be ahead of its dispatcher by one bound, and that dispatcher ahead of its successor by another, so one bound let an executed id pass. Ruled out: a bound of 250 ms, which adds 500 ms to each takeover. Conclusion: ids admitted before a takeover are always before the horizon.

--- a/pkg/fulmardedup/api.go
+++ b/pkg/fulmardedup/api.go
@@ -64,7 +64,7 @@
 // New returns a memory without any slot; Open adds slots.
 func New(s Settings) *Memory { panic("fulmardedup: not implemented") }
 
-// Open starts the memory of a slot with the horizon now plus the skew bound, unless it is open.
+// Open starts the memory of a slot with the horizon now plus twice the skew bound, unless it is open.
 func (m *Memory) Open(now time.Time, slot int) { panic("fulmardedup: not implemented") }
 
 // Split opens the slot of a hot key with its parent's horizon and moves the key's records to it.
