Add the control loops of the daemon

Cause: nothing joins the cores yet. Change: heartbeats, table and configuration spread, keepers of targets, handover, election and the planner loop; not wired to listeners yet and not compiled against all cores. Ruled out: resuming admission after a handover whose answer was lost, since the successor may start later from a memory that misses what ran meanwhile; both daemons now try for the same next term instead.

--- /dev/null
+++ b/internal/fulmarcontrol/controller.go
@@ -0,0 +1,302 @@
+package fulmarcontrol
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarstore"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarwire"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarconfig"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmardedup"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmargrant"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarguard"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarlease"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarmember"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmaroutcome"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarplan"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
+)
+
+// Timing has the periods and bounds of the control loops.
+type Timing struct {
+	Heartbeat time.Duration
+	Down      time.Duration // silence after which a peer is down
+	Window    time.Duration // of the quorum lease
+	TTL       time.Duration // of a grant
+	Renew     time.Duration
+	Order     time.Duration // longest deadline of an order to a target that checks no fence
+	Stale     time.Duration // time without the quorum lease after which callers are refused
+	Lease     time.Duration // of the planner
+}
+
+// Dispatcher is the data plane of one target.
+type Dispatcher interface {
+	http.Handler
+	Open(term uint64, free int, slots []int)
+	Grant(epoch uint64, slots []int)
+	Stop(slots []int) <-chan struct{}
+	StopAll() <-chan struct{}
+	Resume(slots []int)
+	SetSlots(n int)
+	Running() int
+	Suspend()
+	Lost() []uint64
+	Close(reason fulmaroutcome.Reason)
+	Export(slots []int) fulmardedup.Snapshot
+	Import(s fulmardedup.Snapshot)
+	Loads() []fulmarplan.Load
+}
+
+// Targets calls the grant interface of targets.
+type Targets interface {
+	State(ctx context.Context, address string) (fulmargrant.State, error)
+	Grant(ctx context.Context, address string, g fulmargrant.Grant) (fulmargrant.State, error)
+}
+
+// Store is the key-value service.
+type Store interface {
+	Get(ctx context.Context, key string) (fulmarstore.Value, error)
+	Put(ctx context.Context, key string, data []byte, index uint64) error
+	Watch(ctx context.Context, key string, index uint64, wait time.Duration) (fulmarstore.Value, error)
+	NewSession(ctx context.Context, ttl time.Duration) (string, error)
+	Renew(ctx context.Context, session string) error
+	Destroy(ctx context.Context, session string) error
+	Acquire(ctx context.Context, key, session string, data []byte) (bool, error)
+	Nodes(ctx context.Context, service string) ([]fulmarstore.Node, error)
+}
+
+// Counter counts control events by name.
+type Counter interface {
+	Count(name string)
+}
+
+// Deps are what a controller works with.
+type Deps struct {
+	Self          fulmarslot.Member
+	Seeds         []string // control addresses to try when the catalog does not answer
+	Key           []byte   // shared by all daemons
+	Timing        Timing
+	Store         Store
+	Targets       Targets
+	NewDispatcher func(fulmarslot.Target) Dispatcher
+	Guard         *fulmarguard.Guard
+	Counter       Counter
+	Log           *slog.Logger
+}
+
+// Controller runs the control loops of one daemon.
+type Controller struct {
+	Deps
+	group sync.WaitGroup
+	kick  chan struct{} // wakes the planner loop
+
+	mu        sync.Mutex
+	table     fulmarslot.Table
+	tableRaw  []byte
+	config    fulmarconfig.Config
+	versioned fulmarconfig.Versioned
+	configRaw []byte
+	view      *fulmarmember.View
+	lease     *fulmarlease.Lease
+	lastHeld  time.Time // when the quorum lease was last seen in force
+	peers     map[string]*peer
+	keepers   map[string]*keeper
+	lapses    map[string]*lapseLog
+	imports   map[string]map[int]pendingImport
+	learned   map[string]string // holder of a target by a not-holder answer
+	loads     []fulmarwire.Load // not yet sent to the planner
+	confirm   map[string]time.Time
+	lift      map[uint64]time.Time
+	plannerTo time.Time // end of the own planner lease
+	storeErr  error     // of the last call to the key-value service
+	leaving   bool
+	closed    bool // no more callers are accepted
+	changed   chan struct{}
+}
+
+type pendingImport struct {
+	since    uint64
+	snapshot fulmardedup.Snapshot
+}
+
+// New returns a controller that does nothing until Run.
+func New(deps Deps) *Controller {
+	return &Controller{
+		Deps:    deps,
+		kick:    make(chan struct{}, 1),
+		view:    fulmarmember.New(deps.Timing.Down),
+		lease:   fulmarlease.New(deps.Self.ID, deps.Timing.Window),
+		peers:   make(map[string]*peer),
+		keepers: make(map[string]*keeper),
+		lapses:  make(map[string]*lapseLog),
+		imports: make(map[string]map[int]pendingImport),
+		learned: make(map[string]string),
+		confirm: make(map[string]time.Time),
+		lift:    make(map[uint64]time.Time),
+		changed: make(chan struct{}),
+	}
+}
+
+// Run runs the control loops until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	for _, duty := range []func(context.Context){
+		c.runMonitor, c.runDiscovery, c.runElection, c.runPlanner, c.runConfigWatch, c.runStoreConfirm, c.runLoads,
+	} {
+		c.group.Go(func() { duty(ctx) })
+	}
+	<-ctx.Done()
+	c.group.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.peers {
+		p.close()
+	}
+}
+
+// adoptTable puts a newer table in force; an older or equal one is ignored.
+func (c *Controller) adoptTable(ctx context.Context, raw []byte) error {
+	table, err := fulmarslot.Decode(raw)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if table.Epoch() <= c.table.Epoch() {
+		return nil
+	}
+	rosterChanged := !sameRoster(c.table.Roster(), table.Roster())
+	c.table, c.tableRaw = table, raw
+	if rosterChanged {
+		c.setRoster(ctx)
+	}
+	c.dropImports()
+	c.Guard.Merge(marks(table.Quarantined()))
+	c.syncKeepers(ctx)
+	c.notify()
+	c.Log.Debug("table adopted", "epoch", table.Epoch())
+	return nil
+}
+
+func sameRoster(a, b []fulmarslot.Member) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func marks(quarantined []fulmarslot.Quarantine) []fulmarguard.Mark {
+	out := make([]fulmarguard.Mark, len(quarantined))
+	for i, q := range quarantined {
+		out[i] = fulmarguard.Mark(q)
+	}
+	return out
+}
+
+// setRoster tells the lease whose answers count. A daemon whose incarnation
+// is not in the roster gets a lease without members, which is never held.
+func (c *Controller) setRoster(ctx context.Context) {
+	var ids []string
+	inRoster := false
+	for _, m := range c.table.Roster() {
+		ids = append(ids, m.ID)
+		if m.ID == c.Self.ID {
+			inRoster = m.Incarnation == c.Self.Incarnation
+			continue
+		}
+		c.learnPeer(ctx, m)
+	}
+	if !inRoster {
+		ids = nil
+	}
+	c.lease.SetRoster(ids)
+}
+
+// adoptConfig puts a newer configuration in force; an older or equal one is ignored.
+func (c *Controller) adoptConfig(raw []byte) error {
+	versioned, err := fulmarconfig.DecodeVersioned(raw)
+	if err != nil {
+		return err
+	}
+	config, err := fulmarconfig.Parse(versioned.Text)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if versioned.Version <= c.versioned.Version {
+		return nil
+	}
+	c.config, c.versioned, c.configRaw = config, versioned, raw
+	c.notify()
+	c.Log.Info("configuration in force", "version", versioned.Version, "author", versioned.Author)
+	return nil
+}
+
+// notify wakes all who wait for a change of the state; mu must be held.
+func (c *Controller) notify() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Controller) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notify()
+}
+
+// held reports whether the quorum lease is in force; mu must be held.
+func (c *Controller) held(now time.Time) bool {
+	if !c.lease.Held(now) {
+		return false
+	}
+	c.lastHeld = now
+	return true
+}
+
+// dropImports forgets request memory whose move did not end at the target.
+// Memory of a move that the own table does not have yet is kept. mu must be held.
+func (c *Controller) dropImports() {
+	for target, slots := range c.imports {
+		t, ok := c.table.Target(target)
+		for slot, pending := range slots {
+			if pending.since > c.table.Epoch() {
+				continue
+			}
+			if !ok || slot >= c.table.Slots(t.Service) {
+				delete(slots, slot)
+				continue
+			}
+			a := c.table.Assignment(t.Service, slot)
+			if a.Since != pending.since || (a.Owner != target && a.Next != target) {
+				delete(slots, slot)
+			}
+		}
+		if len(slots) == 0 {
+			delete(c.imports, target)
+		}
+	}
+}
+
+// pause waits for d or the end of ctx and reports whether ctx goes on.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/fulmarpeer/client.go
@@ -0,0 +1,114 @@
+package fulmarpeer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarwire"
+)
+
+const dialTimeout = time.Second
+
+// Client calls one peer over one connection.
+type Client struct {
+	address string
+	key     []byte
+	codec   fulmarwire.Codec
+
+	mu   sync.Mutex
+	conn *drpcconn.Conn
+}
+
+// NewClient returns a client of the peer that listens at address.
+func NewClient(address string, key []byte) (*Client, error) {
+	codec, err := fulmarwire.New()
+	if err != nil {
+		return nil, err
+	}
+	return &Client{address: address, key: key, codec: codec}, nil
+}
+
+// Heartbeat exchanges status.
+func (c *Client) Heartbeat(ctx context.Context, s *fulmarwire.Status) (*fulmarwire.Status, error) {
+	return invoke[fulmarwire.Status](ctx, c, rpcHeartbeat, s)
+}
+
+// Pull fetches what is newer at the peer.
+func (c *Client) Pull(ctx context.Context, w *fulmarwire.Want) (*fulmarwire.Bundle, error) {
+	return invoke[fulmarwire.Bundle](ctx, c, rpcPull, w)
+}
+
+// Push sends a table or configuration and returns the peer's status after it was adopted.
+func (c *Client) Push(ctx context.Context, b *fulmarwire.Bundle) (*fulmarwire.Status, error) {
+	return invoke[fulmarwire.Status](ctx, c, rpcPush, b)
+}
+
+// Transfer sends request memory of moving slots.
+func (c *Client) Transfer(ctx context.Context, t *fulmarwire.Transfer) (*fulmarwire.Reply, error) {
+	return invoke[fulmarwire.Reply](ctx, c, rpcTransfer, t)
+}
+
+// Handover offers a target.
+func (c *Client) Handover(ctx context.Context, h *fulmarwire.Handover) (*fulmarwire.Reply, error) {
+	return invoke[fulmarwire.Reply](ctx, c, rpcHandover, h)
+}
+
+// Close closes the connection; a later call opens a new one.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drop()
+}
+
+func (c *Client) drop() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+func (c *Client) connection(ctx context.Context) (*drpcconn.Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		select {
+		case <-c.conn.Closed():
+			c.conn = nil
+		default:
+			return c.conn, nil
+		}
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, errors.Wrap(err, "fulmarpeer: dial")
+	}
+	stop := context.AfterFunc(ctx, func() { raw.Close() })
+	err = shake(raw, c.key, "client", "server")
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		raw.Close()
+		return nil, err
+	}
+	c.conn = drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()})
+	return c.conn, nil
+}
+
+func invoke[O, I any](ctx context.Context, c *Client, rpc string, in *I) (*O, error) {
+	conn, err := c.connection(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := new(O)
+	if err := conn.Invoke(ctx, rpc, c.codec, in, out); err != nil {
+		return nil, errors.Wrap(err, "fulmarpeer: call")
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/fulmarwire/codec.go
@@ -0,0 +1,46 @@
+package fulmarwire
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+)
+
+const (
+	maxNesting  = 16
+	maxElements = 1 << 17
+)
+
+// Codec encodes messages for drpc.
+type Codec struct {
+	enc cbor.EncMode
+	dec cbor.DecMode
+}
+
+// New returns the codec of the current protocol version.
+func New() (Codec, error) {
+	enc, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+	if err != nil {
+		return Codec{}, errors.Wrap(err, "fulmarwire: encoder options")
+	}
+	dec, err := cbor.DecOptions{
+		MaxNestedLevels:  maxNesting,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+	}.DecMode()
+	if err != nil {
+		return Codec{}, errors.Wrap(err, "fulmarwire: decoder options")
+	}
+	return Codec{enc: enc, dec: dec}, nil
+}
+
+// Marshal returns the encoded form of msg.
+func (c Codec) Marshal(msg drpc.Message) ([]byte, error) {
+	b, err := c.enc.Marshal(msg)
+	return b, errors.Wrap(err, "fulmarwire: encode")
+}
+
+// Unmarshal reads the encoded form of one message into msg.
+func (c Codec) Unmarshal(buf []byte, msg drpc.Message) error {
+	return errors.Wrap(c.dec.Unmarshal(buf, msg), "fulmarwire: decode")
+}
--- /dev/null
+++ b/internal/fulmarwire/message.go
@@ -0,0 +1,92 @@
+package fulmarwire
+
+import (
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmardedup"
+)
+
+// Loss reports a target that its dispatcher can't reach and no longer renews.
+type Loss struct {
+	Target   string   `cbor:"target"`
+	Suspects []uint64 `cbor:"suspects,omitempty"`
+}
+
+// Release reports slots that are no longer in force at a target.
+type Release struct {
+	Target  string `cbor:"target"`
+	Service string `cbor:"service"`
+	Slots   []int  `cbor:"slots"`
+	Epoch   uint64 `cbor:"epoch"`
+}
+
+// Load is the server time used by a slot, or by one hot key of it.
+type Load struct {
+	Service string        `cbor:"service"`
+	Slot    int           `cbor:"slot"`
+	Hash    uint64        `cbor:"hash,omitempty"`
+	Used    time.Duration `cbor:"used"`
+}
+
+// Status is a heartbeat and its answer. The fields from Lapses on are sent
+// only to the planner.
+type Status struct {
+	ID          string   `cbor:"id"`
+	Incarnation uint64   `cbor:"incarnation"`
+	Leaving     bool     `cbor:"leaving,omitempty"`
+	Planner     bool     `cbor:"planner,omitempty"`
+	Epoch       uint64   `cbor:"epoch"`
+	Config      uint64   `cbor:"config"`
+	Held        []string `cbor:"held,omitempty"`
+
+	Lapses   map[string]time.Duration `cbor:"lapses,omitempty"` // longest remaining life of a grant for slots that move, by target
+	Losses   []Loss                   `cbor:"losses,omitempty"`
+	Releases []Release                `cbor:"releases,omitempty"`
+	Loads    []Load                   `cbor:"loads,omitempty"`
+	Confirm  []string                 `cbor:"confirm,omitempty"`
+	Lift     []uint64                 `cbor:"lift,omitempty"`
+}
+
+// Member says how to reach a daemon.
+type Member struct {
+	ID          string `cbor:"id"`
+	Incarnation uint64 `cbor:"incarnation"`
+	Control     string `cbor:"control"`
+	Data        string `cbor:"data"`
+	DC          string `cbor:"dc"`
+}
+
+// Want asks for everything newer than the asker's versions.
+type Want struct {
+	From   Member `cbor:"from"`
+	Epoch  uint64 `cbor:"epoch"`
+	Config uint64 `cbor:"config"`
+}
+
+// Bundle carries a table and a configuration, each empty if not newer.
+type Bundle struct {
+	Table   []byte   `cbor:"table,omitempty"`
+	Config  []byte   `cbor:"config,omitempty"`
+	Members []Member `cbor:"members,omitempty"`
+}
+
+// Transfer hands request memory of slots that move to the next dispatcher.
+type Transfer struct {
+	Target   string               `cbor:"target"`
+	Since    map[int]uint64       `cbor:"since"` // epoch in which the move of each slot started
+	Snapshot fulmardedup.Snapshot `cbor:"snapshot"`
+}
+
+// Handover offers a target with its request memory to another dispatcher.
+type Handover struct {
+	Target   string               `cbor:"target"`
+	Term     uint64               `cbor:"term"`
+	Epoch    uint64               `cbor:"epoch"`
+	Snapshot fulmardedup.Snapshot `cbor:"snapshot"`
+}
+
+// Reply says whether a transfer or handover was accepted.
+type Reply struct {
+	Accepted bool   `cbor:"accepted"`
+	Reason   string `cbor:"reason,omitempty"`
+}
