Implement the target's register of its grant

A target needs one place that decides whether a grant and an order are current. Counting the life from arrival was ruled out, because a renewal held in a socket buffer would then extend a grant.

Within one term and epoch, a grant that was overtaken by a later one is refused, since it could restore a released slot.

--- /dev/null
+++ b/pkg/fulmargrant/register.go
@@ -0,0 +1,149 @@
+package fulmargrant
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Grant asks a target to take orders from one holder for a set of slots.
+type Grant struct {
+	Holder string        `json:"holder"`
+	Term   uint64        `json:"term"`
+	Epoch  uint64        `json:"epoch"`
+	Slots  []int         `json:"slots"` // ascending
+	Stamp  time.Duration `json:"stamp"` // last stamp received from the target
+	TTL    time.Duration `json:"ttl"`
+}
+
+// State is what a target says of its grant.
+type State struct {
+	Target  string        `json:"target"`
+	Service string        `json:"service"`
+	Fenced  bool          `json:"fenced"`
+	Holder  string        `json:"holder"`
+	Term    uint64        `json:"term"`
+	Epoch   uint64        `json:"epoch"`
+	Stamp   time.Duration `json:"stamp"` // the target's monotonic clock
+	Lapse   time.Duration `json:"lapse"` // remaining life of the grant, zero if lapsed
+	Slots   int           `json:"slots"` // concurrent requests that the target can run
+	Running int           `json:"running"`
+	Leaving bool          `json:"leaving"`
+}
+
+// Reasons of a RefusedError.
+const (
+	ReasonMalformed  = "malformed grant"
+	ReasonTerm       = "term is not current"
+	ReasonHolder     = "another holder has the term"
+	ReasonEpoch      = "epoch is lower than the one held"
+	ReasonTTL        = "ttl is out of bounds"
+	ReasonAhead      = "stamp is ahead of the clock"
+	ReasonOvertaken  = "a later grant of the term is in force"
+	ReasonLapsed     = "grant has lapsed"
+	ReasonNotGranted = "slot is not granted"
+)
+
+// Register is the target's side of a grant; it is safe for concurrent use.
+type Register struct {
+	bound time.Duration
+
+	mu    sync.Mutex
+	held  Grant // the zero Grant before the first one
+	stamp time.Duration
+	lapse time.Duration
+}
+
+// New returns a register that accepts no life longer than bound.
+func New(bound time.Duration) *Register { return &Register{bound: bound} }
+
+// Apply takes over the grant, or returns an error of type *RefusedError that names the reason.
+// now is the target's monotonic clock.
+func (r *Register) Apply(now time.Duration, g Grant) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reason := r.refusal(now, g); reason != "" {
+		return &RefusedError{Reason: reason}
+	}
+	if g.Term > r.held.Term || g.Stamp > r.stamp {
+		r.stamp = g.Stamp
+	}
+	g.Slots = slices.Clone(g.Slots)
+	r.held = g
+	r.lapse = g.Stamp + g.TTL
+	return nil
+}
+
+// refusal returns why g cannot be taken over at now, or the empty string.
+func (r *Register) refusal(now time.Duration, g Grant) string {
+	switch {
+	case g.Holder == "" || g.Term == 0 || !slices.IsSorted(g.Slots):
+		return ReasonMalformed
+	case g.TTL <= 0 || g.TTL > r.bound:
+		return ReasonTTL
+	case g.Term < r.held.Term:
+		return ReasonTerm
+	case g.Term == r.held.Term && g.Holder != r.held.Holder:
+		return ReasonHolder
+	case g.Epoch < r.held.Epoch:
+		return ReasonEpoch
+	case g.Stamp > now:
+		return ReasonAhead
+	case g.Stamp+g.TTL <= now:
+		// Taking over a dead grant would displace a live holder for nothing.
+		return ReasonLapsed
+	case g.Term == r.held.Term && g.Epoch == r.held.Epoch && r.overtaken(g):
+		return ReasonOvertaken
+	}
+	return ""
+}
+
+// overtaken reports whether g was sent before the grant held, of the same term
+// and epoch. Within an epoch a holder only gives slots up, so an older grant
+// could restore a slot that was already released.
+func (r *Register) overtaken(g Grant) bool {
+	if g.Stamp != r.stamp {
+		return g.Stamp < r.stamp
+	}
+	for _, slot := range g.Slots {
+		if _, ok := slices.BinarySearch(r.held.Slots, slot); !ok {
+			return true
+		}
+	}
+	return false
+}
+
+// Check returns nil if an order with the term for the slot may run at now.
+func (r *Register) Check(now time.Duration, term uint64, slot int) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if term == 0 || term != r.held.Term {
+		return &RefusedError{Reason: ReasonTerm}
+	}
+	if now >= r.lapse {
+		return &RefusedError{Reason: ReasonLapsed}
+	}
+	if _, ok := slices.BinarySearch(r.held.Slots, slot); !ok {
+		return &RefusedError{Reason: ReasonNotGranted}
+	}
+	return nil
+}
+
+// State returns holder, term, epoch and remaining life at now.
+func (r *Register) State(now time.Duration) State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return State{
+		Holder: r.held.Holder,
+		Term:   r.held.Term,
+		Epoch:  r.held.Epoch,
+		Stamp:  now,
+		Lapse:  max(0, r.lapse-now),
+	}
+}
+
+// RefusedError says why a grant or an order was refused.
+type RefusedError struct{ Reason string }
+
+// Error returns the message.
+func (e *RefusedError) Error() string { return "fulmargrant: " + e.Reason }
