--- /dev/null
+++ b/internal/fulmardemo/demo.go
@@ -0,0 +1,156 @@
+package fulmardemo
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarhistory"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarload"
+)
+
+const (
+	readyWithin = 30 * time.Second
+	listLag     = time.Second
+	probed      = 200 * time.Millisecond // mean interval of the calls for a key that is judged for gaps
+	keyBytes    = 32
+	shown       = 5 // violations printed for each rule
+)
+
+// ErrInvariant means that an invariant did not hold.
+var ErrInvariant = errors.New("fulmardemo: an invariant did not hold")
+
+// Settings describe a demonstration.
+type Settings struct {
+	Duration time.Duration
+	Daemons  int // of each deployment
+	Seed     uint64
+	Keep     bool // keep everything running until the context ends
+}
+
+// Demo is one demonstration.
+type Demo struct {
+	settings Settings
+	out      io.Writer
+
+	mu        sync.Mutex
+	processes []*process
+}
+
+// New returns a demonstration that reports to out.
+func New(settings Settings, out io.Writer) *Demo { return &Demo{settings: settings, out: out} }
+
+// Load returns the load of a demonstration, without groups.
+func Load(seed uint64, duration time.Duration, daemons []string) fulmarload.Settings {
+	return fulmarload.Settings{
+		Seed: seed, Daemons: daemons, Duration: duration, Keys: 500, Hot: 8, HotShare: 0.5,
+		Short: 4 * time.Millisecond, Long: 150 * time.Millisecond, Timeout: 2 * time.Second,
+		Attempts: 4, Pause: 50 * time.Millisecond, InFlight: 2000,
+	}
+}
+
+// Run runs the demonstration. It returns ErrInvariant if an invariant did not hold.
+func (d *Demo) Run(ctx context.Context) error {
+	folder, err := os.MkdirTemp("", "fulmarlab-")
+	if err != nil {
+		return errors.Wrap(err, "fulmardemo: create folder")
+	}
+	defer d.stopAll()
+	daemon := filepath.Join(folder, "fulmarbend")
+	build := exec.CommandContext(ctx, "go", "build", "-o", daemon, "./cmd/fulmarbend")
+	if out, err := build.CombinedOutput(); err != nil {
+		return errors.Wrapf(err, "fulmardemo: build the daemon: %s", out)
+	}
+	fmt.Fprintf(d.out, "settings, logs and histories: %s\n", folder)
+	var fleets []*fleet
+	for i, deployment := range deployments {
+		f := &fleet{demo: d, deployment: deployment, daemon: daemon, folder: filepath.Join(folder, deployment.name), seed: d.settings.Seed + uint64(i)}
+		fleets = append(fleets, f)
+	}
+	results := make([]fulmarload.Result, len(fleets))
+	tasks, taskCtx := errgroup.WithContext(ctx)
+	for i, f := range fleets {
+		tasks.Go(func() error {
+			if err := f.start(taskCtx); err != nil {
+				return err
+			}
+			var err error
+			results[i], err = f.run(taskCtx)
+			return err
+		})
+	}
+	if err := tasks.Wait(); err != nil {
+		return err
+	}
+	held := true
+	for i, f := range fleets {
+		ok, err := f.report(results[i])
+		if err != nil {
+			return err
+		}
+		held = held && ok
+	}
+	if d.settings.Keep {
+		for _, f := range fleets {
+			f.printAddresses()
+		}
+		<-ctx.Done()
+	}
+	if !held {
+		return ErrInvariant
+	}
+	fmt.Fprintln(d.out, "all invariants held")
+	return nil
+}
+
+// report prints what happened in one deployment and reports whether the invariants held.
+func (f *fleet) report(result fulmarload.Result) (bool, error) {
+	out := f.demo.out
+	events, err := fulmarhistory.ReadFiles[fulmarhistory.Event](f.histories...)
+	if err != nil {
+		return false, err
+	}
+	checked := fulmarhistory.Check(events, result.Calls)
+	fmt.Fprintf(out, "\n%s\n", f.deployment.name)
+	result.Print(out)
+	gap := fulmarhistory.LongestGap(result.Calls, int(f.demo.settings.Duration/probed))
+	fmt.Fprintf(out, "longest time a key went unserved: %v (%s %s, served again: %t)\n", gap.Length.Round(time.Millisecond), gap.Service, gap.Key, !gap.Open)
+	for _, rule := range []struct {
+		name       string
+		violations []string
+	}{
+		{"slots of keys with two owners", checked.Owners},
+		{"doubled executions", checked.Doubled},
+		{"executions behind a not-run answer", checked.RefusedRan},
+		{"answers not whole or not their own", checked.Broken},
+	} {
+		fmt.Fprintf(out, "%s: %d\n", rule.name, len(rule.violations))
+		for _, v := range rule.violations[:min(shown, len(rule.violations))] {
+			fmt.Fprintf(out, "  %s\n", v)
+		}
+	}
+	served := 0
+	for _, counts := range result.Counts {
+		served += counts["served"]
+	}
+	if served == 0 {
+		fmt.Fprintln(out, "no request was served")
+	}
+	return checked.OK() && served > 0, nil
+}
+
+func secret() string {
+	b := make([]byte, keyBytes)
+	_, _ = rand.Read(b) // never fails, as crypto/rand documents
+	return hex.EncodeToString(b)
+}
--- a/internal/fulmarhistory/log.go
+++ b/internal/fulmarhistory/log.go
@@ -117,7 +117,7 @@
 			return nil, errors.Wrap(err, "fulmarhistory: open file")
 		}
 		out, err = Read(out, f)
-		f.Close()
+		_ = f.Close()
 		if err != nil {
 			return nil, errors.Wrap(err, path)
 		}
--- a/internal/fulmarplatform/platform.go
+++ b/internal/fulmarplatform/platform.go
@@ -265,7 +265,8 @@
 }
 
 func (p *Platform) createSession(w http.ResponseWriter, r *http.Request) {
-	var body struct{ TTL, Behavior string }
+	// The name is that of the published API.
+	var body struct{ TTL, Behavior string } //nolint:misspell
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil && !errors.Is(err, io.EOF) {
 		http.Error(w, "Request decode failed", http.StatusBadRequest)
 		return
@@ -275,7 +276,7 @@
 		http.Error(w, "Invalid Session TTL", http.StatusBadRequest)
 		return
 	}
-	answer(w, map[string]string{"ID": p.store.create(ttl, body.Behavior == "delete")})
+	answer(w, map[string]string{"ID": p.store.create(ttl, body.Behavior == "delete")}) //nolint:misspell
 }
 
 func (p *Platform) renewSession(w http.ResponseWriter, r *http.Request) {
--- a/internal/fulmarplatform/platform_test.go
+++ b/internal/fulmarplatform/platform_test.go
@@ -73,7 +73,7 @@
 	// Guards against a lease that outlives its session.
 	It("releases keys when a session lapses and deletes them on request", func() {
 		expectCall("PUT", "/v1/session/create", `{"TTL":"1s"}`, `{"ID":"session-1"}`)
-		expectCall("PUT", "/v1/session/create", `{"TTL":"60s","Behavior":"delete"}`, `{"ID":"session-2"}`)
+		expectCall("PUT", "/v1/session/create", `{"TTL":"60s","Behavior":"delete"}`, `{"ID":"session-2"}`) //nolint:misspell // a field of the published API
 		expectCall("PUT", "/v1/kv/lock?acquire=session-1", "a", "true")
 		expectCall("PUT", "/v1/kv/lock?acquire=session-2", "b", "false")
 		Eventually(func() string {
