Let long work commit after a change of its dispatcher

Cause: the target compared an order's term again at commit, so a takeover or handover aborted work in flight, though the target still owned the slot. A restarted target also accepted the former holder's renewal, which hid the restart. Change: CheckCommit requires a granted, unlapsed slot under any term; NewAt refuses stamps from before the start. Ruled out: waiting for stragglers in each handover, which blocks a target's keys for as long as the longest request.

--- a/internal/fulmarcontrol/keeper.go
+++ b/internal/fulmarcontrol/keeper.go
@@ -245,7 +245,7 @@
 // refused handles a target that does not accept the renewal: another daemon
 // took over, or the target was restarted and has lost its clock and its grant.
 func (k *keeper) refused(state fulmargrant.State, refused *fulmargrant.RefusedError, received time.Time) {
-	if state.Stamp < k.stamp {
+	if state.Term < k.term {
 		k.c.Log.Warn("target restarted", "target", k.id)
 		k.restarted()
 		return
--- a/internal/fulmardemo/fleet.go
+++ b/internal/fulmardemo/fleet.go
@@ -218,7 +218,7 @@
 		if err != nil {
 			return err
 		}
-		m.process, err = f.demo.spawn(filepath.Join(f.folder, m.id+".log"), f.daemon, "--settings", path)
+		m.process, err = f.demo.spawn(filepath.Join(f.folder, m.id+".log"), f.daemon, "serve", "--settings", path)
 		if err != nil {
 			return err
 		}
--- a/internal/fulmarserver/server.go
+++ b/internal/fulmarserver/server.go
@@ -77,11 +77,11 @@
 		settings: settings,
 		log:      log,
 		mux:      http.NewServeMux(),
-		register: fulmargrant.New(maxTTL),
 		began:    time.Now(),
 		exit:     os.Exit,
 		busy:     make(chan struct{}, settings.Slots),
 	}
+	s.register = fulmargrant.NewAt(s.clock(), maxTTL)
 	s.mux.HandleFunc("GET /fulmarbend/grant", s.getGrant)
 	s.mux.HandleFunc("PUT /fulmarbend/grant", s.putGrant)
 	s.mux.HandleFunc("PUT /lab/mode", s.putMode)
@@ -289,7 +289,7 @@
 	}
 	note := s.work(r.Context(), o, serial)
 	event.At, event.Kind = int64(s.clock()), fulmarhistory.KindCommit
-	if err := s.check(time.Duration(event.At), o); note == "" && err != nil {
+	if err := s.checkCommit(time.Duration(event.At), o); note == "" && err != nil {
 		note = err.Error()
 	}
 	if note != "" {
@@ -311,6 +311,14 @@
 	return s.register.Check(now, o.term, o.slot)
 }
 
+// checkCommit applies the fence to an order that is about to take effect.
+func (s *Server) checkCommit(now time.Duration, o order) error {
+	if !s.settings.Fenced {
+		return nil
+	}
+	return s.register.CheckCommit(now, o.slot)
+}
+
 // work simulates the work and returns why it must not commit, or the empty string.
 func (s *Server) work(ctx context.Context, o order, serial uint64) string {
 	d := o.work
--- a/pkg/fulmargrant/register.go
+++ b/pkg/fulmargrant/register.go
@@ -41,12 +41,14 @@
 	ReasonAhead      = "stamp is ahead of the clock"
 	ReasonOvertaken  = "a later grant of the term is in force"
 	ReasonLapsed     = "grant has lapsed"
+	ReasonRestarted  = "stamp is from before the target started"
 	ReasonNotGranted = "slot is not granted"
 )
 
 // Register is the target's side of a grant; it is safe for concurrent use.
 type Register struct {
 	bound time.Duration
+	start time.Duration
 
 	mu    sync.Mutex
 	held  Grant // the zero Grant before the first one
@@ -57,6 +59,11 @@
 // New returns a register that accepts no life longer than bound.
 func New(bound time.Duration) *Register { return &Register{bound: bound} }
 
+// NewAt returns a register of a target that started at start. It refuses
+// stamps from before, so that the holder learns that the target was restarted
+// and that work in flight was lost.
+func NewAt(start, bound time.Duration) *Register { return &Register{start: start, bound: bound} }
+
 // Apply takes over the grant, or returns an error of type *RefusedError that names the reason.
 // now is the target's monotonic clock.
 func (r *Register) Apply(now time.Duration, g Grant) error {
@@ -89,6 +96,8 @@
 		return ReasonEpoch
 	case g.Stamp > now:
 		return ReasonAhead
+	case g.Stamp < r.start:
+		return ReasonRestarted
 	case g.Stamp+g.TTL <= now:
 		// Taking over a dead grant would displace a live holder for nothing.
 		return ReasonLapsed
@@ -120,6 +129,19 @@
 	if term == 0 || term != r.held.Term {
 		return &RefusedError{Reason: ReasonTerm}
 	}
+	return r.checkSlot(now, slot)
+}
+
+// CheckCommit returns nil if an order that passed Check may take effect at
+// now. Its term need not be current any more: the target still owns the slot,
+// and long work must survive a change of the dispatcher.
+func (r *Register) CheckCommit(now time.Duration, slot int) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.checkSlot(now, slot)
+}
+
+func (r *Register) checkSlot(now time.Duration, slot int) error {
 	if now >= r.lapse {
 		return &RefusedError{Reason: ReasonLapsed}
 	}
