Implement the slot table

The package declared only signatures. Slots live in chunks of 256 entries of 6 bytes; With copies the chunk lists and the chunks that a batch touches, and lists of targets, roster and quarantine only when they change. The binary form stores owners by index among the targets of their service; a test checks that 256k slots stay within 1 MB with 20 and with 1000 targets while one target's slots move.

The slot of a removed hot key stays empty for 64 epochs, because renumbering would let tables of nearby epochs take one number for two keys. Field names are matched with case, because the decoder's default accepted a changed case.

Count, Moving, Unowned, HotKeys, Hot and Plain are exported in addition, so that the planner need not scan all slots.

--- /dev/null
+++ b/pkg/fulmarslot/table_test.go
@@ -0,0 +1,320 @@
+package fulmarslot_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// filled returns a table of one service whose slots are spread over the targets.
+func filled(slots, targets int) fulmarslot.Table {
+	changes := make([]fulmarslot.Change, 0, slots+targets)
+	for i := range targets {
+		changes = append(changes, fulmarslot.PutTarget(fulmarslot.Target{ID: fmt.Sprintf("t%05d", i), Service: "rota", Fenced: true}))
+	}
+	for i := range slots {
+		changes = append(changes, fulmarslot.Assign("rota", i, fmt.Sprintf("t%05d", i*7919%targets)))
+	}
+	t, err := fulmarslot.New(map[string]int{"rota": slots}).With(changes...)
+	if err != nil {
+		panic(err)
+	}
+	return t
+}
+
+func expectRefused(t fulmarslot.Table, want error, changes ...fulmarslot.Change) {
+	GinkgoHelper()
+	_, err := t.With(changes...)
+	var typed *fulmarslot.ChangeError
+	Expect(err).To(MatchError(want))
+	Expect(err).To(BeAssignableToTypeOf(typed))
+}
+
+func expectWith(t fulmarslot.Table, changes ...fulmarslot.Change) fulmarslot.Table {
+	GinkgoHelper()
+	next, err := t.With(changes...)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(next.Epoch()).To(Equal(t.Epoch() + 1))
+	return next
+}
+
+var _ = Describe("Table", func() {
+	// Guards against changes that give a slot two owners or lose its owner (I1).
+	It("refuses changes that do not apply", func() {
+		t := filled(4, 2)
+		moving := expectWith(t, fulmarslot.Move("rota", 0, "t00001", false))
+		other := expectWith(t, fulmarslot.AddService("desk", 1), fulmarslot.PutTarget(fulmarslot.Target{ID: "d", Service: "desk"}))
+		expectRefused(t, fulmarslot.ErrOwned, fulmarslot.Assign("rota", 0, "t00001"))
+		expectRefused(t, fulmarslot.ErrUnknownSlot, fulmarslot.Assign("rota", 4, "t00001"))
+		expectRefused(t, fulmarslot.ErrUnknownService, fulmarslot.Commit("none", 0))
+		expectRefused(t, fulmarslot.ErrUnknownTarget, fulmarslot.Move("rota", 0, "none", true))
+		expectRefused(t, fulmarslot.ErrSameTarget, fulmarslot.Move("rota", 0, "t00000", false))
+		expectRefused(t, fulmarslot.ErrNotMoving, fulmarslot.Commit("rota", 0))
+		expectRefused(t, fulmarslot.ErrNotMoving, fulmarslot.Cancel("rota", 0))
+		expectRefused(moving, fulmarslot.ErrMoving, fulmarslot.Move("rota", 0, "t00001", false))
+		expectRefused(moving, fulmarslot.ErrInUse, fulmarslot.RemoveTarget("t00001"))
+		expectRefused(moving, fulmarslot.ErrMoving, fulmarslot.PutHot("rota", 0))
+		expectRefused(other, fulmarslot.ErrService, fulmarslot.Move("rota", 0, "d", false))
+		expectRefused(other, fulmarslot.ErrUnowned, fulmarslot.Move("desk", 0, "d", false))
+		expectRefused(t, fulmarslot.ErrExists, fulmarslot.AddService("rota", 1))
+		expectRefused(t, fulmarslot.ErrBound, fulmarslot.AddService("big", 1<<20+1))
+		expectRefused(t, fulmarslot.ErrUnknownMember, fulmarslot.RemoveMember("m"))
+		expectRefused(t, fulmarslot.ErrUnknownMark, fulmarslot.Lift(1))
+		expectRefused(t, fulmarslot.ErrOlder, fulmarslot.PutMember(fulmarslot.Member{ID: "m", Incarnation: 2}),
+			fulmarslot.PutMember(fulmarslot.Member{ID: "m", Incarnation: 1}))
+		Expect(fulmarslot.Cancel("rota", 0)(&moving)).To(MatchError(fulmarslot.ErrOutside))
+	})
+
+	// Guards against a move whose phases show a wrong owner.
+	It("moves a slot in two phases", func() {
+		t := expectWith(filled(4, 2), fulmarslot.Move("rota", 0, "t00001", true))
+		Expect(t.Assignment("rota", 0)).To(Equal(fulmarslot.Assignment{Owner: "t00000", Next: "t00001", Forced: true}))
+		Expect(t.OwnedBy(nil, "t00000")).To(Equal([]int{2}))
+		Expect(t.MovingFrom(nil, "t00000")).To(Equal([]int{0}))
+		t = expectWith(t, fulmarslot.Commit("rota", 0))
+		Expect(t.OwnedBy(nil, "t00001")).To(Equal([]int{0, 1, 3}))
+	})
+
+	// Guards against a hot key that gets another owner than its plain slot without a move.
+	It("gives hot keys slots of their own", func() {
+		hash := fulmarslot.Hash("rota", "k")
+		t := filled(4, 2)
+		plain, _ := t.Slot("rota", "k")
+		t = expectWith(t, fulmarslot.PutHot("rota", hash))
+		slot, _ := t.Slot("rota", "k")
+		Expect(slot).To(Equal(4))
+		Expect(t.Assignment("rota", 4)).To(Equal(t.Assignment("rota", plain)))
+		parent, got, ok := t.Parent("rota", 4)
+		Expect([]any{parent, got, ok}).To(Equal([]any{plain, hash, true}))
+		other := []string{"t00001", "t00000"}[plain%2]
+		moved := expectWith(t, fulmarslot.Move("rota", 4, other, false))
+		expectRefused(moved, fulmarslot.ErrMoving, fulmarslot.RemoveHot("rota", hash))
+		moved = expectWith(moved, fulmarslot.Commit("rota", 4))
+		expectRefused(moved, fulmarslot.ErrOwner, fulmarslot.RemoveHot("rota", hash))
+		t = expectWith(t, fulmarslot.RemoveHot("rota", hash))
+		Expect(t.Slots("rota")).To(Equal(5))
+		expectRefused(t, fulmarslot.ErrUnknownSlot, fulmarslot.Assign("rota", 4, "t00000"))
+		t = expectWith(t, fulmarslot.PutHot("rota", 1))
+		Expect(t.Slots("rota")).To(Equal(6), "the number of a removed hot key was reused at once")
+		for range 64 {
+			t = expectWith(t)
+		}
+		Expect(expectWith(t, fulmarslot.PutHot("rota", 2)).Slots("rota")).To(Equal(6))
+	})
+
+	// Guards against a table that does not fit into a value of the key-value service.
+	It("encodes 256k slots within 1 MB", func() {
+		for _, targets := range []int{20, 1000} {
+			t := filled(256<<10, targets)
+			var changes []fulmarslot.Change
+			for _, slot := range t.OwnedBy(nil, "t00001") {
+				changes = append(changes, fulmarslot.Move("rota", slot, "t00002", true))
+			}
+			b, err := expectWith(t, changes...).MarshalBinary()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(len(b)).To(BeNumerically("<=", 1<<20))
+		}
+	})
+
+	// Guards against a shared chunk or index that a later change modifies, against counts that
+	// differ from the slots, and against a binary form that loses state.
+	It("agrees with a plain model and stays immutable", func() {
+		rapid.Check(GinkgoT(), checkModel)
+	})
+
+	// Guards against damaged values that decode into a table.
+	It("refuses damaged binary forms", func() {
+		b, _ := filled(4, 2).MarshalBinary()
+		for name, bad := range map[string][]byte{
+			"empty": {}, "cut": b[:len(b)-1], "trailing": append(append([]byte{}, b...), 0),
+			"field": []byte(strings.Replace(string(b), "roster", "rosteR", 1)),
+			"owner": []byte(strings.Replace(string(b), "\x44\x01\x02\x01\x02", "\x44\x01\x03\x01\x02", 1)),
+		} {
+			_, err := fulmarslot.Decode(bad)
+			Expect(err).To(BeAssignableToTypeOf(&fulmarslot.DecodeError{}), name)
+		}
+	})
+})
+
+// checkModel applies random changes and compares the table with a map.
+func checkModel(t *rapid.T) {
+	table, model := filled(600, 3), map[int]fulmarslot.Assignment{}
+	for i := range 600 {
+		model[i] = table.Assignment("rota", i)
+	}
+	for range rapid.IntRange(1, 60).Draw(t, "changes") {
+		before := dump(table)
+		slot, to := rapid.IntRange(0, table.Slots("rota")).Draw(t, "slot"), fmt.Sprintf("t%05d", rapid.IntRange(0, 3).Draw(t, "target"))
+		a := model[slot]
+		var change fulmarslot.Change
+		switch rapid.IntRange(0, 4).Draw(t, "kind") {
+		case 0:
+			change, a = fulmarslot.Move("rota", slot, to, false), fulmarslot.Assignment{Owner: a.Owner, Next: to}
+		case 1:
+			change, a = fulmarslot.Move("rota", slot, to, true), fulmarslot.Assignment{Owner: a.Owner, Next: to, Forced: true}
+		case 2:
+			change, a = fulmarslot.Commit("rota", slot), fulmarslot.Assignment{Owner: a.Next}
+		case 3:
+			change, a = fulmarslot.Cancel("rota", slot), fulmarslot.Assignment{Owner: a.Owner}
+		case 4:
+			hash := uint64(slot) + 600*uint64(table.Slots("rota"))
+			change, a, slot = fulmarslot.PutHot("rota", hash), model[int(hash%600)], table.Slots("rota")
+		}
+		next, err := table.With(change)
+		if dump(table) != before {
+			t.Fatal("With modified its receiver")
+		}
+		if err == nil {
+			table, model[slot] = next, a
+		}
+	}
+	compare(t, table, model)
+}
+
+func compare(t *rapid.T, table fulmarslot.Table, model map[int]fulmarslot.Assignment) {
+	type count struct{ owned, away, incoming int }
+	want, moving := map[string]count{}, 0
+	for slot, a := range model {
+		if got := table.Assignment("rota", slot); got != a {
+			t.Fatalf("slot %d is %v, want %v", slot, got, a)
+		}
+		c, n := want[a.Owner], want[a.Next]
+		if a.Next == "" {
+			c.owned++
+		} else {
+			moving++
+			c.away++
+			n.incoming++
+			want[a.Next] = n
+		}
+		want[a.Owner] = c
+	}
+	for _, x := range table.Targets() {
+		var got count
+		got.owned, got.away, got.incoming = table.Count(x.ID)
+		if got != want[x.ID] || len(table.OwnedBy(nil, x.ID)) != got.owned || len(table.MovingFrom(nil, x.ID)) != got.away {
+			t.Fatalf("%s has %v, want %v", x.ID, got, want[x.ID])
+		}
+	}
+	for range table.Moving("rota") {
+		moving--
+	}
+	decoded, err := fulmarslot.Decode([]byte(dump(table)))
+	if err != nil || dump(decoded) != dump(table) || moving != 0 {
+		t.Fatalf("decoding: %v, %d moves not listed", err, moving)
+	}
+}
+
+func dump(t fulmarslot.Table) string {
+	b, err := t.MarshalBinary()
+	if err != nil {
+		panic(err)
+	}
+	return string(b)
+}
+
+// FuzzDecode guards against a value that crashes Decode, or decodes into a table with another binary form.
+func FuzzDecode(f *testing.F) {
+	t := filled(4, 2)
+	f.Add([]byte(dump(t)))
+	t, err := t.With(
+		fulmarslot.Move("rota", 3, "t00000", true), fulmarslot.PutHot("rota", 4), fulmarslot.PutMember(fulmarslot.Member{ID: "m"}),
+		fulmarslot.PutQuarantine(fulmarslot.Quarantine{Fingerprint: 1, Until: time.Unix(1, 0)}),
+	)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add([]byte(dump(t)))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		table, err := fulmarslot.Decode(b)
+		if err != nil {
+			return
+		}
+		again, err := fulmarslot.Decode([]byte(dump(table)))
+		if err != nil || dump(again) != dump(table) {
+			t.Fatalf("second decoding differs: %v", err)
+		}
+	})
+}
+
+func ExampleTable_With() {
+	t := fulmarslot.New(map[string]int{"rota-board": 2})
+	t, err := t.With(
+		fulmarslot.PutTarget(fulmarslot.Target{ID: "rota-1", Service: "rota-board"}),
+		fulmarslot.Assign("rota-board", 0, "rota-1"),
+	)
+	fmt.Println(t.Epoch(), t.Assignment("rota-board", 0).Owner, err)
+	_, err = t.With(fulmarslot.Commit("rota-board", 0))
+	fmt.Println(err)
+	// Output:
+	// 2 rota-1 <nil>
+	// fulmarslot: commit rota-board/0 : slot is not moving
+}
+
+var sizes = []int{1 << 10, 1 << 16, 1 << 20}
+
+func BenchmarkSlot(b *testing.B) {
+	for _, n := range sizes {
+		t := filled(n, 20)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				t.Slot("rota", "some-key")
+			}
+		})
+	}
+}
+
+func BenchmarkWith64Moves(b *testing.B) {
+	for _, n := range sizes {
+		t := filled(n, 20)
+		var changes []fulmarslot.Change
+		for i := range 64 {
+			slot := i * n / 64
+			next := "t00000"
+			if t.Assignment("rota", slot).Owner == next {
+				next = "t00001"
+			}
+			changes = append(changes, fulmarslot.Move("rota", slot, next, false))
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := t.With(changes...); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkMarshal(b *testing.B) {
+	for _, n := range sizes {
+		t := filled(n, 20)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				b.SetBytes(int64(len(dump(t))))
+			}
+		})
+	}
+}
+
+func BenchmarkDecode(b *testing.B) {
+	for _, n := range sizes {
+		data := []byte(dump(filled(n, 20)))
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := fulmarslot.Decode(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
