--- /dev/null
+++ b/internal/fulmartarget/client.go
@@ -0,0 +1,184 @@
+package fulmartarget
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarreply"
+	"github.com/fulmarbend/fulmarbend/internal/fulmartransport"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmargrant"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmaroutcome"
+)
+
+const (
+	grantPath  = "/fulmarbend/grant"
+	stateBytes = 1 << 20 // largest answer to a grant
+)
+
+// ErrDial states that no byte of an order was sent.
+var ErrDial = errors.New("fulmartarget: order not sent")
+
+// StatusError is an answer to a grant call with an unexpected status.
+type StatusError struct{ Status int }
+
+// Error returns the message.
+func (e *StatusError) Error() string {
+	return "fulmartarget: unexpected status " + strconv.Itoa(e.Status)
+}
+
+// Order is a request for a target.
+type Order struct {
+	Method   string
+	Path     string // path and query as the caller sent them
+	Header   http.Header
+	Body     io.Reader // nil for none
+	Length   int64     // of the body, -1 if not known
+	Term     uint64
+	Slot     int
+	Deadline time.Time
+}
+
+// Client sends grants and orders to targets; it is safe for concurrent use.
+type Client struct {
+	transport *fulmartransport.Transport
+}
+
+// New returns a client that keeps at most connections connections to each target.
+func New(connections int) *Client {
+	return &Client{transport: fulmartransport.New(connections)}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.transport.Close() }
+
+// State reads what the target says of its grant.
+func (c *Client) State(ctx context.Context, address string) (fulmargrant.State, error) {
+	return c.call(ctx, http.MethodGet, address, nil)
+}
+
+// Grant asks the target to apply g. On a refusal it returns the target's state and a *fulmargrant.RefusedError.
+func (c *Client) Grant(ctx context.Context, address string, g fulmargrant.Grant) (fulmargrant.State, error) {
+	text, err := json.Marshal(g)
+	if err != nil {
+		return fulmargrant.State{}, errors.Wrap(err, "fulmartarget: grant")
+	}
+	return c.call(ctx, http.MethodPut, address, text)
+}
+
+// call exchanges a grant message and decodes the state in the answer.
+func (c *Client) call(ctx context.Context, method, address string, text []byte) (fulmargrant.State, error) {
+	var answer struct {
+		fulmargrant.State
+		Reason string `json:"reason"`
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+grantPath, bytes.NewReader(text))
+	if err != nil {
+		return answer.State, errors.Wrap(err, "fulmartarget: address")
+	}
+	if text != nil {
+		r.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.transport.RoundTrip(r)
+	if err != nil {
+		return answer.State, convert(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
+		return answer.State, &StatusError{Status: resp.StatusCode}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, stateBytes))
+	if err != nil {
+		return answer.State, errors.Wrap(err, "fulmartarget: state")
+	}
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return answer.State, errors.Wrap(err, "fulmartarget: state")
+	}
+	if resp.StatusCode == http.StatusConflict {
+		return answer.State, &fulmargrant.RefusedError{Reason: refusal(answer.Reason, resp.Header)}
+	}
+	return answer.State, nil
+}
+
+// refusal returns the reason that the target gave for refusing a grant.
+func refusal(reason string, h http.Header) string {
+	if reason == "" {
+		reason = h.Get(fulmaroutcome.HeaderReason)
+	}
+	if reason == "" {
+		reason = "refused"
+	}
+	return reason
+}
+
+// Do sends an order once. The answer's body must be closed; cancelling ctx breaks off the order.
+func (c *Client) Do(ctx context.Context, address string, o Order) (*http.Response, error) {
+	u, err := url.ParseRequestURI(o.Path)
+	if err != nil {
+		return nil, errors.Wrap(ErrDial, err.Error())
+	}
+	u.Scheme, u.Host = "http", address
+	var body io.Reader
+	if o.Body != nil {
+		body = io.NopCloser(o.Body) // hides the type, which would allow net/http to replay the body
+	}
+	r, err := http.NewRequestWithContext(ctx, o.Method, u.String(), body)
+	if err != nil {
+		return nil, errors.Wrap(ErrDial, err.Error())
+	}
+	r.ContentLength = 0
+	if o.Body != nil {
+		r.ContentLength = o.Length
+	}
+	fulmarreply.CopyHeader(r.Header, o.Header)
+	r.Header.Del("Expect")
+	r.Header.Del("Content-Length")
+	for _, name := range []string{
+		fulmaroutcome.HeaderKey, fulmaroutcome.HeaderGroup, fulmaroutcome.HeaderRequestID,
+		fulmaroutcome.HeaderTimeout, fulmaroutcome.HeaderAttempt,
+	} {
+		if v := o.Header.Get(name); v != "" {
+			r.Header.Set(name, v)
+		}
+	}
+	left := max(time.Until(o.Deadline).Milliseconds(), 0)
+	r.Header.Set(fulmaroutcome.HeaderTerm, strconv.FormatUint(o.Term, 10))
+	r.Header.Set(fulmaroutcome.HeaderSlot, strconv.Itoa(o.Slot))
+	r.Header.Set(fulmaroutcome.HeaderDeadline, strconv.FormatInt(left, 10))
+	r.Header.Set(fulmaroutcome.HeaderDeadlineAt, o.Deadline.UTC().Format(time.RFC3339Nano))
+	resp, err := c.transport.RoundTrip(r)
+	if err != nil {
+		return nil, convert(err)
+	}
+	return resp, nil
+}
+
+// NotRun reports whether the target states that it did not run the order, with the reason.
+func NotRun(resp *http.Response) (fulmaroutcome.Reason, bool) {
+	if resp.Header.Get(fulmaroutcome.HeaderOutcome) != string(fulmaroutcome.NotRun) {
+		return "", false
+	}
+	switch resp.StatusCode {
+	case http.StatusPreconditionFailed:
+		return fulmaroutcome.Fenced, true
+	case http.StatusServiceUnavailable:
+		return fulmaroutcome.Shed, true
+	default:
+		return "", false
+	}
+}
+
+// convert turns the transport's error into one of this package.
+func convert(err error) error {
+	if errors.Is(err, fulmartransport.ErrUnsent) {
+		return errors.Wrap(ErrDial, err.Error())
+	}
+	return errors.Wrap(err, "fulmartarget: connection broken")
+}
