--- /dev/null
+++ b/internal/fulmardispatch/dispatcher.go
@@ -0,0 +1,485 @@
+package fulmardispatch
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmardedup"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmaroutcome"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarplan"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarqueue"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
+)
+
+const (
+	sweep      = 10 * time.Second // period of dropping old request ids
+	linger     = time.Minute      // how long the memory of a slot is kept for export after it left the grant
+	suspicion  = 5 * time.Second  // how long a broken order counts as in flight when the target is lost
+	orderGrace = 5 * time.Second  // time after its deadline when an at-most-once order is given up
+)
+
+// errLost is the cause of ending the orders of a lost target.
+var errLost = errors.New("fulmardispatch: target lost")
+
+// slot is what a dispatcher knows of a slot; the zero value is a slot that was never granted.
+type slot struct {
+	granted  bool
+	stopped  bool
+	imported bool      // the memory was handed over since the slot last left the grant
+	epoch    uint64    // of the table at that time
+	open     bool      // the memory is open
+	left     time.Time // when the slot left the grant
+	hash     uint64    // of the hot key
+	parent   int
+	hot      bool
+	flight   int // handlers and orders
+}
+
+// drain waits until no work is in flight.
+type drain struct {
+	slots []int // nil for all
+	done  chan struct{}
+}
+
+// broken is work whose connection broke, which precedes the loss of a target that crashed.
+type broken struct {
+	fingerprint uint64
+	at          time.Time
+}
+
+// Dispatcher runs the requests of one target; it is safe for concurrent use.
+type Dispatcher struct {
+	target fulmarslot.Target
+	deps   Deps
+	memory *fulmardedup.Memory
+	wake   chan struct{}
+	quit   chan struct{}
+	done   chan struct{}
+
+	mu        sync.Mutex
+	queue     *fulmarqueue.Queue[*job]
+	limits    map[string]fulmarqueue.Limits
+	slots     map[int]*slot
+	hot       map[uint64]int // slot of each hot key
+	held      map[*job]int   // handlers and orders of each job in flight
+	waiting   map[*job]struct{}
+	running   map[*job]struct{}
+	jobs      map[*fulmardedup.Entry]*job
+	drains    []drain
+	broken    []broken
+	loads     loads
+	term      uint64
+	epoch     uint64
+	flight    int
+	opened    bool
+	suspended bool
+	stopped   bool
+	closed    bool
+}
+
+// New returns a dispatcher that admits nothing before Open; Close ends its goroutine.
+func New(target fulmarslot.Target, deps Deps) *Dispatcher {
+	d := &Dispatcher{
+		target:  target,
+		deps:    deps,
+		memory:  fulmardedup.New(deps.Memory),
+		wake:    make(chan struct{}, 1),
+		quit:    make(chan struct{}),
+		done:    make(chan struct{}),
+		queue:   fulmarqueue.New[*job](deps.Discipline, 1),
+		limits:  make(map[string]fulmarqueue.Limits),
+		slots:   make(map[int]*slot),
+		hot:     make(map[uint64]int),
+		held:    make(map[*job]int),
+		waiting: make(map[*job]struct{}),
+		running: make(map[*job]struct{}),
+		jobs:    make(map[*fulmardedup.Entry]*job),
+	}
+	go d.schedule()
+	return d
+}
+
+// Open records that a grant of the term came into force; free is the number of concurrent requests of the target.
+// The memory of slots that was not imported starts anew, also if another term may have lain in between.
+func (d *Dispatcher) Open(term uint64, free int, slots []int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.opened && term > d.term+1 {
+		for n, s := range d.slots {
+			d.forget(n, s)
+		}
+	}
+	d.term, d.opened, d.suspended, d.stopped = term, true, false, false
+	d.queue.SetSlots(free)
+	d.apply(slots)
+	d.signal()
+}
+
+// SetSlots changes the number of concurrent requests of the target.
+func (d *Dispatcher) SetSlots(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.queue.SetSlots(n)
+	d.signal()
+}
+
+// Grant records that a renewal with the slots came into force; it ends a suspension.
+func (d *Dispatcher) Grant(epoch uint64, slots []int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.epoch, d.suspended = max(d.epoch, epoch), false
+	d.apply(slots)
+	d.signal()
+}
+
+// Stop admits no more work for the slots and refuses what waits; the channel is closed when none is in flight.
+func (d *Dispatcher) Stop(slots []int) <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, n := range slots {
+		d.slot(n).stopped = true
+	}
+	d.refuseWaiting(fulmaroutcome.Moving, func(j *job) bool { return d.slot(j.slot).stopped })
+	return d.drain(append([]int{}, slots...))
+}
+
+// StopAll admits no more work and refuses what waits; the channel is closed when none is in flight.
+func (d *Dispatcher) StopAll() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stopped = true
+	d.refuseWaiting(fulmaroutcome.Moving, func(*job) bool { return true })
+	return d.drain(nil)
+}
+
+// Resume admits work for the slots again; Resume(nil) ends StopAll and all stops.
+// The channels of the stops that it ends are never closed.
+func (d *Dispatcher) Resume(slots []int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if slots == nil {
+		d.stopped = false
+		for _, s := range d.slots {
+			s.stopped = false
+		}
+		d.drains = nil
+		return
+	}
+	for _, n := range slots {
+		d.slot(n).stopped = false
+	}
+	kept := d.drains[:0]
+	for _, w := range d.drains {
+		if w.slots == nil || !overlap(w.slots, slots) {
+			kept = append(kept, w)
+		}
+	}
+	d.drains = kept
+}
+
+// Suspend starts no more work; waiting requests stay until their deadline, Close, or a renewal.
+func (d *Dispatcher) Suspend() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.suspended = true
+}
+
+// Lost ends the work in flight as unknown and returns its fingerprints, with those of orders
+// whose connection broke shortly before.
+func (d *Dispatcher) Lost() []uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.suspended = true
+	seen := make(map[uint64]bool)
+	var dst []uint64
+	add := func(f uint64) {
+		if !seen[f] {
+			seen[f] = true
+			dst = append(dst, f)
+		}
+	}
+	for j := range d.running {
+		add(j.fingerprint)
+		j.cancel(errLost)
+	}
+	d.trimBroken(suspicion)
+	for _, b := range d.broken {
+		add(b.fingerprint)
+	}
+	d.broken = nil
+	return dst
+}
+
+// Close refuses what waits with the reason and admits nothing more; work in flight is left to finish.
+func (d *Dispatcher) Close(reason fulmaroutcome.Reason) {
+	d.mu.Lock()
+	if d.closed {
+		d.mu.Unlock()
+		return
+	}
+	d.closed = true
+	d.refuseWaiting(reason, func(*job) bool { return true })
+	close(d.quit)
+	d.mu.Unlock()
+	<-d.done
+}
+
+// Export returns the request memory of the slots, for their next dispatcher.
+func (d *Dispatcher) Export(slots []int) fulmardedup.Snapshot { return d.memory.Export(slots) }
+
+// Import takes over the request memory of slots from their previous dispatcher.
+func (d *Dispatcher) Import(s fulmardedup.Snapshot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for n := range s.Horizons {
+		known := d.slot(n)
+		if !known.granted {
+			d.forget(n, known) // what is left from an earlier grant is incomplete
+		}
+		known.imported, known.open, known.epoch = true, true, d.deps.Table().Epoch()
+	}
+	d.memory.Import(s)
+}
+
+// Loads returns the server time that each slot and the hottest keys used since the last call.
+func (d *Dispatcher) Loads() []fulmarplan.Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.loads.take(d.target.Service)
+}
+
+// slot returns the record of a slot, with the lock held.
+func (d *Dispatcher) slot(n int) *slot {
+	s, ok := d.slots[n]
+	if !ok {
+		s = &slot{}
+		d.slots[n] = s
+	}
+	return s
+}
+
+// apply makes slots the granted ones, with the lock held.
+func (d *Dispatcher) apply(slots []int) {
+	now := d.deps.Now()
+	table := d.deps.Table()
+	granted := make(map[int]bool, len(slots))
+	var hot []int
+	for _, n := range slots {
+		granted[n] = true
+		if parent, hash, ok := table.Parent(d.target.Service, n); ok {
+			s := d.slot(n)
+			if s.hot && (s.parent != parent || s.hash != hash) {
+				d.unheat(now, table, n, s) // the slot number serves another key now
+				s.granted = false
+			}
+			s.hot, s.parent, s.hash = true, parent, hash
+			d.hot[hash] = n
+			hot = append(hot, n)
+			continue
+		}
+		d.enter(now, n)
+	}
+	for _, n := range hot {
+		d.enter(now, n)
+	}
+	for n, s := range d.slots {
+		if s.hot && !granted[n] {
+			d.unheat(now, table, n, s)
+		}
+		if s.granted && !granted[n] {
+			s.granted, s.stopped, s.imported, s.left = false, false, false, now
+		}
+		d.revoke(table, n, s)
+	}
+	d.refuseWaiting(fulmaroutcome.Moving, func(j *job) bool { return !d.slot(j.slot).granted })
+	d.trimBroken(time.Second)
+}
+
+// enter opens the memory of a slot that came into the grant, with the lock held.
+func (d *Dispatcher) enter(now time.Time, n int) {
+	s := d.slot(n)
+	if s.granted && s.open {
+		return
+	}
+	s.granted, s.stopped = true, false
+	if s.open && s.imported {
+		return
+	}
+	d.forget(n, s) // ids may have run elsewhere while the slot was away
+	s.open = true
+	if s.hot {
+		if p := d.slot(s.parent); p.granted && p.open {
+			d.memory.Split(s.parent, n, s.hash)
+			d.rehome(s.parent, n, s.hash)
+			return
+		}
+	}
+	d.memory.Open(now, n)
+}
+
+// unheat handles a hot key that returned to its plain slot; with the lock held.
+func (d *Dispatcher) unheat(now time.Time, table fulmarslot.Table, n int, s *slot) {
+	if _, hash, ok := table.Parent(d.target.Service, n); ok && hash == s.hash {
+		return // moved to another target
+	}
+	if p := d.slot(s.parent); p.granted && p.open {
+		if s.granted && s.open {
+			d.memory.Join(s.parent, n)
+			d.rehome(n, s.parent, s.hash)
+		} else {
+			// The key's requests ran elsewhere, and their ids were not handed over.
+			d.memory.Close(s.parent)
+			d.memory.Open(now, s.parent)
+		}
+	}
+	d.forget(n, s)
+	delete(d.hot, s.hash)
+	s.hot = false
+}
+
+// revoke forgets memory that was imported for a move that was cancelled or became a forced one, because
+// later work elsewhere is not in it; with the lock held.
+func (d *Dispatcher) revoke(table fulmarslot.Table, n int, s *slot) {
+	if s.granted || !s.imported || n >= table.Slots(d.target.Service) {
+		return
+	}
+	a := table.Assignment(d.target.Service, n)
+	if a.Forced || a.Owner != d.target.ID && a.Next != d.target.ID && table.Epoch() > s.epoch {
+		d.forget(n, s)
+	}
+}
+
+// rehome counts the work in flight of a key under another slot, with the lock held.
+func (d *Dispatcher) rehome(from, to int, hash uint64) {
+	for j, count := range d.held {
+		if j.slot == from && j.hash == hash {
+			d.slot(from).flight -= count
+			d.slot(to).flight += count
+			j.slot = to
+		}
+	}
+	d.settle()
+}
+
+// forget closes the memory of a slot, with the lock held.
+func (d *Dispatcher) forget(n int, s *slot) {
+	if s.open {
+		d.memory.Close(n)
+	}
+	s.open, s.imported = false, false
+}
+
+// drain returns a channel that is closed when the slots, or all if nil, have no work in flight; with the lock held.
+func (d *Dispatcher) drain(slots []int) <-chan struct{} {
+	w := drain{slots: slots, done: make(chan struct{})}
+	d.drains = append(d.drains, w)
+	d.settle()
+	return w.done
+}
+
+// settle closes the channels of the drains that are complete, with the lock held.
+func (d *Dispatcher) settle() {
+	kept := d.drains[:0]
+	for _, w := range d.drains {
+		if d.idle(w.slots) {
+			close(w.done)
+			continue
+		}
+		kept = append(kept, w)
+	}
+	d.drains = kept
+}
+
+func (d *Dispatcher) idle(slots []int) bool {
+	if slots == nil {
+		return d.flight == 0
+	}
+	for _, n := range slots {
+		if d.slot(n).flight > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// hold counts a handler or an order of a job as in flight, with the lock held.
+func (d *Dispatcher) hold(j *job) {
+	d.flight++
+	d.held[j]++
+	d.slot(j.slot).flight++
+}
+
+// release ends a hold, with the lock held.
+func (d *Dispatcher) release(j *job) {
+	d.flight--
+	if d.held[j]--; d.held[j] == 0 {
+		delete(d.held, j)
+	}
+	d.slot(j.slot).flight--
+	if len(d.drains) > 0 {
+		d.settle()
+	}
+}
+
+// refuseWaiting takes the waiting jobs that match out of the queue as not run, with the lock held.
+func (d *Dispatcher) refuseWaiting(reason fulmaroutcome.Reason, match func(*job) bool) {
+	for j := range d.waiting {
+		if match(j) {
+			d.refuse(j, reason)
+		}
+	}
+}
+
+// refuse takes a waiting job out of the queue as not run and reports whether it still waited; with the lock held.
+func (d *Dispatcher) refuse(j *job, reason fulmaroutcome.Reason) bool {
+	if j.state != waiting || !d.queue.Remove(j.ticket) {
+		return false
+	}
+	d.reject(j, reason)
+	return true
+}
+
+// reject ends a job that is not in the queue as not run, with the lock held.
+func (d *Dispatcher) reject(j *job, reason fulmaroutcome.Reason) {
+	delete(d.waiting, j)
+	j.state, j.reason = refused, reason
+	if j.entry != nil {
+		delete(d.jobs, j.entry)
+		d.memory.Abandon(j.entry, fulmardedup.Answer{Outcome: string(fulmaroutcome.NotRun), Reason: string(reason)})
+	}
+	j.cancel(nil)
+	close(j.ready)
+}
+
+// trimBroken drops broken work older than age, with the lock held.
+func (d *Dispatcher) trimBroken(age time.Duration) {
+	oldest := d.deps.Now().Add(-age)
+	kept := d.broken[:0]
+	for _, b := range d.broken {
+		if b.at.After(oldest) {
+			kept = append(kept, b)
+		}
+	}
+	d.broken = kept
+}
+
+// signal wakes the scheduler.
+func (d *Dispatcher) signal() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+func overlap(a, b []int) bool {
+	for _, x := range a {
+		for _, y := range b {
+			if x == y {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/fulmartarget/client.go
+++ b/internal/fulmartarget/client.go
@@ -41,6 +41,7 @@
 	Header   http.Header
 	Body     io.Reader // nil for none
 	Length   int64     // of the body, -1 if not known
+	Sender   string    // id of the dispatching instance
 	Term     uint64
 	Slot     int
 	Deadline time.Time
@@ -148,6 +149,9 @@
 			r.Header.Set(name, v)
 		}
 	}
+	if o.Sender != "" {
+		r.Header.Set(fulmaroutcome.HeaderSender, o.Sender)
+	}
 	left := max(time.Until(o.Deadline).Milliseconds(), 0)
 	r.Header.Set(fulmaroutcome.HeaderTerm, strconv.FormatUint(o.Term, 10))
 	r.Header.Set(fulmaroutcome.HeaderSlot, strconv.Itoa(o.Slot))
--- a/internal/fulmartransport/transport.go
+++ b/internal/fulmartransport/transport.go
@@ -14,7 +14,7 @@
 
 // Bounds of the connections.
 const (
-	dialTimeout     = time.Second
+	dialTimeout     = 500 * time.Millisecond
 	keepAlive       = 15 * time.Second
 	idleTimeout     = 90 * time.Second
 	continueTimeout = time.Second
