Consult the table and the limits without the dispatcher's lock

The controller holds its lock while it imports request memory, and its table and configuration are read under the same lock. Reading them under the dispatcher's lock could block both for ever. Running is added for it.

--- a/internal/fulmardispatch/dispatcher.go
+++ b/internal/fulmardispatch/dispatcher.go
@@ -28,7 +28,6 @@
 	granted  bool
 	stopped  bool
 	imported bool      // the memory was handed over since the slot last left the grant
-	epoch    uint64    // of the table at that time
 	open     bool      // the memory is open
 	left     time.Time // when the slot left the grant
 	hash     uint64    // of the hot key
@@ -104,19 +103,29 @@
 // Open records that a grant of the term came into force; free is the number of concurrent requests of the target.
 // The memory of slots that was not imported starts anew, also if another term may have lain in between.
 func (d *Dispatcher) Open(term uint64, free int, slots []int) {
+	table := d.deps.Table()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.opened && term > d.term+1 {
 		for n, s := range d.slots {
-			d.forget(n, s)
+			if !s.imported {
+				d.forget(n, s)
+			}
 		}
 	}
 	d.term, d.opened, d.suspended, d.stopped = term, true, false, false
 	d.queue.SetSlots(free)
-	d.apply(slots)
+	d.apply(table, slots)
 	d.signal()
 }
 
+// Running returns the number of orders in flight.
+func (d *Dispatcher) Running() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.queue.Running()
+}
+
 // SetSlots changes the number of concurrent requests of the target.
 func (d *Dispatcher) SetSlots(n int) {
 	d.mu.Lock()
@@ -127,10 +136,11 @@
 
 // Grant records that a renewal with the slots came into force; it ends a suspension.
 func (d *Dispatcher) Grant(epoch uint64, slots []int) {
+	table := d.deps.Table()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.epoch, d.suspended = max(d.epoch, epoch), false
-	d.apply(slots)
+	d.apply(table, slots)
 	d.signal()
 }
 
@@ -229,16 +239,18 @@
 // Export returns the request memory of the slots, for their next dispatcher.
 func (d *Dispatcher) Export(slots []int) fulmardedup.Snapshot { return d.memory.Export(slots) }
 
-// Import takes over the request memory of slots from their previous dispatcher.
+// Import takes over the request memory of slots from their previous dispatcher; Open or Grant with these
+// slots must follow at once. Memory of a move that was cancelled must not be imported.
 func (d *Dispatcher) Import(s fulmardedup.Snapshot) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.deps.Now()
 	for n := range s.Horizons {
 		known := d.slot(n)
 		if !known.granted {
 			d.forget(n, known) // what is left from an earlier grant is incomplete
 		}
-		known.imported, known.open, known.epoch = true, true, d.deps.Table().Epoch()
+		known.imported, known.open, known.left = true, true, now
 	}
 	d.memory.Import(s)
 }
@@ -261,9 +273,8 @@
 }
 
 // apply makes slots the granted ones, with the lock held.
-func (d *Dispatcher) apply(slots []int) {
+func (d *Dispatcher) apply(table fulmarslot.Table, slots []int) {
 	now := d.deps.Now()
-	table := d.deps.Table()
 	granted := make(map[int]bool, len(slots))
 	var hot []int
 	for _, n := range slots {
@@ -291,7 +302,6 @@
 		if s.granted && !granted[n] {
 			s.granted, s.stopped, s.imported, s.left = false, false, false, now
 		}
-		d.revoke(table, n, s)
 	}
 	d.refuseWaiting(fulmaroutcome.Moving, func(j *job) bool { return !d.slot(j.slot).granted })
 	d.trimBroken(time.Second)
@@ -339,18 +349,6 @@
 	s.hot = false
 }
 
-// revoke forgets memory that was imported for a move that was cancelled or became a forced one, because
-// later work elsewhere is not in it; with the lock held.
-func (d *Dispatcher) revoke(table fulmarslot.Table, n int, s *slot) {
-	if s.granted || !s.imported || n >= table.Slots(d.target.Service) {
-		return
-	}
-	a := table.Assignment(d.target.Service, n)
-	if a.Forced || a.Owner != d.target.ID && a.Next != d.target.ID && table.Epoch() > s.epoch {
-		d.forget(n, s)
-	}
-}
-
 // rehome counts the work in flight of a key under another slot, with the lock held.
 func (d *Dispatcher) rehome(from, to int, hash uint64) {
 	for j, count := range d.held {
@@ -432,13 +430,11 @@
 	}
 }
 
-// refuse takes a waiting job out of the queue as not run and reports whether it still waited; with the lock held.
-func (d *Dispatcher) refuse(j *job, reason fulmaroutcome.Reason) bool {
-	if j.state != waiting || !d.queue.Remove(j.ticket) {
-		return false
+// refuse takes a job out of the queue as not run, unless it no longer waits; with the lock held.
+func (d *Dispatcher) refuse(j *job, reason fulmaroutcome.Reason) {
+	if j.state == waiting && d.queue.Remove(j.ticket) {
+		d.reject(j, reason)
 	}
-	d.reject(j, reason)
-	return true
 }
 
 // reject ends a job that is not in the queue as not run, with the lock held.
--- a/internal/fulmardispatch/order.go
+++ b/internal/fulmardispatch/order.go
@@ -94,10 +94,8 @@
 	defer d.mu.Unlock()
 	now := d.deps.Now()
 	d.memory.Expire(now)
-	table := d.deps.Table()
 	for n, s := range d.slots {
-		d.revoke(table, n, s)
-		if s.granted || s.imported || s.flight > 0 || now.Sub(s.left) < linger {
+		if s.granted || s.flight > 0 || now.Sub(s.left) < linger {
 			continue
 		}
 		d.forget(n, s)
@@ -205,7 +203,11 @@
 // runOnce sends the order of an at-most-once service and records its answer.
 func (d *Dispatcher) runOnce(j *job) {
 	o := d.order(j)
-	ctx, cancel := context.WithDeadline(j.ctx, o.Deadline.Add(orderGrace))
+	grace := orderGrace
+	if !d.target.Fenced {
+		grace = 0 // its slots may move as soon as the deadlines of its orders have passed
+	}
+	ctx, cancel := context.WithDeadline(j.ctx, o.Deadline.Add(grace))
 	defer cancel()
 	defer d.leave(j)
 	resp, a := d.send(ctx, j, o)
--- a/internal/fulmardispatch/request.go
+++ b/internal/fulmardispatch/request.go
@@ -39,6 +39,9 @@
 	header      http.Header
 	body        *fulmarbody.Body
 	fingerprint uint64
+	routed      bool // the newest table gives the key the slot
+	known       bool // the group is configured
+	limits      fulmarqueue.Limits
 	ctx         context.Context //nolint:containedctx // the life of the order, which may outlast the handler
 	cancel      context.CancelCauseFunc
 	ready       chan struct{} // closed when the job is started or refused
--- a/internal/fulmardispatch/serve.go
+++ b/internal/fulmardispatch/serve.go
@@ -29,6 +29,7 @@
 	if !d.read(w, r, j) {
 		return
 	}
+	d.consult(j)
 	if d.deps.Idempotent(d.target.Service) {
 		d.serveIdempotent(w, r, j)
 		return
@@ -38,11 +39,22 @@
 
 // glance refuses a request before its body is read; the binding check follows with the lock held.
 func (d *Dispatcher) glance(j *job) fulmaroutcome.Reason {
+	d.consult(j)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.check(j)
 }
 
+// consult reads the table and the limits. It runs without the lock, because their owner may call the
+// dispatcher while it holds its own lock.
+func (d *Dispatcher) consult(j *job) {
+	slot, ok := d.deps.Table().Slot(d.target.Service, j.key)
+	j.routed = ok && slot == j.slot
+	limits, ok := d.deps.Limits(d.target.Service, j.group)
+	j.known = ok
+	j.limits = fulmarqueue.Limits{Weight: limits.Weight, Queue: limits.Queue}
+}
+
 // read takes the first part of the body and computes the fingerprint.
 func (d *Dispatcher) read(w http.ResponseWriter, r *http.Request, j *job) bool {
 	control := http.NewResponseController(w)
@@ -72,7 +84,7 @@
 		return fulmaroutcome.Moving
 	}
 	// A hot key has one slot; a request routed by an older table must not reach another memory than its duplicate.
-	if n, ok := d.deps.Table().Slot(d.target.Service, j.key); !ok || n != j.slot {
+	if !j.routed {
 		return fulmaroutcome.Moving
 	}
 	if n, ok := d.hot[j.hash]; ok && n != j.slot {
@@ -88,14 +100,12 @@
 	if verdict == fulmarguard.Refuse {
 		return fulmaroutcome.Condemned
 	}
-	limits, ok := d.deps.Limits(d.target.Service, j.group)
-	if !ok {
+	if !j.known {
 		return fulmaroutcome.UnknownGroup
 	}
-	bounds := fulmarqueue.Limits{Weight: limits.Weight, Queue: limits.Queue}
-	if d.limits[j.group] != bounds {
-		d.limits[j.group] = bounds
-		d.queue.SetLimits(j.group, bounds)
+	if d.limits[j.group] != j.limits {
+		d.limits[j.group] = j.limits
+		d.queue.SetLimits(j.group, j.limits)
 	}
 	cost, long := d.deps.Cost.Estimate(d.target.Service, j.kind)
 	class := fulmarqueue.Short
--- a/internal/fulmarentry/entry.go
+++ b/internal/fulmarentry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarreply"
@@ -99,6 +100,12 @@
 		http.Error(w, err.Error(), http.StatusUnauthorized)
 		return
 	}
+	if left, err := strconv.ParseInt(r.Header.Get(fulmaroutcome.HeaderDeadline), 10, 64); err == nil {
+		// A peer that does not read must not hold a slot of the target beyond the deadline.
+		control := http.NewResponseController(w)
+		_ = control.SetWriteDeadline(time.Now().Add(time.Duration(left)*time.Millisecond + writeGrace))
+		defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	}
 	target := r.Header.Get(fulmaroutcome.HeaderTarget)
 	if d, ok := e.deps.Router.Dispatcher(target); ok {
 		d.ServeHTTP(w, r)
--- a/internal/fulmarreply/reply.go
+++ b/internal/fulmarreply/reply.go
@@ -121,7 +121,8 @@
 func Head(w http.ResponseWriter, resp *http.Response) {
 	CopyHeader(w.Header(), resp.Header)
 	w.Header().Set(fulmaroutcome.HeaderOutcome, string(fulmaroutcome.Served))
-	if resp.ContentLength >= 0 && resp.Header.Get("Content-Length") == "" && resp.StatusCode != http.StatusNoContent {
+	bodyless := resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+	if resp.ContentLength >= 0 && resp.Header.Get("Content-Length") == "" && !bodyless {
 		w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	w.WriteHeader(resp.StatusCode)
