Keep the epoch in which a slot's move started

Cause: request memory that was sent for a move which was then cancelled looks like memory of the next move of the same slot, though the former owner admitted work in between. Change: Assignment has Since, the epoch of the move's start; it is kept for 256 epochs after the commit. The model test tracks it. Ruled out: judging by the time of arrival, which no bound covers.

--- a/pkg/fulmarslot/change.go
+++ b/pkg/fulmarslot/change.go
@@ -19,6 +19,7 @@
 	maxQuarantine = 128
 	maxName       = 256 // bytes of a name or an address
 	reuse         = 64  // epochs for which the slot of a removed hot key stays empty
+	remember      = 256 // epochs for which the start of a move is kept
 )
 
 // Change is one modification of a table.
@@ -112,7 +113,9 @@
 		case e.next != 0 && !forced:
 			return ErrMoving
 		}
-		t.writable(service).set(slot, entry{owner: e.owner, next: to, forced: forced})
+		s := t.writable(service)
+		s.set(slot, entry{owner: e.owner, next: to, forced: forced})
+		s.started(slot, t.epoch)
 		return nil
 	})
 }
@@ -134,7 +137,9 @@
 		if e.next == 0 {
 			return ErrNotMoving
 		}
-		t.writable(service).set(slot, entry{owner: e.owner})
+		s := t.writable(service)
+		s.set(slot, entry{owner: e.owner})
+		delete(s.since, slot)
 		return nil
 	})
 }
--- a/pkg/fulmarslot/codec.go
+++ b/pkg/fulmarslot/codec.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -24,6 +26,7 @@
 		Slots  int       `cbor:"slots"`
 		Owners []byte    `cbor:"owners"` // for each slot, the index of its owner among the service's targets plus one, big-endian
 		Moves  []byte    `cbor:"moves"`  // for each moving slot, the varints of its distance from the last one and of 2*next+forced
+		Since  []byte    `cbor:"since"`  // for each slot with a recent move, the varints of its distance from the last one and of the start's epoch
 		Hot    []wireHot `cbor:"hot"`
 	}
 	wireHot struct {
@@ -118,6 +121,12 @@
 			last = slot
 		}
 	}
+	last = 0
+	for _, slot := range slices.Sorted(maps.Keys(s.since)) {
+		w.Since = binary.AppendUvarint(w.Since, uint64(slot-last))
+		w.Since = binary.AppendUvarint(w.Since, s.since[slot])
+		last = slot
+	}
 	for _, h := range s.hots {
 		w.Hot = append(w.Hot, wireHot{Hash: h.hash, Used: h.used, Freed: h.freed})
 	}
@@ -238,7 +247,27 @@
 			s.set(slot, entry{owner: refs[local]})
 		}
 	}
-	return s.decodeMoves(w.Moves, refs)
+	if reason := s.decodeMoves(w.Moves, refs); reason != "" {
+		return reason
+	}
+	return s.decodeSince(w.Since, t.epoch)
+}
+
+// decodeSince reads the epochs in which recent moves started.
+func (s *space) decodeSince(b []byte, epoch uint64) string {
+	for slot, first := 0, true; len(b) > 0; first = false {
+		step, since, rest := pair(b)
+		if rest == nil || step > uint64(s.len()) || step == 0 && !first {
+			return "starts of moves are broken"
+		}
+		b = rest
+		slot += int(step)
+		if !s.valid(slot) || since == 0 || since > epoch {
+			return "start of a move out of range"
+		}
+		s.started(slot, since)
+	}
+	return ""
 }
 
 func (s *space) decodeHot(hots []wireHot, epoch uint64) string {
--- a/pkg/fulmarslot/space.go
+++ b/pkg/fulmarslot/space.go
@@ -45,8 +45,9 @@
 	hots   []hot
 	index  map[uint64]int // slot of each hot key
 	chunks []*chunk
-	owners []*edit // by chunk: the edit that may modify it
-	tally  []tally // by target reference
+	owners []*edit        // by chunk: the edit that may modify it
+	tally  []tally        // by target reference
+	since  map[int]uint64 // by slot: epoch in which its last move started
 }
 
 // edit identifies one call of With, which may modify what it has copied.
@@ -73,9 +74,19 @@
 	c.hots = slices.Clone(s.hots)
 	c.index = maps.Clone(s.index)
 	c.tally = slices.Clone(s.tally)
+	c.since = maps.Clone(s.since)
+	maps.DeleteFunc(c.since, func(slot int, since uint64) bool { return since+remember < e.epoch && s.at(slot).next == 0 })
 	return &c
 }
 
+// started notes the epoch in which the move of a slot started.
+func (s *space) started(slot int, epoch uint64) {
+	if s.since == nil {
+		s.since = map[int]uint64{}
+	}
+	s.since[slot] = epoch
+}
+
 func (s *space) len() int { return s.plain + len(s.hots) }
 
 // valid reports whether slot exists and is not that of a removed hot key.
@@ -164,6 +175,7 @@
 func (s *space) removeHot(slot int, epoch uint64) {
 	s.set(slot, entry{})
 	s.write(slot).unowned--
+	delete(s.since, slot)
 	h := &s.hots[slot-s.plain]
 	delete(s.index, h.hash)
 	*h = hot{freed: epoch}
--- a/pkg/fulmarslot/table.go
+++ b/pkg/fulmarslot/table.go
@@ -16,6 +16,7 @@
 	Owner  string `cbor:"owner"`
 	Next   string `cbor:"next,omitempty"`
 	Forced bool   `cbor:"forced,omitempty"`
+	Since  uint64 `cbor:"since,omitempty"` // epoch in which the last move started, kept for a while after its commit
 }
 
 // Target is a back-end server that owns slots of one service.
@@ -168,11 +169,12 @@
 	if s == nil || slot < 0 || slot >= s.len() {
 		panic(fmt.Sprintf("fulmarslot: no slot %d in service %q", slot, service))
 	}
-	return t.assignment(s.at(slot))
+	return t.assignment(s, slot)
 }
 
-func (t *Table) assignment(e entry) Assignment {
-	a := Assignment{Forced: e.forced}
+func (t *Table) assignment(s *space, slot int) Assignment {
+	e := s.at(slot)
+	a := Assignment{Forced: e.forced, Since: s.since[slot]}
 	if e.owner != 0 {
 		a.Owner = t.names[e.owner-1]
 	}
@@ -266,7 +268,7 @@
 			}
 			for j, e := range c.entries {
 				slot := i*chunkSize + j
-				if match(e) && s.valid(slot) && !yield(slot, t.assignment(e)) {
+				if match(e) && s.valid(slot) && !yield(slot, t.assignment(s, slot)) {
 					return
 				}
 			}
--- a/pkg/fulmarslot/table_test.go
+++ b/pkg/fulmarslot/table_test.go
@@ -74,11 +74,18 @@
 	// Guards against a move whose phases show a wrong owner.
 	It("moves a slot in two phases", func() {
 		t := expectWith(filled(4, 2), fulmarslot.Move("rota", 0, "t00001", true))
-		Expect(t.Assignment("rota", 0)).To(Equal(fulmarslot.Assignment{Owner: "t00000", Next: "t00001", Forced: true}))
+		Expect(t.Assignment("rota", 0)).To(Equal(fulmarslot.Assignment{Owner: "t00000", Next: "t00001", Forced: true, Since: t.Epoch()}))
+		started := t.Epoch()
 		Expect(t.OwnedBy(nil, "t00000")).To(Equal([]int{2}))
 		Expect(t.MovingFrom(nil, "t00000")).To(Equal([]int{0}))
 		t = expectWith(t, fulmarslot.Commit("rota", 0))
 		Expect(t.OwnedBy(nil, "t00001")).To(Equal([]int{0, 1, 3}))
+		Expect(t.Assignment("rota", 0).Since).To(Equal(started), "the start of the move is lost at its commit")
+		for range 300 {
+			t = expectWith(t)
+		}
+		t = expectWith(t, fulmarslot.Move("rota", 1, "t00000", false))
+		Expect(t.Assignment("rota", 0).Since).To(BeZero(), "starts of old moves are kept for ever")
 	})
 
 	// Guards against a hot key that gets another owner than its plain slot without a move.
@@ -150,21 +157,22 @@
 	}
 	for range rapid.IntRange(1, 60).Draw(t, "changes") {
 		before := dump(table)
+		epoch := table.Epoch() + 1
 		slot, to := rapid.IntRange(0, table.Slots("rota")).Draw(t, "slot"), fmt.Sprintf("t%05d", rapid.IntRange(0, 3).Draw(t, "target"))
 		a := model[slot]
 		var change fulmarslot.Change
 		switch rapid.IntRange(0, 4).Draw(t, "kind") {
 		case 0:
-			change, a = fulmarslot.Move("rota", slot, to, false), fulmarslot.Assignment{Owner: a.Owner, Next: to}
+			change, a = fulmarslot.Move("rota", slot, to, false), fulmarslot.Assignment{Owner: a.Owner, Next: to, Since: epoch}
 		case 1:
-			change, a = fulmarslot.Move("rota", slot, to, true), fulmarslot.Assignment{Owner: a.Owner, Next: to, Forced: true}
+			change, a = fulmarslot.Move("rota", slot, to, true), fulmarslot.Assignment{Owner: a.Owner, Next: to, Forced: true, Since: epoch}
 		case 2:
-			change, a = fulmarslot.Commit("rota", slot), fulmarslot.Assignment{Owner: a.Next}
+			change, a = fulmarslot.Commit("rota", slot), fulmarslot.Assignment{Owner: a.Next, Since: a.Since}
 		case 3:
 			change, a = fulmarslot.Cancel("rota", slot), fulmarslot.Assignment{Owner: a.Owner}
 		case 4:
 			hash := uint64(slot) + 600*uint64(table.Slots("rota"))
-			change, a, slot = fulmarslot.PutHot("rota", hash), model[int(hash%600)], table.Slots("rota")
+			change, a, slot = fulmarslot.PutHot("rota", hash), fulmarslot.Assignment{Owner: model[int(hash%600)].Owner}, table.Slots("rota")
 		}
 		next, err := table.With(change)
 		if dump(table) != before {
