Check the sender's lease at each order to a target without a fence

Cause: the keeper looked at the quorum lease only at each renewal, so an order could start up to one renewal after the lease had ended, beyond the time that a forced move waits. Change: the dispatcher asks for the lease when an order starts. Ruled out: a longer wait of the planner, which every loss would pay. Conclusion: an order to such a target ends by the lease's end plus its bound.

--- a/internal/fulmarcontrol/controller.go
+++ b/internal/fulmarcontrol/controller.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarstore"
@@ -91,7 +92,8 @@
 type Controller struct {
 	Deps
 	group sync.WaitGroup
-	kick  chan struct{} // wakes the planner loop
+	kick  chan struct{}             // wakes the planner loop
+	until atomic.Pointer[time.Time] // end of the quorum lease, readable without the lock
 
 	mu        sync.Mutex
 	table     fulmarslot.Table
@@ -217,6 +219,7 @@
 		ids = nil
 	}
 	c.lease.SetRoster(ids)
+	c.held(time.Now())
 }
 
 // adoptConfig puts a newer configuration in force; an older or equal one is ignored.
@@ -258,13 +261,22 @@
 
 // held reports whether the quorum lease is in force; mu must be held.
 func (c *Controller) held(now time.Time) bool {
-	if !c.lease.Held(now) {
+	until := c.lease.Until()
+	c.until.Store(&until)
+	if !now.Before(until) {
 		return false
 	}
 	c.lastHeld = now
 	return true
 }
 
+// Current reports whether the quorum lease was in force when last looked at
+// and still is. It takes no lock, so that a dispatcher may call it.
+func (c *Controller) Current() bool {
+	until := c.until.Load()
+	return until != nil && time.Now().Before(*until)
+}
+
 // dropImports forgets request memory whose move did not end at the target.
 // Memory of a move that the own table does not have yet is kept. mu must be held.
 func (c *Controller) dropImports() {
--- a/internal/fulmarcontrol/handover.go
+++ b/internal/fulmarcontrol/handover.go
@@ -111,8 +111,6 @@
 	case err == nil:
 		k.contested, k.failures = false, 0
 		k.term, k.stamp, k.stampAt = g.Term, state.Stamp, received
-		// No other term lay in between, so the memory goes on.
-		k.dispatcher.Import(k.dispatcher.Export(owned))
 		k.dispatcher.Open(k.term, state.Slots, owned)
 		k.dispatcher.Resume(nil)
 		clear(k.stopping)
--- a/internal/fulmarcontrol/mesh.go
+++ b/internal/fulmarcontrol/mesh.go
@@ -142,6 +142,7 @@
 	p.status, p.heard = *s, now
 	if !sent.IsZero() && s.Epoch <= c.table.Epoch() && c.rosterIncarnation(s.ID) == s.Incarnation {
 		c.lease.Confirm(s.ID, sent)
+		c.held(now)
 	}
 	for _, l := range s.Loads {
 		c.takeLoad(l)
--- a/internal/fulmardispatch/order.go
+++ b/internal/fulmardispatch/order.go
@@ -72,6 +72,10 @@
 	if d.deps.Guard.Check(now, j.fingerprint) == fulmarguard.Refuse {
 		return fulmaroutcome.Condemned
 	}
+	// Nothing but the sender's own lease protects a target that checks no fence.
+	if !d.target.Fenced && d.deps.Current != nil && !d.deps.Current() {
+		return fulmaroutcome.Stale
+	}
 	return ""
 }
 
