Measure the queue core in virtual time

Cause: the goals for surges, payout runs and rising demand need figures of the order of service alone, for all four disciplines side by side. Ruled out: comparing received with offered time in a surge, because offered work that arrives late in the second can't be received in it; the reference is a quarter of the target that serves the group alone. A payout run of 40 requests, because 300 short requests beside it give no stable p99; it has 400.

--- /dev/null
+++ b/internal/fulmarexperiment/measure.go
@@ -0,0 +1,216 @@
+package fulmarexperiment
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarqueue"
+)
+
+const (
+	slots   = 3
+	mean    = 6 * time.Millisecond // server time of short work
+	timeout = 500 * time.Millisecond
+	onset   = 5 * time.Second
+	settle  = time.Second // within which a surge must be contained
+	after   = 10 * time.Second
+
+	runLength = 400 // requests of a payout run; a p99 needs some thousand short ones beside it
+	straggler = 300 * time.Millisecond
+)
+
+// capacity is the number of short requests a second that the target can serve.
+var capacity = slots * float64(time.Second) / float64(mean)
+
+// Disciplines lists all disciplines with their names, Fair first.
+var Disciplines = []struct {
+	Name       string
+	Discipline fulmarqueue.Discipline
+}{
+	{"fair", fulmarqueue.Fair},
+	{"fifo", fulmarqueue.FIFO},
+	{"static", fulmarqueue.Static},
+	{"roundrobin", fulmarqueue.RoundRobin},
+}
+
+// Surge is the result of a 20-fold surge of one of four groups. The others
+// offer 0.8, 1 and 1.5 times their entitlement, a quarter of the target.
+type Surge struct {
+	First float64 // least share of entitlement of another group in the first second
+	Later float64 // the same over the nine seconds that follow
+}
+
+// MeasureSurge returns the least shares of the entitlement that the groups
+// without a surge received.
+func MeasureSurge(d fulmarqueue.Discipline, seed uint64) Surge {
+	w := Workload{Slots: slots, Duration: onset + after, Seed: seed}
+	for i, load := range []float64{0.7, 0.8, 1, 1.5} {
+		w.Sources = append(w.Sources, Source{
+			Group: string(rune('a' + i)), Kind: "get", Mean: mean, Timeout: timeout,
+			Rate: load * capacity / 4, Onset: onset,
+		})
+	}
+	w.Sources[0].Factor = 20
+	requests := Run(d, w)
+	return Surge{
+		First: leastShare(requests, onset, onset+settle),
+		Later: leastShare(requests, onset+settle, onset+after),
+	}
+}
+
+// leastShare returns the least of received / entitled server time of the
+// sources other than the first.
+func leastShare(requests []Request, from, to time.Duration) float64 {
+	least := 1.0
+	for source := 1; source < 4; source++ {
+		received := time.Duration(0)
+		for _, r := range requests {
+			if r.Source == source {
+				received += r.overlap(from, to)
+			}
+		}
+		least = min(least, received.Seconds()/entitled(requests, source, from, to).Seconds())
+	}
+	return least
+}
+
+// entitled returns the server time that a source would receive in an interval
+// if, from its start on, a quarter of the target served it alone. Work beyond a
+// backlog of timeout is refused there as well.
+func entitled(requests []Request, source int, from, to time.Duration) time.Duration {
+	const share = slots / 4.0
+	served, backlog, last := 0.0, 0.0, from
+	pass := func(at time.Duration) {
+		work := min(share*(at-last).Seconds(), backlog)
+		served, backlog, last = served+work, backlog-work, at
+	}
+	for _, r := range requests { // an open source is recorded in the order of arrival
+		switch {
+		case r.Source != source || r.Arrived >= to:
+		case r.Arrived < from:
+			backlog += r.overlap(from, math.MaxInt64).Seconds()
+		default:
+			pass(r.Arrived)
+			backlog = min(backlog+r.Used.Seconds(), share*timeout.Seconds())
+		}
+	}
+	pass(to)
+	return time.Duration(served * float64(time.Second))
+}
+
+// Payout compares short work and a payout run side by side with each alone.
+type Payout struct {
+	Short float64 // p99 of short work beside the run / without it
+	Run   float64 // time of the run beside short work / on an empty target
+}
+
+// MeasurePayout runs a payout run of the given width beside short work of three
+// groups that takes the given share of the target.
+func MeasurePayout(d fulmarqueue.Discipline, load float64, width int, seed uint64) Payout {
+	run := Source{Group: "pay", Kind: "payout", Mean: straggler, Count: runLength, Width: width, Onset: onset}
+	length := straggler * time.Duration(runLength/width)
+	w := Workload{Slots: slots, Duration: onset + 2*length, Seed: seed}
+	for i := range 3 {
+		w.Sources = append(w.Sources, Source{
+			Group: string(rune('a' + i)), Kind: "get", Mean: mean, Timeout: timeout, Rate: load * capacity / 3,
+		})
+	}
+	without := Run(d, w)
+	w.Sources = append(w.Sources, run)
+	with := Run(d, w)
+	end := lastEnd(with, 3)
+	return Payout{
+		Short: float64(p99(with, onset, end)) / float64(p99(without, onset, end)),
+		Run:   float64(end-onset) / float64(length),
+	}
+}
+
+// p99 returns the 99th percentile of the time from arrival to end of the short
+// work that arrived in an interval; refused work counts as its timeout.
+func p99(requests []Request, from, to time.Duration) time.Duration {
+	var times []time.Duration
+	for _, r := range requests {
+		switch {
+		case r.Source > 2 || r.Arrived < from || r.Arrived >= to:
+		case r.Ended == 0:
+			times = append(times, timeout)
+		default:
+			times = append(times, r.Ended-r.Arrived)
+		}
+	}
+	slices.Sort(times)
+	return percentile(times, 0.99)
+}
+
+func lastEnd(requests []Request, source int) time.Duration {
+	last := time.Duration(0)
+	for _, r := range requests {
+		if r.Source == source {
+			last = max(last, r.Ended)
+		}
+	}
+	return last
+}
+
+// MeasureRise returns the goodput, as a share of capacity, after the demand of
+// four groups rose tenfold from half of the capacity. Work that ends after its
+// deadline is no goodput.
+func MeasureRise(d fulmarqueue.Discipline, seed uint64) float64 {
+	w := Workload{Slots: slots, Duration: onset + after, Seed: seed}
+	for i := range 4 {
+		w.Sources = append(w.Sources, Source{
+			Group: string(rune('a' + i)), Kind: "get", Mean: mean, Timeout: timeout,
+			Rate: capacity / 8, Factor: 10, Onset: onset,
+		})
+	}
+	good := time.Duration(0)
+	for _, r := range Run(d, w) {
+		if r.Good {
+			good += r.overlap(onset+settle, onset+after)
+		}
+	}
+	return good.Seconds() / (slots * (after - settle).Seconds())
+}
+
+// Loads are the shares of the target that short work takes beside a payout run.
+var Loads = []float64{0.1, 0.2, 0.3, 0.4, 0.5}
+
+// Print writes the figures of all disciplines side by side.
+func Print(w io.Writer, seed uint64) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row := func(name string, figure func(d fulmarqueue.Discipline) string) {
+		fmt.Fprint(t, name)
+		for _, d := range Disciplines {
+			fmt.Fprint(t, "\t", figure(d.Discipline))
+		}
+		fmt.Fprintln(t)
+	}
+	fmt.Fprint(t, "measure")
+	for _, d := range Disciplines {
+		fmt.Fprint(t, "\t", d.Name)
+	}
+	fmt.Fprintln(t)
+	row("surge: least share, first second", func(d fulmarqueue.Discipline) string {
+		return fmt.Sprintf("%.3f", MeasureSurge(d, seed).First)
+	})
+	row("surge: least share, later", func(d fulmarqueue.Discipline) string {
+		return fmt.Sprintf("%.3f", MeasureSurge(d, seed).Later)
+	})
+	for _, width := range []int{1, 2} {
+		for _, load := range Loads {
+			name := fmt.Sprintf("payout %d wide, short load %.1f: p99 short, run time", width, load)
+			row(name, func(d fulmarqueue.Discipline) string {
+				p := MeasurePayout(d, load, width, seed)
+				return fmt.Sprintf("%.2f, %.2f", p.Short, p.Run)
+			})
+		}
+	}
+	row("tenfold demand: goodput", func(d fulmarqueue.Discipline) string {
+		return fmt.Sprintf("%.3f", MeasureRise(d, seed))
+	})
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/fulmarexperiment/run.go
@@ -0,0 +1,214 @@
+package fulmarexperiment
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarcost"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarqueue"
+)
+
+// longRatio is the share of the median from which work is long.
+const longRatio = 8
+
+// Source is a stream of requests of one group and kind.
+type Source struct {
+	Group   string
+	Kind    string
+	Mean    time.Duration // server time of a request
+	Timeout time.Duration // 0 for none
+
+	// Open arrivals: Rate a second, times Factor from Onset on.
+	Rate   float64
+	Factor float64
+	Onset  time.Duration
+
+	// Closed arrivals if Count is positive: Count requests of exactly Mean
+	// from Onset on, Width at a time.
+	Count int
+	Width int
+}
+
+// Workload is what one run offers.
+type Workload struct {
+	Slots    int
+	Duration time.Duration // of the open arrivals
+	Sources  []Source
+	Seed     uint64
+}
+
+// Request is the record of one request.
+type Request struct {
+	Source  int
+	Arrived time.Duration
+	Ended   time.Duration // 0 if it was refused or expired
+	Used    time.Duration // server time it used or would have used
+	Good    bool          // ended before its deadline
+}
+
+// Begun returns when the request started to use its slot.
+func (r Request) Begun() time.Duration { return r.Ended - r.Used }
+
+// event is an arrival (ticket 0) or the end of a run.
+type event struct {
+	at      time.Duration
+	seq     int // keeps events of one moment in order
+	request int
+	ticket  fulmarqueue.Ticket
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// simulation is the state of one run.
+type simulation struct {
+	workload Workload
+	queue    *fulmarqueue.Queue[int]
+	costs    *fulmarcost.Estimator
+	random   *rand.Rand
+	events   events
+	seq      int
+	requests []Request
+	left     []int // requests that closed sources have yet to send
+}
+
+// origin is the moment 0 of the virtual time.
+var origin = time.Unix(0, 0)
+
+// Run serves the workload in the order of the discipline and returns the
+// record of every request.
+func Run(d fulmarqueue.Discipline, w Workload) []Request {
+	s := &simulation{
+		workload: w,
+		queue:    fulmarqueue.New[int](d, w.Slots),
+		costs:    fulmarcost.New(longRatio),
+		random:   rand.New(rand.NewPCG(w.Seed, 1)),
+		left:     make([]int, len(w.Sources)),
+	}
+	for i, source := range w.Sources {
+		// The estimator starts with what earlier requests taught it.
+		for range 20 {
+			s.costs.Observe("", source.Kind, source.Mean)
+		}
+		s.queue.SetLimits(source.Group, fulmarqueue.Limits{Weight: 1})
+		if source.Count > 0 {
+			s.left[i] = source.Count
+			for range source.Width {
+				s.send(i, source.Onset)
+			}
+			continue
+		}
+		s.offer(i)
+	}
+	for len(s.events) > 0 {
+		s.step(heap.Pop(&s.events).(event))
+	}
+	return s.requests
+}
+
+// offer schedules all arrivals of an open source.
+func (s *simulation) offer(i int) {
+	source := s.workload.Sources[i]
+	factor := max(source.Factor, 1)
+	for at := time.Duration(0); ; {
+		// Arrivals at the higher rate are thinned before the onset.
+		at += time.Duration(s.random.ExpFloat64() / (source.Rate * factor) * float64(time.Second))
+		if at >= s.workload.Duration {
+			return
+		}
+		if at >= source.Onset || s.random.Float64()*factor < 1 {
+			s.arrive(i, at, time.Duration(s.random.ExpFloat64()*float64(source.Mean)))
+		}
+	}
+}
+
+// send schedules the next request of a closed source.
+func (s *simulation) send(i int, at time.Duration) {
+	if s.left[i] > 0 {
+		s.left[i]--
+		s.arrive(i, at, s.workload.Sources[i].Mean)
+	}
+}
+
+func (s *simulation) arrive(source int, at, used time.Duration) {
+	s.requests = append(s.requests, Request{Source: source, Arrived: at, Used: max(used, 1)})
+	s.schedule(event{at: at, request: len(s.requests) - 1})
+}
+
+func (s *simulation) schedule(e event) {
+	s.seq++
+	e.seq = s.seq
+	heap.Push(&s.events, e)
+}
+
+func (s *simulation) step(e event) {
+	r := &s.requests[e.request]
+	source := s.workload.Sources[r.Source]
+	now := origin.Add(e.at)
+	if e.ticket == 0 {
+		s.push(now, e.request)
+	} else {
+		s.queue.Done(e.ticket, r.Used)
+		s.costs.Observe("", source.Kind, r.Used)
+		r.Ended = e.at
+		r.Good = source.Timeout == 0 || e.at <= r.Arrived+source.Timeout
+		if source.Count > 0 {
+			s.send(r.Source, e.at)
+		}
+	}
+	s.queue.Expire(nil, now)
+	for {
+		ticket, it, ok := s.queue.Pop(now)
+		if !ok {
+			return
+		}
+		s.schedule(event{at: e.at + s.requests[it.Value].Used, request: it.Value, ticket: ticket})
+	}
+}
+
+func (s *simulation) push(now time.Time, request int) {
+	source := s.workload.Sources[s.requests[request].Source]
+	it := fulmarqueue.Item[int]{Group: source.Group, Value: request}
+	cost, long := s.costs.Estimate("", source.Kind)
+	it.Cost = cost
+	if long {
+		it.Class = fulmarqueue.Long
+	}
+	if source.Timeout > 0 {
+		it.Deadline = now.Add(source.Timeout)
+	}
+	// A refused request keeps the zero end.
+	_, _ = s.queue.Push(now, it)
+}
+
+// overlap returns the server time that a request used between two moments.
+func (r Request) overlap(from, to time.Duration) time.Duration {
+	if r.Ended == 0 {
+		return 0
+	}
+	return max(min(r.Ended, to)-max(r.Begun(), from), 0)
+}
+
+// percentile returns the value that the given share of the sorted times doesn't exceed.
+func percentile(sorted []time.Duration, share float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	i := int(math.Ceil(share*float64(len(sorted)))) - 1
+	return sorted[min(max(i, 0), len(sorted)-1)]
+}
