Implement the planner's moves, roster and losses

The planner assigns slots, changes the roster one member at a time, starts and ends forced and cooperative moves, drains and fills targets, keeps quarantine marks and fixes dispatchers of targets that check no fence. A dispatcher is removed in one epoch and the next one is set after the wait, because a daemon with the newest table would otherwise stay current as the former dispatcher. The rule that waits for the latest lapse needs a roster that has been settled for a window and a ttl: a member that has just left the roster was not asked and may still hold a grant.

Balance by load is not in this change.

--- /dev/null
+++ b/pkg/fulmarplan/move.go
@@ -0,0 +1,167 @@
+package fulmarplan
+
+import (
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
+)
+
+// move is a move under way.
+type move struct {
+	fulmarslot.Assignment
+	epoch uint64    // in which the move began, or was first seen
+	since time.Time // when it was first seen
+}
+
+// same reports whether the move goes on as a; another next target does not restart a forced move, because
+// the next target gets no grant before the move ends.
+func (m move) same(a fulmarslot.Assignment) bool {
+	return m.Owner == a.Owner && m.Forced == a.Forced && (m.Forced || m.Next == a.Next)
+}
+
+// observeTable follows the moves, the roster and the dispatchers from one table to the next.
+func (s *step) observeTable() {
+	epoch := s.table.Epoch()
+	takeover := s.moves == nil || epoch > s.epoch+1 || epoch < s.epoch
+	if epoch != s.epoch || takeover {
+		s.roster.observe(s.table, takeover)
+		s.followMoves(takeover)
+		s.followDispatchers(takeover)
+		s.Planner.epoch = epoch
+	}
+	for _, m := range s.moves {
+		if !m.Forced {
+			s.moving++
+		}
+	}
+}
+
+func (s *step) followMoves(takeover bool) {
+	moves := map[place]move{}
+	for _, service := range s.table.Services() {
+		for slot, a := range s.table.Moving(service) {
+			at := place{service, slot}
+			m, ok := s.moves[at]
+			if !ok || takeover || !m.same(a) {
+				m = move{epoch: s.table.Epoch(), since: s.now}
+			}
+			m.Assignment = a
+			moves[at] = m
+		}
+	}
+	s.Planner.moves = moves
+}
+
+func (s *step) followDispatchers(takeover bool) {
+	for _, t := range s.table.Targets() {
+		_, ok := s.cleared[t.ID]
+		switch {
+		case t.Fenced || t.Dispatcher != "":
+			delete(s.cleared, t.ID)
+		case !ok || takeover:
+			s.cleared[t.ID] = s.table.Epoch()
+		}
+	}
+}
+
+// touch reports whether the slot has no change in this step yet, and marks it.
+func (s *step) touch(at place) bool {
+	if s.touched[at] {
+		return false
+	}
+	s.touched[at] = true
+	return true
+}
+
+// commits ends the moves whose owner can no longer act.
+func (s *step) commits() {
+	for _, r := range s.in.Releases {
+		for _, slot := range r.Slots {
+			at := place{r.Service, slot}
+			m, ok := s.moves[at]
+			if ok && r.Target == m.Owner && r.Epoch >= m.epoch && s.byRelease(m) {
+				s.commit(at, m, "release")
+			}
+		}
+	}
+	type key struct {
+		owner string
+		epoch uint64
+	}
+	over := map[key]bool{}
+	for at, m := range s.moves {
+		if !m.Forced {
+			continue
+		}
+		k := key{m.Owner, m.epoch}
+		done, ok := over[k]
+		if !ok {
+			done = s.over(m)
+			over[k] = done
+		}
+		if done {
+			s.commit(at, m, "forced")
+		}
+	}
+}
+
+// byRelease reports whether a release ends the move: each cooperative one, and the forced ones of targets that
+// check no fence, where only the dispatcher knows that no order runs.
+func (s *step) byRelease(m move) bool {
+	t, _ := s.table.Target(m.Owner)
+	return !m.Forced || !t.Fenced
+}
+
+// over reports whether no grant or order of the owner of a forced move can be in force.
+func (s *step) over(m move) bool {
+	t, _ := s.table.Target(m.Owner)
+	if !t.Fenced {
+		return !s.serves(t.Dispatcher) && s.expired(m.epoch, s.policy.Order)
+	}
+	if lapse, ok := s.all(m.epoch, m.Owner); ok && s.passed(lapse) {
+		return true
+	}
+	return s.expired(m.epoch, s.policy.TTL)
+}
+
+// commit ends a move unless its next target is lost.
+func (s *step) commit(at place, m move, how string) {
+	if s.lost[m.Next] == nil && s.touch(at) {
+		s.add("commit-"+how, fulmarslot.Commit(at.service, at.slot))
+	}
+}
+
+// cancels ends cooperative moves that take too long or whose next target is lost.
+func (s *step) cancels() {
+	for at, m := range s.moves {
+		if m.Forced || s.touched[at] {
+			continue
+		}
+		reason := ""
+		switch {
+		case s.lost[m.Next] != nil:
+			reason = "cancel-lost"
+		case s.passed(m.since.Add(s.policy.Stuck)):
+			reason = "cancel-stuck"
+		default:
+			continue
+		}
+		s.touch(at)
+		s.share[m.Next]--
+		s.share[m.Owner]++
+		s.retry[at] = s.now.Add(s.policy.Stuck)
+		s.add(reason, fulmarslot.Cancel(at.service, at.slot))
+	}
+}
+
+// cooperate starts a cooperative move if the bound allows it and the slot has no change yet.
+func (s *step) cooperate(at place, from, to, reason string) bool {
+	if s.moving >= s.policy.Moving || s.now.Before(s.retry[at]) || !s.touch(at) {
+		return false
+	}
+	s.moving++
+	s.share[from]--
+	s.share[to]++
+	s.add(reason, fulmarslot.Move(at.service, at.slot, to, false))
+	return true
+}
--- /dev/null
+++ b/pkg/fulmarplan/plan.go
@@ -0,0 +1,201 @@
+package fulmarplan
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
+)
+
+// Policy has the bounds of the planner.
+type Policy struct {
+	Moving     int           // most slots moving at once
+	Window     time.Duration // window of the quorum lease
+	TTL        time.Duration // longest life of a grant after its stamp
+	Order      time.Duration // longest deadline of an order to a target that checks no fence
+	Stuck      time.Duration // a cooperative move older than this is cancelled
+	Settle     time.Duration // least time between moves of one slot for balance
+	Imbalance  float64       // ratio of maximum to mean load from which load is rebalanced
+	HotKeys    int           // most hot keys
+	Quarantine time.Duration // how long a fingerprint stays condemned
+	Down       time.Duration // a member down for this long leaves the roster
+}
+
+// Ack is a member's word on the newest table that it has.
+type Ack struct {
+	Epoch       uint64
+	Incarnation uint64
+	Lapse       map[string]time.Time // for each target: until when a grant of this member may last
+}
+
+// Loss reports that the dispatcher of a target lost it and has stopped renewing its grant.
+type Loss struct {
+	Target   string
+	Suspects []uint64
+}
+
+// Release reports that slots no longer are in force at their owner.
+type Release struct {
+	Target  string
+	Service string
+	Slots   []int
+	Epoch   uint64
+}
+
+// Load is the server time that a slot used, or that a hot key within it used.
+type Load struct {
+	Service string
+	Slot    int
+	Hash    uint64 // set for a hot key within the slot
+	Used    time.Duration
+}
+
+// Input is all that a step of the planner considers.
+type Input struct {
+	Table    fulmarslot.Table
+	Services map[string]int      // slots of each service by configuration
+	Targets  []fulmarslot.Target // targets that the platform's list or a peer reports, fence support known
+	Members  []fulmarslot.Member // members heard within the failure detector's timeout, self included
+	Acks     map[string]Ack      // by member id
+	Losses   []Loss
+	Releases []Release
+	Loads    []Load
+	Drain    []string // targets that operators drain
+	Confirm  []string // members whose loss an operator has confirmed
+	Lift     []uint64 // fingerprints that an operator lifts
+}
+
+// Output is the result of a step.
+type Output struct {
+	Changes []fulmarslot.Change
+	Reasons []string  // one for each kind of change, for the log
+	Wake    time.Time // when to step again at the latest, zero if only news can change anything
+}
+
+// Planner decides changes of the slot table; it is not safe for concurrent use.
+type Planner struct {
+	policy Policy
+	seed   uint64
+	epoch  uint64 // of the last table
+
+	quorum  quorum
+	roster  roster
+	moves   map[place]move
+	cleared map[string]uint64 // for each target without a dispatcher: the epoch since which it has none
+	lost    map[string]*loss
+	sound   map[string]bool // targets that this planner saw in use
+	retry   map[place]time.Time
+	loads   map[string]*loads
+}
+
+// place is one slot of the table.
+type place struct {
+	service string
+	slot    int
+}
+
+// New returns a planner; seed makes its choices between equals repeatable.
+func New(policy Policy, seed uint64) *Planner {
+	return &Planner{
+		policy: policy, seed: seed, roster: roster{heard: map[string]time.Time{}}, cleared: map[string]uint64{},
+		lost: map[string]*loss{}, sound: map[string]bool{}, retry: map[place]time.Time{}, loads: map[string]*loads{},
+	}
+}
+
+// step is the state of one call of Step.
+type step struct {
+	*Planner
+	now     time.Time
+	in      *Input
+	table   fulmarslot.Table
+	out     Output
+	live    map[string]fulmarslot.Member
+	confirm map[string]bool
+	targets map[string]fulmarslot.Target // after the changes of this step
+	usable  map[string][]string          // by service: targets that may get slots, in order of id
+	share   map[string]int               // by target: slots that it owns or will own
+	touched map[place]bool               // slots with a change in this step
+	moving  int                          // cooperative moves under way
+}
+
+// Step returns the changes to make next, as one compare-and-swap of the table.
+func (p *Planner) Step(now time.Time, in Input) Output {
+	s := p.begin(now, &in)
+	s.observeTable()
+	s.observeAcks()
+	s.observeLoads()
+	s.services()
+	s.planTargets()
+	s.planRoster()
+	s.observeLosses()
+	s.findUsable()
+	s.quarantine()
+	s.commits()
+	s.losses()
+	s.cancels()
+	s.assign()
+	s.drain()
+	s.fill()
+	s.balance()
+	return s.out
+}
+
+func (p *Planner) begin(now time.Time, in *Input) *step {
+	s := &step{
+		Planner: p, now: now, in: in, table: in.Table, live: map[string]fulmarslot.Member{}, confirm: map[string]bool{},
+		targets: map[string]fulmarslot.Target{}, usable: map[string][]string{}, share: map[string]int{}, touched: map[place]bool{},
+	}
+	for _, m := range in.Members {
+		if have, ok := s.live[m.ID]; !ok || m.Incarnation > have.Incarnation {
+			s.live[m.ID] = m
+		}
+	}
+	for _, id := range in.Confirm {
+		s.confirm[id] = true
+	}
+	for _, m := range in.Table.Roster() {
+		if l, ok := s.live[m.ID]; ok && l.Incarnation == m.Incarnation {
+			delete(s.confirm, m.ID) // a member that is heard is not lost
+		}
+	}
+	for _, t := range in.Table.Targets() {
+		owned, _, incoming := in.Table.Count(t.ID)
+		s.targets[t.ID], s.share[t.ID] = t, owned+incoming
+	}
+	return s
+}
+
+// add appends a change with its reason.
+func (s *step) add(reason string, changes ...fulmarslot.Change) {
+	s.out.Changes = append(s.out.Changes, changes...)
+	if !slices.Contains(s.out.Reasons, reason) {
+		s.out.Reasons = append(s.out.Reasons, reason)
+	}
+}
+
+// wake asks for a step at t.
+func (s *step) wake(t time.Time) {
+	if s.out.Wake.IsZero() || t.Before(s.out.Wake) {
+		s.out.Wake = t
+	}
+}
+
+// passed reports whether t has come, and asks for a step at t otherwise.
+func (s *step) passed(t time.Time) bool {
+	if s.now.Before(t) {
+		s.wake(t)
+		return false
+	}
+	return true
+}
+
+// drift adds the clock-rate error of 0.1 % to a wait for another clock.
+func drift(d time.Duration) time.Duration { return d + d/1000 + 1 }
+
+// tie orders equals by the planner's seed.
+func (p *Planner) tie(service, id string) uint64 {
+	x := xxhash.Sum64String(service+"\x00"+id) ^ p.seed
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	return x ^ x>>31
+}
--- /dev/null
+++ b/pkg/fulmarplan/plan_test.go
@@ -0,0 +1,136 @@
+package fulmarplan_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarplan"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var policy = fulmarplan.Policy{
+	Moving: 64, Window: 400 * time.Millisecond, TTL: 600 * time.Millisecond, Order: 2 * time.Second,
+	Stuck: 2 * time.Second, Settle: 10 * time.Second, Imbalance: 1.25, HotKeys: 16, Quarantine: 30 * time.Minute, Down: 5 * time.Second,
+}
+
+// bench steps a planner whose changes always succeed and whose members acknowledge at once unless told otherwise.
+type bench struct {
+	planner *fulmarplan.Planner
+	now     time.Time
+	in      fulmarplan.Input
+	silent  map[string]bool // members that do not acknowledge
+	reasons []string        // of the last step
+}
+
+func newBench(members, targets, slots int) *bench {
+	b := &bench{planner: fulmarplan.New(policy, 1), now: time.Unix(1000, 0), silent: map[string]bool{}}
+	b.in = fulmarplan.Input{Services: map[string]int{"rota": slots}, Acks: map[string]fulmarplan.Ack{}}
+	for i := range members {
+		b.in.Members = append(b.in.Members, fulmarslot.Member{ID: fmt.Sprintf("m%02d", i), Incarnation: 1})
+	}
+	for i := range targets {
+		b.in.Targets = append(b.in.Targets, fulmarslot.Target{ID: fmt.Sprintf("t%04d", i), Service: "rota", Fenced: true})
+	}
+	return b
+}
+
+func (b *bench) ack() {
+	for _, m := range b.in.Members {
+		if !b.silent[m.ID] {
+			b.in.Acks[m.ID] = fulmarplan.Ack{Epoch: b.in.Table.Epoch(), Incarnation: m.Incarnation, Lapse: b.in.Acks[m.ID].Lapse}
+		}
+	}
+}
+
+// step makes one step and reports whether it changed the table.
+func (b *bench) step() bool {
+	out := b.planner.Step(b.now, b.in)
+	b.reasons = out.Reasons
+	if len(out.Changes) == 0 {
+		return false
+	}
+	t, err := b.in.Table.With(out.Changes...)
+	if err != nil {
+		panic(err)
+	}
+	b.in.Table = t
+	b.ack()
+	return true
+}
+
+// run steps for d, each 50 ms, and releases cooperative moves at once.
+func (b *bench) run(d time.Duration) {
+	for end := b.now.Add(d); b.now.Before(end); b.now = b.now.Add(50 * time.Millisecond) {
+		b.release()
+		b.step()
+	}
+}
+
+func (b *bench) release() {
+	b.in.Releases = nil
+	for slot, a := range b.in.Table.Moving("rota") {
+		b.in.Releases = append(b.in.Releases, fulmarplan.Release{Target: a.Owner, Service: "rota", Slots: []int{slot}, Epoch: b.in.Table.Epoch()})
+	}
+}
+
+func (b *bench) expectShares(want ...int) {
+	GinkgoHelper()
+	var got []int
+	for _, t := range b.in.Table.Targets() {
+		owned, away, incoming := b.in.Table.Count(t.ID)
+		Expect(away + incoming).To(BeZero())
+		got = append(got, owned)
+	}
+	Expect(got).To(Equal(want))
+}
+
+var _ = Describe("Planner", func() {
+	// Guards against a fleet that does not start, and against an uneven first assignment.
+	It("starts from an empty table", func() {
+		b := newBench(3, 4, 10)
+		b.run(time.Second)
+		Expect(b.in.Table.Roster()).To(HaveLen(3))
+		owned := 0
+		for _, t := range b.in.Table.Targets() {
+			n, _, _ := b.in.Table.Count(t.ID)
+			Expect(n).To(BeNumerically("~", 2.5, 0.5))
+			owned += n
+		}
+		Expect(owned).To(Equal(10))
+	})
+
+	// Guards against a forced move that ends while a member's grant to the lost target may be in force.
+	It("ends a forced move at the latest lapse when all acknowledged", func() {
+		b := newBench(3, 2, 10)
+		b.run(3 * time.Second)
+		lapse := b.now.Add(300 * time.Millisecond)
+		b.in.Acks["m01"] = fulmarplan.Ack{Epoch: b.in.Table.Epoch(), Incarnation: 1, Lapse: map[string]time.Time{"t0000": lapse}}
+		b.in.Losses = []fulmarplan.Loss{{Target: "t0000", Suspects: []uint64{7}}}
+		Expect(b.step()).To(BeTrue())
+		Expect(b.in.Table.MovingFrom(nil, "t0000")).To(HaveLen(5))
+		Expect(b.in.Table.Quarantined()).To(HaveLen(1))
+		b.now = lapse.Add(-time.Millisecond)
+		Expect(b.step()).To(BeFalse())
+		b.now = lapse
+		Expect(b.step()).To(BeTrue())
+		b.expectShares(0, 10)
+	})
+
+	// Guards against a forced move that ends while a silent daemon may be current.
+	It("ends a forced move a window and a ttl after a majority acknowledged", func() {
+		b := newBench(3, 2, 10)
+		b.run(3 * time.Second)
+		b.silent["m02"] = true
+		b.in.Losses = []fulmarplan.Loss{{Target: "t0000"}}
+		b.step()
+		b.now = b.now.Add(10 * time.Millisecond)
+		Expect(b.step()).To(BeFalse())
+		b.now = b.now.Add(time.Second)
+		Expect(b.step()).To(BeFalse())
+		b.now = b.now.Add(2 * time.Millisecond)
+		Expect(b.step()).To(BeTrue())
+		b.expectShares(0, 10)
+	})
+})
