--- a/pkg/fulmarplan/balance.go
+++ b/pkg/fulmarplan/balance.go
@@ -1,57 +1,152 @@
 package fulmarplan
 
 import (
+	"cmp"
 	"slices"
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
+)
+
+const (
+	hotShare  = 8  // a key is hot if it has more than 1/8 of the mean load of a target
+	coldShare = 32 // a hot key is cold again below 1/32 of it
+	maxDouble = 6  // how often the time between moves of one slot is doubled
 )
 
-// leaves reports whether a target is to own nothing, and is not lost.
-func (s *step) leaves(id string) bool {
-	return s.lost[id] == nil && (s.targets[id].Leaving || slices.Contains(s.in.Drain, id))
+// hold keeps a slot from moving for balance again.
+type hold struct {
+	until   time.Time // no move before
+	expires time.Time // the slot's moves are forgotten
+	from    string    // where the slot came from; it does not return there before expires
+	count   int
 }
 
-// loads is the smoothed load of a service.
-type loads struct{}
+// holds reports whether a slot may not move to a target for balance yet.
+func (s *step) holds(at place, to string) bool {
+	h, ok := s.held[at]
+	return ok && (s.now.Before(h.until) || s.now.Before(h.expires) && h.from == to)
+}
 
-func (s *step) observeLoads() {}
+// shift moves a slot for balance. Each move doubles the time until the slot's next one, so that alternating reports
+// do not move a key back and forth.
+func (s *step) shift(at place, from, to, reason string) bool {
+	if s.holds(at, to) || !s.cooperate(at, from, to, reason) {
+		return false
+	}
+	h := s.held[at]
+	if s.now.Before(h.expires) {
+		h.count = min(h.count+1, maxDouble)
+	} else {
+		h.count = 0
+	}
+	h.until = s.now.Add(s.policy.Settle << h.count)
+	h.expires = s.now.Add(2 * samples * s.policy.Settle << h.count)
+	h.from = from
+	s.held[at] = h
+	return true
+}
 
-// fill moves slots to targets that have joined, at most the number that makes their share even.
-func (s *step) fill() {
+// balance gives hot keys slots of their own and moves slots from the most to the least loaded targets, once for each sample.
+func (s *step) balance() {
 	for _, service := range s.table.Services() {
-		ids := s.usable[service]
-		if len(ids) < 2 || s.moving >= s.policy.Moving {
+		l := s.loads[service]
+		if !l.fresh {
 			continue
 		}
-		total := 0
-		for _, id := range ids {
-			total += s.share[id]
+		s.weigh(service, l)
+		s.cool(service, l)
+		if l.unsteady < steady || len(l.target) < 2 || !s.passed(s.began.Add(s.policy.Settle)) {
+			continue
 		}
-		fair := total / len(ids)
-		for _, id := range ids {
-			if s.joins(service, id, fair) {
-				s.fillOne(service, id, fair)
+		heated := s.heat(service, l)
+		for _, id := range s.byLoad(service, l) {
+			if !heated[id] {
+				s.relieve(service, id, l)
 			}
 		}
 	}
+	for at, h := range s.held {
+		if s.now.After(h.expires) {
+			delete(s.held, at)
+		}
+	}
 }
 
-// joins reports whether a target has too few slots to have its share.
-func (s *step) joins(_, id string, fair int) bool { return s.share[id] < fair }
-
-// fillOne moves slots from the targets with the most slots to one that has joined.
-func (s *step) fillOne(service, id string, fair int) {
-	donors := slices.Clone(s.usable[service])
-	slices.SortStableFunc(donors, func(a, b string) int { return s.share[b] - s.share[a] })
-	for _, donor := range donors {
-		if s.share[donor] <= fair {
+// relieve moves slots away from a target until its load is calm. A slot moves only if that lowers the higher load of
+// the two targets.
+func (s *step) relieve(service, id string, l *loads) {
+	goal := l.mean * (1 + (s.policy.Imbalance-1)/2)
+	if l.target[id] <= goal {
+		return
+	}
+	slots := s.table.OwnedBy(nil, id)
+	slices.SortStableFunc(slots, func(a, b int) int { return cmp.Compare(l.rate[b], l.rate[a]) })
+	to := s.lightest(service, l)
+	for _, slot := range slots {
+		if l.target[id] <= goal || s.moving >= s.policy.Moving || l.rate[slot] <= 0 {
 			return
 		}
-		for _, slot := range s.table.OwnedBy(nil, donor) {
-			if s.share[id] >= fair || s.share[donor] <= fair || s.moving >= s.policy.Moving {
-				break
-			}
-			s.cooperate(place{service, slot}, donor, id, "fill")
+		if l.rate[slot] > (l.target[id]-l.target[to])/2 || !s.shift(place{service, slot}, id, to, "balance") {
+			continue
 		}
+		l.target[id] -= l.rate[slot]
+		l.target[to] += l.rate[slot]
+		to = s.lightest(service, l)
 	}
 }
 
-func (s *step) balance() {}
+// lightest returns the least loaded usable target of a service.
+func (s *step) lightest(service string, l *loads) string {
+	return slices.MinFunc(s.usable[service], func(a, b string) int { return cmp.Compare(l.target[a], l.target[b]) })
+}
+
+// heat gives hot keys of overloaded targets slots of their own and returns these targets.
+func (s *step) heat(service string, l *loads) map[string]bool {
+	heated := map[string]bool{}
+	count := 0
+	for _, name := range s.table.Services() {
+		for range s.table.HotKeys(name) {
+			count++
+		}
+	}
+	for _, hash := range l.heaviest() {
+		if count >= s.policy.HotKeys || l.keyRate[hash]*hotShare <= l.mean {
+			break
+		}
+		at := place{service, int(hash % uint64(s.table.Plain(service)))}
+		a := s.table.Assignment(service, at.slot)
+		if a.Next != "" || l.target[a.Owner] <= s.policy.Imbalance*l.mean || !s.touch(at) {
+			continue
+		}
+		count++
+		heated[a.Owner] = true
+		s.add("hot-add", fulmarslot.PutHot(service, hash))
+	}
+	return heated
+}
+
+// cool removes the slots of keys that are no longer hot, and moves them back to their plain slots' owners first.
+func (s *step) cool(service string, l *loads) {
+	for slot, hash := range s.table.HotKeys(service) {
+		if l.rate[slot]*coldShare >= l.mean {
+			l.cold[slot] = 0
+			continue
+		}
+		l.cold[slot]++
+		if l.cold[slot] < coldAge {
+			continue
+		}
+		at, parent := place{service, slot}, place{service, int(hash % uint64(s.table.Plain(service)))}
+		a, b := s.table.Assignment(service, at.slot), s.table.Assignment(service, parent.slot)
+		switch {
+		case a.Next != "" || b.Next != "" || s.touched[at] || s.touched[parent]:
+		case a.Owner == b.Owner:
+			s.touch(at)
+			s.touch(parent)
+			s.add("hot-remove", fulmarslot.RemoveHot(service, hash))
+		case s.ready(b.Owner):
+			s.cooperate(at, a.Owner, b.Owner, "hot-return")
+		}
+	}
+}
--- a/pkg/fulmarplan/move.go
+++ b/pkg/fulmarplan/move.go
@@ -23,11 +23,14 @@
 func (s *step) observeTable() {
 	epoch := s.table.Epoch()
 	takeover := s.moves == nil || epoch > s.epoch+1 || epoch < s.epoch
+	if takeover {
+		s.began = s.now
+	}
 	if epoch != s.epoch || takeover {
 		s.roster.observe(s.table, takeover)
 		s.followMoves(takeover)
 		s.followDispatchers(takeover)
-		s.Planner.epoch = epoch
+		s.epoch = epoch
 	}
 	for _, m := range s.moves {
 		if !m.Forced {
@@ -49,7 +52,7 @@
 			moves[at] = m
 		}
 	}
-	s.Planner.moves = moves
+	s.moves = moves
 }
 
 func (s *step) followDispatchers(takeover bool) {
--- a/pkg/fulmarplan/plan.go
+++ b/pkg/fulmarplan/plan.go
@@ -87,6 +87,9 @@
 	sound   map[string]bool // targets that this planner saw in use
 	retry   map[place]time.Time
 	loads   map[string]*loads
+	held    map[place]hold
+	filling map[string]bool // targets that have joined and get slots
+	began   time.Time       // when the planner took over
 }
 
 // place is one slot of the table.
@@ -100,6 +103,7 @@
 	return &Planner{
 		policy: policy, seed: seed, roster: roster{heard: map[string]time.Time{}}, cleared: map[string]uint64{},
 		lost: map[string]*loss{}, sound: map[string]bool{}, retry: map[place]time.Time{}, loads: map[string]*loads{},
+		held: map[place]hold{}, filling: map[string]bool{},
 	}
 }
 
--- a/pkg/fulmarplan/quorum.go
+++ b/pkg/fulmarplan/quorum.go
@@ -54,32 +54,41 @@
 		counted++
 		epochs = append(epochs, s.acked(m))
 	}
-	if counted == 0 {
+	if counted == 0 { // if all are lost, nobody is left to act on an older table
+		if len(members) > 0 {
+			return s.table.Epoch()
+		}
 		return 0
 	}
 	slices.Sort(epochs)
 	return epochs[counted-counted/2-1]
 }
 
-// acked returns the newest epoch that the member has acknowledged. A restarted
-// member counts once the roster lists its new incarnation, because its former
-// incarnation then no longer runs.
+// acked returns the newest epoch that the member has acknowledged. A member that was restarted counts as having
+// acknowledged every epoch: its former incarnation confirms no lease any more, and the next one confirms none before
+// the roster lists it.
 func (s *step) acked(m fulmarslot.Member) uint64 {
 	ack, ok := s.in.Acks[m.ID]
-	if !ok || ack.Epoch > s.table.Epoch() {
+	switch {
+	case !ok || ack.Epoch > s.table.Epoch():
 		return 0
-	}
-	if ack.Incarnation == m.Incarnation {
+	case ack.Incarnation == m.Incarnation:
 		return ack.Epoch
-	}
-	for _, now := range s.table.Roster() {
-		if now.ID == m.ID && now.Incarnation == ack.Incarnation {
-			return ack.Epoch
-		}
+	case ack.Incarnation > m.Incarnation && s.restarted(m, ack.Incarnation):
+		return s.table.Epoch()
 	}
 	return 0
 }
 
+// restarted reports whether the process of m no longer runs because another one has its address, or because the
+// roster has replaced it.
+func (s *step) restarted(m fulmarslot.Member, incarnation uint64) bool {
+	same := func(x fulmarslot.Member) bool {
+		return x.ID == m.ID && x.Incarnation == incarnation && x.Control == m.Control
+	}
+	return same(s.live[m.ID]) || slices.ContainsFunc(s.table.Roster(), same)
+}
+
 // all returns until when a grant for the target may last if every member of the
 // roster has acknowledged epoch. It does not hold while a former member may still
 // be current, because that member was not asked.
@@ -90,7 +99,7 @@
 	}
 	var last time.Time
 	for _, m := range s.table.Roster() {
-		if s.confirm[m.ID] || s.acked(m) < epoch {
+		if s.confirm[m.ID] || s.in.Acks[m.ID].Incarnation != m.Incarnation || s.acked(m) < epoch {
 			return time.Time{}, false
 		}
 		if lapse := s.in.Acks[m.ID].Lapse[target]; lapse.After(last) {
--- a/pkg/fulmarplan/roster.go
+++ b/pkg/fulmarplan/roster.go
@@ -70,9 +70,17 @@
 	return members
 }
 
+// replaceMember lists the new incarnation of a member. One with another address is another process, which may run
+// beside the former one, so that it is removed and added in two changes.
 func (s *step) replaceMember() bool {
 	for _, m := range s.table.Roster() {
-		if l, ok := s.live[m.ID]; ok && l.Incarnation > m.Incarnation {
+		l, ok := s.live[m.ID]
+		switch {
+		case !ok || l.Incarnation <= m.Incarnation:
+		case l.Control != m.Control:
+			s.add("roster-moved", fulmarslot.RemoveMember(m.ID))
+			return true
+		default:
 			s.add("roster-replace", fulmarslot.PutMember(l))
 			return true
 		}
