Lift quarantine marks that left the table

Cause: merging marks only adds, so a mark that an operator lifted or that was cleared stayed on the other daemons until it expired. Change: marks of the former table that the new one lacks are lifted; memory handed over for slots that are not owned is dropped. Ruled out: a message of its own for lifts, which a daemon could miss. Conclusion: the table alone decides about marks that reached it.

--- a/internal/fulmarcontrol/controller.go
+++ b/internal/fulmarcontrol/controller.go
@@ -170,12 +170,12 @@
 		return nil
 	}
 	rosterChanged := !sameRoster(c.table.Roster(), table.Roster())
+	c.mergeQuarantine(table)
 	c.table, c.tableRaw = table, raw
 	if rosterChanged {
 		c.setRoster(ctx)
 	}
 	c.dropImports()
-	c.Guard.Merge(marks(table.Quarantined()))
 	c.syncKeepers(ctx)
 	c.notify()
 	c.Log.Debug("table adopted", "epoch", table.Epoch())
@@ -194,6 +194,21 @@
 	return true
 }
 
+// mergeQuarantine takes over the marks of the new table, and lifts those that
+// it no longer has. mu must be held.
+func (c *Controller) mergeQuarantine(table fulmarslot.Table) {
+	kept := make(map[uint64]bool)
+	for _, q := range table.Quarantined() {
+		kept[q.Fingerprint] = true
+	}
+	for _, q := range c.table.Quarantined() {
+		if !kept[q.Fingerprint] {
+			c.Guard.Lift(q.Fingerprint)
+		}
+	}
+	c.Guard.Merge(marks(table.Quarantined()))
+}
+
 func marks(quarantined []fulmarslot.Quarantine) []fulmarguard.Mark {
 	out := make([]fulmarguard.Mark, len(quarantined))
 	for i, q := range quarantined {
--- a/internal/fulmarcontrol/keeper.go
+++ b/internal/fulmarcontrol/keeper.go
@@ -524,7 +524,10 @@
 func (k *keeper) open(ctx context.Context, t fulmarslot.Target, before fulmargrant.State, g fulmargrant.Grant, owned []int, handed *fulmarwire.Handover) {
 	d := k.c.NewDispatcher(t)
 	if handed != nil {
-		d.Import(handed.Snapshot)
+		// Memory of slots that are not owned now would be stale when they return.
+		for _, slot := range owned {
+			d.Import(snapshotOf(handed.Snapshot, slot))
+		}
 	}
 	d.Open(g.Term, max(before.Slots-before.Running, 1), owned)
 	k.c.mu.Lock()
