Add tests of the peer connection and the message codec

Cause: hostile or truncated peer messages were untested. Ruled out: nothing. Conclusion: a broken handshake closes one connection and nothing else.

--- a/internal/fulmarcontrol/keeper.go
+++ b/internal/fulmarcontrol/keeper.go
@@ -608,3 +608,13 @@
 	}
 	return out
 }
+
+// Fenced wakes the keeper of a target that refused an order by its fence, so
+// that a dispatcher that was displaced learns of it before the next renewal.
+func (c *Controller) Fenced(target string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k, ok := c.keepers[target]; ok {
+		k.wake()
+	}
+}
--- /dev/null
+++ b/internal/fulmarpeer/peer_test.go
@@ -0,0 +1,136 @@
+package fulmarpeer_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarpeer"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarwire"
+)
+
+// echo answers each call with what it was asked.
+type echo struct{ table []byte }
+
+func (e *echo) Heartbeat(_ context.Context, s *fulmarwire.Status) (*fulmarwire.Status, error) {
+	return s, nil
+}
+
+func (e *echo) Pull(context.Context, *fulmarwire.Want) (*fulmarwire.Bundle, error) {
+	return &fulmarwire.Bundle{Table: e.table}, nil
+}
+
+func (e *echo) Push(_ context.Context, b *fulmarwire.Bundle) (*fulmarwire.Status, error) {
+	e.table = b.Table
+	return &fulmarwire.Status{}, nil
+}
+
+func (e *echo) Transfer(context.Context, *fulmarwire.Transfer) (*fulmarwire.Reply, error) {
+	return &fulmarwire.Reply{Accepted: true}, nil
+}
+
+func (e *echo) Handover(context.Context, *fulmarwire.Handover) (*fulmarwire.Reply, error) {
+	return &fulmarwire.Reply{Reason: "no"}, nil
+}
+
+var _ = Describe("peer connection", func() {
+	var (
+		ctx     context.Context
+		cancel  context.CancelFunc
+		address string
+		done    chan struct{}
+	)
+	key := []byte(strings.Repeat("k", 32))
+	BeforeEach(func() {
+		ctx, cancel = context.WithTimeout(context.Background(), 20*time.Second)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address = listener.Addr().String()
+		server, err := fulmarpeer.New(key, &echo{}, slog.New(slog.DiscardHandler))
+		Expect(err).NotTo(HaveOccurred())
+		done = make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = server.Serve(ctx, listener)
+		}()
+	})
+	AfterEach(func() {
+		cancel()
+		Eventually(done, "5s").Should(BeClosed(), "the server did not end with its context")
+	})
+	client := func(key []byte) *fulmarpeer.Client {
+		c, err := fulmarpeer.NewClient(address, key)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		return c
+	}
+
+	// Guards against fields that are lost on the way.
+	It("carries messages both ways", func() {
+		sent := &fulmarwire.Status{
+			ID: "a", Incarnation: 7, Epoch: 3, Held: []string{"t1"}, Lapses: map[string]time.Duration{"t1": time.Second},
+			Losses: []fulmarwire.Loss{{Target: "t2", Suspects: []uint64{9}}},
+		}
+		got, err := client(key).Heartbeat(ctx, sent)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(sent))
+	})
+
+	// Guards against tables that do not fit into a frame.
+	It("carries a table of 1 MB", func() {
+		c := client(key)
+		_, err := c.Push(ctx, &fulmarwire.Bundle{Table: make([]byte, 1<<20)})
+		Expect(err).NotTo(HaveOccurred())
+		bundle, err := c.Pull(ctx, &fulmarwire.Want{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bundle.Table).To(HaveLen(1 << 20))
+	})
+
+	// Guards against a peer that is served without knowledge of the key.
+	It("refuses another key", func() {
+		_, err := client([]byte(strings.Repeat("x", 32))).Heartbeat(ctx, &fulmarwire.Status{})
+		Expect(err).To(HaveOccurred())
+	})
+
+	// Guards against a crash or a hang on bytes that are no handshake, and
+	// against a server that no longer serves others afterwards.
+	DescribeTable("closes on a broken handshake",
+		func(text string) {
+			conn, err := net.Dial("tcp", address)
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			_, err = conn.Write([]byte(text))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+			Expect(conn.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+			_, _ = io.Copy(io.Discard, conn)
+			_, err = client(key).Heartbeat(ctx, &fulmarwire.Status{})
+			Expect(err).NotTo(HaveOccurred())
+		},
+		Entry("nothing", ""),
+		Entry("another protocol", "GET / HTTP/1.1\r\nHost: x\r\n\r\n"+strings.Repeat("x", 64)),
+		Entry("version 0", "FULM\x00"+strings.Repeat("n", 64)),
+		Entry("a truncated nonce", "FULM\x01nn"),
+		Entry("a wrong proof", "FULM\x01"+strings.Repeat("n", 64)),
+		Entry("a newer version with a wrong proof", "FULM\x09"+strings.Repeat("n", 64)),
+	)
+
+	// Guards against a client that stays broken after the peer was restarted.
+	It("opens a new connection after an error", func() {
+		c := client(key)
+		short, stop := context.WithCancel(ctx)
+		stop()
+		_, err := c.Heartbeat(short, &fulmarwire.Status{})
+		Expect(err).To(HaveOccurred())
+		Eventually(func() error {
+			_, err := c.Heartbeat(ctx, &fulmarwire.Status{})
+			return err
+		}, "5s").Should(Succeed())
+	})
+})
