--- /dev/null
+++ b/internal/fulmartoml/fulmartoml.go
@@ -0,0 +1,316 @@
+package fulmartoml
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+	"github.com/pkg/errors"
+)
+
+// Fault is one error in a TOML text.
+type Fault struct {
+	Line    int    `json:"line"` // from 1; zero if the fault has no place in the text
+	Field   string `json:"field"`
+	Problem string `json:"problem"`
+}
+
+// String returns the fault in one line.
+func (f Fault) String() string {
+	var b strings.Builder
+	if f.Line > 0 {
+		fmt.Fprintf(&b, "line %d: ", f.Line)
+	}
+	if f.Field != "" {
+		b.WriteString(f.Field + ": ")
+	}
+	return b.String() + f.Problem
+}
+
+// Span is a range of bytes of a text.
+type Span struct{ Start, End int }
+
+// Key is the place of a key and its value.
+type Key struct {
+	Line  int
+	Value Span // empty for tables and values whose place is unknown
+}
+
+// Reader converts the leaves of a decoded text and collects faults.
+type Reader struct {
+	keys   map[string]Key
+	faults []Fault
+	broken bool
+}
+
+// New decodes text strictly into dst, a pointer to a struct whose leaves have the type any.
+func New(text []byte, dst any) *Reader {
+	r := &Reader{keys: map[string]Key{}}
+	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	err := dec.Decode(dst)
+	r.index(text)
+	var strict *toml.StrictMissingError
+	var one *toml.DecodeError
+	switch {
+	case err == nil:
+	case errors.As(err, &strict):
+		for i := range strict.Errors {
+			row, _ := strict.Errors[i].Position()
+			r.faults = append(r.faults, Fault{row, r.fieldAt(row, strict.Errors[i].Key()), "unknown key"})
+		}
+	case errors.As(err, &one):
+		row, _ := one.Position()
+		r.faults = append(r.faults, Fault{row, r.fieldAt(row, one.Key()), strings.TrimPrefix(one.Error(), "toml: ")})
+		r.broken = true
+	default:
+		r.broken = true
+		r.faults = append(r.faults, Fault{0, "", strings.TrimPrefix(err.Error(), "toml: ")})
+	}
+	return r
+}
+
+// index records the place of each key; it stops at the first syntax error.
+func (r *Reader) index(text []byte) {
+	p := unstable.Parser{}
+	p.Reset(text)
+	counts := map[string]int{}
+	table := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		switch e.Kind {
+		case unstable.Table, unstable.ArrayTable:
+			path, at := keyPath(e)
+			if e.Kind == unstable.ArrayTable {
+				counts[path]++
+				path += "[" + strconv.Itoa(counts[path]-1) + "]"
+			}
+			table = path
+			r.keys[table] = Key{Line: line(text, at)}
+		case unstable.KeyValue:
+			path, at := keyPath(e)
+			if table != "" {
+				path = table + "." + path
+			}
+			k := Key{Line: line(text, at)}
+			if raw := e.Value().Raw; raw.Length > 0 {
+				k.Value = Span{int(raw.Offset), int(raw.Offset + raw.Length)}
+			}
+			r.keys[path] = k
+		}
+	}
+}
+
+func keyPath(e *unstable.Node) (path string, offset int) {
+	var parts []string
+	it := e.Key()
+	for it.Next() {
+		if len(parts) == 0 {
+			offset = int(it.Node().Raw.Offset)
+		}
+		parts = append(parts, string(it.Node().Data))
+	}
+	return strings.Join(parts, "."), offset
+}
+
+func line(text []byte, offset int) int {
+	return 1 + bytes.Count(text[:min(offset, len(text))], []byte("\n"))
+}
+
+// fieldAt returns the field that starts in a line and ends with the name, or else the name;
+// unlike the name, the field has the numbers of array tables.
+func (r *Reader) fieldAt(line int, name toml.Key) string {
+	for field, k := range r.keys {
+		if k.Line == line && len(name) > 0 && strings.HasSuffix("."+field, "."+name[len(name)-1]) {
+			return field
+		}
+	}
+	return strings.Join(name, ".")
+}
+
+// Broken reports whether the text could not be decoded as a whole, so that absent leaves say nothing.
+func (r *Reader) Broken() bool { return r.broken }
+
+// Key returns the place of a field.
+func (r *Reader) Key(field string) (Key, bool) {
+	k, ok := r.keys[field]
+	return k, ok
+}
+
+// Line returns the line of a field, or of the closest table around it.
+func (r *Reader) Line(field string) int {
+	for field != "" {
+		if k, ok := r.keys[field]; ok {
+			return k.Line
+		}
+		field = field[:max(0, strings.LastIndexByte(field, '.'))]
+	}
+	return 0
+}
+
+// Faults returns the faults so far in order of line.
+func (r *Reader) Faults() []Fault {
+	slices.SortStableFunc(r.faults, func(a, b Fault) int { return a.Line - b.Line })
+	return r.faults
+}
+
+// Fault records a fault of a field.
+func (r *Reader) Fault(field, format string, args ...any) {
+	r.faults = append(r.faults, Fault{r.Line(field), field, fmt.Sprintf(format, args...)})
+}
+
+// String returns a leaf as a string; an absent leaf gives absent and records nothing.
+func (r *Reader) String(field string, leaf any, absent string) string {
+	if leaf == nil {
+		return absent
+	}
+	s, ok := leaf.(string)
+	if !ok {
+		r.Fault(field, "must be a string, not %s", kind(leaf))
+		return absent
+	}
+	return s
+}
+
+// Bool returns a leaf as a truth value.
+func (r *Reader) Bool(field string, leaf any, absent bool) bool {
+	if leaf == nil {
+		return absent
+	}
+	b, ok := leaf.(bool)
+	if !ok {
+		r.Fault(field, "must be true or false, not %s", kind(leaf))
+		return absent
+	}
+	return b
+}
+
+// Int returns a leaf as an integer from low to high.
+func (r *Reader) Int(field string, leaf any, absent, low, high int64) int64 {
+	if leaf == nil {
+		return absent
+	}
+	n, ok := leaf.(int64)
+	if !ok {
+		r.Fault(field, "must be an integer, not %s", kind(leaf))
+		return absent
+	}
+	if n < low || n > high {
+		r.Fault(field, "%d is out of bounds: must be from %d to %d", n, low, high)
+		return absent
+	}
+	return n
+}
+
+// Float returns a leaf as a number over zero and at most high; integers are accepted.
+func (r *Reader) Float(field string, leaf any, absent, high float64) float64 {
+	if leaf == nil {
+		return absent
+	}
+	var f float64
+	switch v := leaf.(type) {
+	case float64:
+		f = v
+	case int64:
+		f = float64(v)
+	default:
+		r.Fault(field, "must be a number, not %s", kind(leaf))
+		return absent
+	}
+	if !(f > 0 && f <= high) || math.IsNaN(f) {
+		r.Fault(field, "%v is out of bounds: must be greater than 0 and at most %v", f, high)
+		return absent
+	}
+	return f
+}
+
+// Duration returns a leaf as a duration from low to high; it must be a string with a unit.
+func (r *Reader) Duration(field string, leaf any, absent, low, high time.Duration) time.Duration {
+	if leaf == nil {
+		return absent
+	}
+	s, ok := leaf.(string)
+	if !ok {
+		r.Fault(field, "must be a duration with a unit such as \"150ms\", not %s", kind(leaf))
+		return absent
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		r.Fault(field, "%q is not a duration with a unit such as \"150ms\"", s)
+		return absent
+	}
+	if d < low || d > high {
+		r.Fault(field, "%v is out of bounds: must be from %v to %v", d, low, high)
+		return absent
+	}
+	return d
+}
+
+// units are the multiples that Size accepts.
+var units = []struct {
+	name  string
+	bytes int64
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"B", 1}}
+
+// Size returns a leaf as a number of bytes from low to high; it must be a string with a unit.
+func (r *Reader) Size(field string, leaf any, absent, low, high int64) int64 {
+	if leaf == nil {
+		return absent
+	}
+	s, ok := leaf.(string)
+	if !ok {
+		r.Fault(field, "must be a size with a unit such as \"64KiB\", not %s", kind(leaf))
+		return absent
+	}
+	for _, u := range units {
+		digits, ok := strings.CutSuffix(s, u.name)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseInt(digits, 10, 64)
+		if err != nil || digits[0] == '+' {
+			break
+		}
+		if n > high/u.bytes || n*u.bytes < low {
+			r.Fault(field, "%s is out of bounds: must be from %s to %s", s, FormatSize(low), FormatSize(high))
+			return absent
+		}
+		return n * u.bytes
+	}
+	r.Fault(field, "%q is not a size with the unit B, KiB or MiB", s)
+	return absent
+}
+
+// FormatSize returns n in the largest unit that divides it.
+func FormatSize(n int64) string {
+	switch {
+	case n != 0 && n%(1<<20) == 0:
+		return strconv.FormatInt(n>>20, 10) + "MiB"
+	case n != 0 && n%(1<<10) == 0:
+		return strconv.FormatInt(n>>10, 10) + "KiB"
+	}
+	return strconv.FormatInt(n, 10) + "B"
+}
+
+func kind(leaf any) string {
+	switch leaf.(type) {
+	case string:
+		return "a string"
+	case bool:
+		return "a truth value"
+	case int64:
+		return "an integer"
+	case float64:
+		return "a number"
+	case []any:
+		return "an array"
+	case map[string]any:
+		return "a table"
+	}
+	return "a date or time"
+}
