Add the client of the key-value service

Configuration, table and planner lease live in a service that has outages and may lose an answer after the write took effect. The client therefore separates a conflict, a request that was never sent and a request whose effect is unknown; a connection that was obtained makes a failed write ambiguous, and so does a status of 5xx, because a server may have passed the write on before it failed. One call of a kind is in flight, so that a slow service does not collect calls. Retrying within the client was ruled out: only the caller knows how to read back.

--- /dev/null
+++ b/internal/fulmarstore/client_test.go
@@ -0,0 +1,194 @@
+package fulmarstore_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarstore"
+)
+
+// serve returns a client of a server with the handler.
+func serve(timeout time.Duration, handler http.HandlerFunc) *fulmarstore.Client {
+	server := httptest.NewServer(handler)
+	client := &http.Client{Transport: &http.Transport{}}
+	DeferCleanup(func() {
+		client.CloseIdleConnections()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return fulmarstore.New(server.URL, timeout, client)
+}
+
+// abort ends the connection without an answer, as if the answer were lost.
+func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// hang holds the request until the client gives up; the server notices only after the body was read.
+func hang(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+var _ = Describe("Client", func() {
+	ctx := context.Background()
+
+	// Guards against a stale read and against the wrong index for compare-and-swap.
+	It("reads consistently", func() {
+		c := serve(time.Second, func(w http.ResponseWriter, r *http.Request) {
+			Expect(r.URL.Path).To(Equal("/v1/kv/fulmarbend/table"))
+			Expect(r.URL.Query()).To(HaveKey("consistent"))
+			w.Header().Set("X-Consul-Index", "99")
+			fmt.Fprint(w, `[{"Key":"fulmarbend/table","Value":"aGk=","ModifyIndex":7}]`)
+		})
+		Expect(c.Get(ctx, "fulmarbend/table")).To(Equal(fulmarstore.Value{Data: []byte("hi"), Index: 7}))
+	})
+
+	// Guards against a missing key that looks like an outage, and a watch on it that spins.
+	It("tells a missing key", func() {
+		c := serve(time.Second, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Consul-Index", "12")
+			w.WriteHeader(http.StatusNotFound)
+		})
+		v, err := c.Watch(ctx, "k", 0, time.Second)
+		Expect(err).To(MatchError(fulmarstore.ErrNotFound))
+		Expect(v.Index).To(Equal(uint64(12)))
+	})
+
+	// Guards against an outcome of a write that claims more than is known.
+	DescribeTable("classifies a write", func(handler http.HandlerFunc, want error) {
+		c := serve(200*time.Millisecond, handler)
+		err := c.Put(ctx, "k", []byte("v"), 3)
+		if want == nil {
+			Expect(err).NotTo(HaveOccurred())
+			return
+		}
+		Expect(err).To(MatchError(want))
+	},
+		Entry("done", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			Expect(r.URL.Query().Get("cas")).To(Equal("3"))
+			fmt.Fprint(w, "true\n")
+		}), nil),
+		Entry("conflict", answer(200, "false"), fulmarstore.ErrConflict),
+		Entry("lost answer", http.HandlerFunc(abort), fulmarstore.ErrAmbiguous),
+		Entry("no answer in time", http.HandlerFunc(hang), fulmarstore.ErrAmbiguous),
+		Entry("server error", answer(500, "No cluster leader"), fulmarstore.ErrAmbiguous),
+		Entry("rate limit", answer(429, ""), fulmarstore.ErrUnavailable),
+		Entry("forbidden", answer(403, "ACL"), &fulmarstore.StatusError{Status: 403, Text: "ACL"}),
+		Entry("broken body", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "4")
+			fmt.Fprint(w, "tr")
+		}), fulmarstore.ErrAmbiguous),
+		Entry("nonsense", answer(200, "perhaps"), fulmarstore.ErrAmbiguous),
+	)
+
+	// Guards against a write that was never sent and is read back for nothing during an outage.
+	It("is unavailable without a connection", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := l.Addr().String()
+		Expect(l.Close()).To(Succeed())
+		c := fulmarstore.New("http://"+address, time.Second, &http.Client{Transport: &http.Transport{}})
+		err = c.Put(ctx, "k", nil, 0)
+		Expect(err).To(MatchError(fulmarstore.ErrUnavailable))
+		Expect(err).NotTo(MatchError(fulmarstore.ErrAmbiguous))
+	})
+
+	// Guards against a watch that the timeout of plain calls ends early.
+	It("watches until a change", func() {
+		change := make(chan struct{})
+		c := serve(50*time.Millisecond, func(w http.ResponseWriter, r *http.Request) {
+			Expect(r.URL.Query().Get("index")).To(Equal("7"))
+			select {
+			case <-change:
+			case <-time.After(10 * time.Second):
+			}
+			fmt.Fprint(w, `[{"Value":"","ModifyIndex":8}]`)
+		})
+		time.AfterFunc(150*time.Millisecond, func() { close(change) })
+		v, err := c.Watch(ctx, "k", 7, 10*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(v.Index).To(Equal(uint64(8)))
+	})
+
+	// Guards against a slow store that collects calls: each one counts against its capacity.
+	It("keeps one call of a kind in flight", func() {
+		var calls atomic.Int32
+		c := serve(500*time.Millisecond, func(w http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			hang(w, r)
+		})
+		first := make(chan error, 1)
+		go func() {
+			_, err := c.Get(ctx, "k")
+			first <- err
+		}()
+		Eventually(calls.Load).Should(Equal(int32(1)))
+		short, cancel := context.WithTimeout(ctx, 10*time.Millisecond)
+		defer cancel()
+		_, err := c.Get(short, "k")
+		Expect(err).To(MatchError(fulmarstore.ErrUnavailable))
+		Expect(<-first).To(MatchError(fulmarstore.ErrUnavailable))
+		Expect(calls.Load()).To(Equal(int32(1)))
+	})
+
+	// Guards against an answer or a value that exhausts the memory of a small instance.
+	It("bounds bodies", func() {
+		c := serve(time.Second, func(w http.ResponseWriter, _ *http.Request) {
+			chunk := bytes.Repeat([]byte(" "), 1<<20)
+			for range 5 {
+				if _, err := w.Write(chunk); err != nil {
+					return
+				}
+			}
+		})
+		_, err := c.Get(ctx, "k")
+		Expect(err).To(MatchError(fulmarstore.ErrTooLarge))
+		Expect(c.Put(ctx, "k", make([]byte, fulmarstore.MaxValue+1), 0)).To(MatchError(fulmarstore.ErrTooLarge))
+	})
+
+	// Guards against a planner that takes a lapsed session for a held one.
+	It("manages sessions", func() {
+		c := serve(time.Second, func(w http.ResponseWriter, r *http.Request) {
+			switch r.URL.Path {
+			case "/v1/session/create":
+				fmt.Fprint(w, `{"ID":"s1"}`)
+			case "/v1/session/renew/s1":
+				w.WriteHeader(http.StatusNotFound)
+			case "/v1/kv/lock":
+				fmt.Fprint(w, r.URL.Query().Get("acquire") == "s1")
+			default:
+				fmt.Fprint(w, "true")
+			}
+		})
+		session, err := c.NewSession(ctx, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.Acquire(ctx, "lock", session, nil)).To(BeTrue())
+		Expect(c.Acquire(ctx, "lock", "s2", nil)).To(BeFalse())
+		Expect(c.Renew(ctx, session)).To(MatchError(fulmarstore.ErrNotFound))
+		Expect(c.Destroy(ctx, session)).To(Succeed())
+	})
+
+	// Guards against catalog entries without an address of their own.
+	It("lists nodes", func() {
+		c := serve(time.Second, answer(200, `[{"Address":"127.0.0.9","Datacenter":"odda","ServiceID":"t1","ServicePort":80,"ServiceMeta":{"service":"rota-board"}}]`))
+		nodes, err := c.Nodes(ctx, "fulmarbend-target")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(nodes).To(Equal([]fulmarstore.Node{{ID: "t1", Address: "127.0.0.9:80", DataCentre: "odda", Meta: map[string]string{"service": "rota-board"}}}))
+	})
+})
+
+func answer(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		fmt.Fprint(w, body)
+	}
+}
