--- /dev/null
+++ b/pkg/fulmarconfig/suite_test.go
@@ -0,0 +1,13 @@
+package fulmarconfig_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestConfig(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fulmarconfig")
+}
