--- /dev/null
+++ b/internal/fulmardispatch/dispatcher_test.go
@@ -0,0 +1,361 @@
+package fulmardispatch_test
+
+import (
+	"context"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmaroutcome"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
+)
+
+const (
+	notRun  = fulmaroutcome.NotRun
+	unknown = fulmaroutcome.Unknown
+)
+
+func quiet() *log.Logger { return log.New(io.Discard, "", 0) }
+
+var background = context.Background()
+
+var _ = Describe("answers", func() {
+	// Guards against a truncated body that looks complete (I3).
+	DescribeTable("a body that breaks off aborts the caller's connection",
+		func(idempotent, announced bool) {
+			r := newRig(idempotent, 3)
+			r.serve(func(w http.ResponseWriter, _ *http.Request) {
+				if announced {
+					w.Header().Set("Content-Length", "500000")
+				}
+				_, _ = io.WriteString(w, strings.Repeat("x", 200000))
+				panic(http.ErrAbortHandler)
+			})
+			Expect(r.do(background, call{id: newID()}).err).To(HaveOccurred())
+		},
+		Entry("idempotent, with a length", true, true),
+		Entry("idempotent, chunked", true, false),
+		Entry("at most once, with a length", false, true),
+		Entry("at most once, chunked", false, false),
+	)
+
+	// Guards against presenting a short broken body as served.
+	It("reports a kept body that breaks off as unknown", func() {
+		r := newRig(false, 3)
+		r.serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "part")
+		})
+		expectRefused(r.do(background, call{id: newID()}), unknown, fulmaroutcome.BodyBroken)
+	})
+
+	// Guards against buffering whole bodies, in either direction.
+	DescribeTable("large bodies pass under bounded memory", func(idempotent bool) {
+		const size = 64 << 20
+		r := newRig(idempotent, 3)
+		r.serve(func(w http.ResponseWriter, q *http.Request) {
+			n, _ := io.Copy(io.Discard, q.Body)
+			_, _ = io.Copy(w, io.LimitReader(zeros{}, n))
+		})
+		q, _ := http.NewRequest(http.MethodPost, r.front.URL+"/desk/big", io.LimitReader(zeros{}, size))
+		slot, _ := r.table.Load().Slot(service, key)
+		q.Header.Set(fulmaroutcome.HeaderKey, key)
+		q.Header.Set(fulmaroutcome.HeaderGroup, "g1")
+		q.Header.Set(fulmaroutcome.HeaderSlot, strconv.Itoa(slot))
+		q.Header.Set(fulmaroutcome.HeaderDeadline, "60000")
+		q.Header.Set(fulmaroutcome.HeaderRequestID, newID())
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		resp, err := r.client.Do(q)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		n, err := io.Copy(io.Discard, resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n).To(Equal(int64(size)))
+		runtime.ReadMemStats(&after)
+		Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", size/8))
+	}, Entry("idempotent", true), Entry("at most once", false))
+
+	// Guards against telling a not-run order of the target from one that ran.
+	DescribeTable("a target's refusal is passed on", func(status int, reason fulmaroutcome.Reason) {
+		r := newRig(false, 3)
+		r.serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(fulmaroutcome.HeaderOutcome, "not-run")
+			w.WriteHeader(status)
+		})
+		id := newID()
+		expectRefused(r.do(background, call{id: id}), notRun, reason)
+		r.serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })
+		expectServed(r.do(background, call{id: id}), "done")
+	}, Entry("fenced", 412, fulmaroutcome.Fenced), Entry("shed", 503, fulmaroutcome.Shed))
+})
+
+// zeros is an endless reader.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+var _ = Describe("requests that run at most once", func() {
+	// Guards against running a duplicate (I5).
+	It("gives duplicates in flight the answer of one execution, and replays it later", func() {
+		r, g, id := newRig(false, 3), newGate(), newID()
+		r.serve(g.serve)
+		first := r.start(background, call{id: id})
+		Eventually(g.inside.Load).Should(BeEquivalentTo(1))
+		second := r.start(background, call{id: id})
+		third, cancel := context.WithCancel(background)
+		gone := r.start(third, call{id: id})
+		cancel()
+		Eventually(gone).Should(Receive())
+		close(g.open)
+		expectServed(<-first, "done")
+		expectServed(<-second, "done")
+		expectServed(r.do(background, call{id: id}), "done")
+		Expect(r.executions(id)).To(Equal(1))
+	})
+
+	// Guards against running a request again because its answer was too long to keep.
+	It("reports a long answer as dropped to duplicates", func() {
+		r, id := newRig(false, 3), newID()
+		long := strings.Repeat("x", 10*keep)
+		r.serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, long) })
+		expectServed(r.do(background, call{id: id}), long)
+		expectRefused(r.do(background, call{id: id}), unknown, fulmaroutcome.AnswerDropped)
+		Expect(r.executions(id)).To(Equal(1))
+	})
+
+	// Guards against losing the answer of an order whose caller went away, and against cutting it off.
+	It("lets an order finish whose caller is gone", func() {
+		r, g, id := newRig(false, 3), newGate(), newID()
+		r.serve(g.serve)
+		ctx, cancel := context.WithCancel(background)
+		first := r.start(ctx, call{id: id})
+		Eventually(g.inside.Load).Should(BeEquivalentTo(1))
+		cancel()
+		Expect((<-first).err).To(HaveOccurred())
+		close(g.open)
+		expectServed(r.do(background, call{id: id}), "done")
+		Expect(r.executions(id)).To(Equal(1))
+		Expect(g.ended.Load()).To(BeZero())
+	})
+
+	// Guards against running again what may have run on a connection that broke.
+	It("keeps a broken connection as unknown and names its work when the target is lost", func() {
+		r, id := newRig(false, 3), newID()
+		r.serve(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		expectRefused(r.do(background, call{id: id}), unknown, fulmaroutcome.TargetLost)
+		expectRefused(r.do(background, call{id: id}), unknown, fulmaroutcome.TargetLost)
+		Expect(r.executions(id)).To(Equal(1))
+		Expect(r.d.Lost()).To(HaveLen(1))
+	})
+
+	// Guards against resending by net/http, which would run the order twice.
+	It("does not resend on a reused connection that breaks", func() {
+		r, id := newRig(false, 3), newID()
+		expectServed(r.do(background, call{id: newID()}), "done")
+		r.serve(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		expectRefused(r.do(background, call{id: id}), unknown, fulmaroutcome.TargetLost)
+		Expect(r.executions(id)).To(Equal(1))
+	})
+
+	// Guards against remembering an order that was never sent.
+	It("forgets an order that could not be sent", func() {
+		r := newRig(false, 3)
+		r.target.Close()
+		id := newID()
+		expectRefused(r.do(background, call{id: id}), notRun, fulmaroutcome.Dial)
+		expectRefused(r.do(background, call{id: id}), notRun, fulmaroutcome.Dial)
+	})
+
+	// Guards against running an id that an earlier dispatcher may have run, and against ids of the future.
+	It("refuses ids before the horizon and ahead of the clock", func() {
+		r := newRig(false, 3)
+		id := uuid.Must(uuid.NewV7())
+		copy(id[:6], make([]byte, 6))
+		expectRefused(r.do(background, call{id: id.String()}), unknown, fulmaroutcome.BeforeHorizon)
+		ahead := newID()
+		r.offset.Store(int64(-10 * time.Second))
+		expectRefused(r.do(background, call{id: ahead}), notRun, fulmaroutcome.IDAhead)
+	})
+})
+
+var _ = Describe("refusals", func() {
+	// Guards against an order that starts although its request was refused as not run (I4).
+	It("decides a refusal and the removal from the queue together", func() {
+		for _, idempotent := range []bool{true, false} {
+			r := newRig(idempotent, 1)
+			r.serve(func(w http.ResponseWriter, _ *http.Request) {
+				runtime.Gosched()
+				_, _ = io.WriteString(w, "done")
+			})
+			src := rand.New(rand.NewPCG(1, 2))
+			var all sync.WaitGroup
+			for range 8 {
+				delays := make([]time.Duration, 60)
+				for i := range delays {
+					delays[i] = time.Duration(1+src.IntN(4)) * time.Millisecond
+				}
+				all.Go(func() {
+					defer GinkgoRecover()
+					for _, timeout := range delays {
+						id := newID()
+						ctx, cancel := context.WithTimeout(background, 2*timeout)
+						got := r.do(ctx, call{id: id, timeout: timeout})
+						cancel()
+						if got.outcome == "not-run" {
+							Expect(r.executions(id)).To(BeZero(), got.reason)
+						}
+						Expect(r.executions(id)).To(BeNumerically("<=", 1))
+					}
+				})
+			}
+			all.Wait()
+		}
+	})
+
+	// Guards against condemned work reaching another target, and suspects running beside other work.
+	It("refuses condemned work and runs suspects alone", func() {
+		r, g := newRig(true, 3), newGate()
+		r.serve(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		expectRefused(r.do(background, call{path: "bad"}), unknown, fulmaroutcome.TargetLost)
+		marks := r.d.Lost()
+		r.guard.Lost(time.Now(), marks)
+		r.d.Grant(1, []int{0, 1, 2, 3})
+		r.serve(g.serve)
+		other := r.start(background, call{path: "good"})
+		Eventually(g.inside.Load).Should(BeEquivalentTo(1))
+		suspect := r.start(background, call{path: "bad"})
+		Consistently(g.inside.Load, 50*time.Millisecond).Should(BeEquivalentTo(1))
+		close(g.open)
+		expectServed(<-other, "done")
+		expectServed(<-suspect, "done")
+		Expect(r.guard.Marks(time.Now())).To(BeEmpty(), "completed work is cleared")
+		r.guard.Lost(time.Now(), marks)
+		r.guard.Lost(time.Now(), marks)
+		expectRefused(r.do(background, call{path: "bad"}), notRun, fulmaroutcome.Condemned)
+	})
+
+	// Guards against work that goes on for a caller that is gone.
+	It("cancels an idempotent order with its caller", func() {
+		r, g := newRig(true, 3), newGate()
+		r.serve(g.serve)
+		ctx, cancel := context.WithCancel(background)
+		first := r.start(ctx, call{})
+		Eventually(g.inside.Load).Should(BeEquivalentTo(1))
+		cancel()
+		Expect((<-first).err).To(HaveOccurred())
+		Eventually(g.ended.Load).Should(BeEquivalentTo(1))
+	})
+})
+
+var _ = Describe("moves and handovers", func() {
+	// Guards against a move that overtakes work in flight, and against admission after Stop.
+	It("waits for handlers, refuses what waits and hands over the memory", func() {
+		r, g, id, queued := newRig(false, 1), newGate(), newID(), newID()
+		r.serve(g.serve)
+		slot, _ := r.table.Load().Slot(service, key)
+		running := r.start(background, call{id: id})
+		Eventually(g.inside.Load).Should(BeEquivalentTo(1))
+		waiting := r.start(background, call{id: queued})
+		duplicate := r.start(background, call{id: id})
+		Consistently(waiting, 20*time.Millisecond).ShouldNot(Receive())
+		idle := r.d.Stop([]int{slot})
+		expectRefused(<-waiting, notRun, fulmaroutcome.Moving)
+		expectRefused(r.do(background, call{id: newID()}), notRun, fulmaroutcome.Moving)
+		Expect(idle).NotTo(BeClosed())
+		close(g.open)
+		Eventually(idle).Should(BeClosed())
+		expectServed(<-running, "done")
+		// A duplicate that came after Stop is refused at the door.
+		Expect((<-duplicate).outcome).To(Or(Equal("served"), Equal("not-run")))
+		r.d.Grant(2, []int{(slot + 1) % 4})
+		snapshot := r.d.Export([]int{slot})
+		Expect(snapshot.Records).To(HaveLen(1))
+		next, _ := r.dispatcher()
+		next.Import(snapshot)
+		next.Open(7, 1, []int{slot})
+		r.front.Config.Handler = next
+		expectServed(r.do(background, call{id: id}), "done")
+		expectServed(r.do(background, call{id: queued}), "done")
+		next.Close(fulmaroutcome.NotHolder)
+		Expect(r.executions(id)).To(Equal(1))
+	})
+
+	// Guards against a slot that returns with the memory of an earlier stay.
+	It("starts the memory anew when a slot returns without its memory", func() {
+		r, id := newRig(false, 1), newID()
+		slot, _ := r.table.Load().Slot(service, key)
+		r.d.Grant(2, []int{(slot + 1) % 4})
+		expectRefused(r.do(background, call{id: id}), notRun, fulmaroutcome.Moving)
+		r.d.Grant(3, []int{0, 1, 2, 3})
+		expectRefused(r.do(background, call{id: id}), unknown, fulmaroutcome.BeforeHorizon)
+	})
+
+	// Guards against starting work on a target that does not answer.
+	It("starts nothing while suspended and refuses what waits at Close", func() {
+		r, g, id := newRig(false, 3), newGate(), newID()
+		r.serve(g.serve)
+		running := r.start(background, call{id: id})
+		Eventually(g.inside.Load).Should(BeEquivalentTo(1))
+		r.d.Suspend()
+		Expect(r.d.Lost()).To(HaveLen(1))
+		expectRefused(<-running, unknown, fulmaroutcome.TargetLost)
+		late := newID()
+		waiting := r.start(background, call{id: late})
+		Consistently(waiting, 50*time.Millisecond).ShouldNot(Receive())
+		r.d.Close(fulmaroutcome.NotHolder)
+		expectRefused(<-waiting, notRun, fulmaroutcome.NotHolder)
+		Expect(r.executions(late)).To(BeZero())
+	})
+
+	// Guards against two memories for one key while a hot key gets a slot of its own.
+	It("splits the memory of a hot key and joins it again", func() {
+		r, g, id := newRig(false, 3), newGate(), newID()
+		r.serve(g.serve)
+		plain, _ := r.table.Load().Slot(service, key)
+		running := r.start(background, call{id: id})
+		Eventually(g.inside.Load).Should(BeEquivalentTo(1))
+		hash := fulmarslot.Hash(service, key)
+		was := *r.table.Load()
+		owned, err := was.With(
+			fulmarslot.PutTarget(fulmarslot.Target{ID: "t1", Service: service, Address: "a:1", Fenced: true}),
+			fulmarslot.Assign(service, plain, "t1"))
+		Expect(err).NotTo(HaveOccurred())
+		table, err := owned.With(fulmarslot.PutHot(service, hash))
+		Expect(err).NotTo(HaveOccurred())
+		r.table.Store(&table)
+		hot, _ := table.Slot(service, key)
+		Expect(hot).NotTo(Equal(plain))
+		r.d.Grant(table.Epoch(), []int{0, 1, 2, 3, hot})
+		duplicate := r.start(background, call{id: id})
+		if plain > 0 {
+			expectRefused(r.do(background, call{id: id, slot: -plain}), notRun, fulmaroutcome.Moving)
+		}
+		idle := r.d.Stop([]int{hot})
+		Expect(idle).NotTo(BeClosed(), "the order of the key counts for its new slot")
+		r.d.Resume([]int{hot})
+		close(g.open)
+		expectServed(<-running, "done")
+		Expect((<-duplicate).outcome).To(Or(Equal("served"), Equal("not-run")))
+		expectServed(r.do(background, call{id: id}), "done")
+		table, err = table.With(fulmarslot.RemoveHot(service, hash))
+		Expect(err).NotTo(HaveOccurred())
+		r.table.Store(&table)
+		r.d.Grant(table.Epoch(), []int{0, 1, 2, 3})
+		expectServed(r.do(background, call{id: id}), "done")
+		Expect(r.executions(id)).To(Equal(1))
+		loads := r.d.Loads()
+		Expect(loads).NotTo(BeEmpty())
+		Expect(r.d.Loads()).To(BeEmpty())
+	})
+})
