--- a/internal/fulmardispatch/dispatcher_test.go
+++ b/internal/fulmardispatch/dispatcher_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -200,6 +201,7 @@
 			})
 			src := rand.New(rand.NewPCG(1, 2))
 			var all sync.WaitGroup
+			var refused, served atomic.Int32
 			for range 8 {
 				delays := make([]time.Duration, 60)
 				for i := range delays {
@@ -212,7 +214,11 @@
 						ctx, cancel := context.WithTimeout(background, 2*timeout)
 						got := r.do(ctx, call{id: id, timeout: timeout})
 						cancel()
-						if got.outcome == "not-run" {
+						switch got.outcome {
+						case "served":
+							served.Add(1)
+						case "not-run":
+							refused.Add(1)
 							Expect(r.executions(id)).To(BeZero(), got.reason)
 						}
 						Expect(r.executions(id)).To(BeNumerically("<=", 1))
@@ -220,6 +226,8 @@
 				})
 			}
 			all.Wait()
+			Expect(refused.Load()).NotTo(BeZero())
+			Expect(served.Load()).NotTo(BeZero())
 		}
 	})
 
--- /dev/null
+++ b/internal/fulmarentry/export_test.go
@@ -0,0 +1,4 @@
+package fulmarentry
+
+// Sign gives tests the proof of a peer.
+var Sign = sign
--- /dev/null
+++ b/internal/fulmartarget/client_test.go
@@ -0,0 +1,141 @@
+package fulmartarget_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmartarget"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmargrant"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmaroutcome"
+)
+
+// start returns a client and the address of a fake target.
+func start(h http.HandlerFunc) (*fulmartarget.Client, string, *httptest.Server) {
+	before := goleak.IgnoreCurrent()
+	s := httptest.NewServer(h)
+	c := fulmartarget.New(4)
+	DeferCleanup(func() {
+		c.Close()
+		s.Close()
+		Eventually(func() error { return goleak.Find(before) }).Should(Succeed())
+	})
+	return c, strings.TrimPrefix(s.URL, "http://"), s
+}
+
+var _ = Describe("grants", func() {
+	state := fulmargrant.State{Target: "t1", Holder: "a", Term: 3, Stamp: time.Second, Slots: 3}
+	given := fulmargrant.Grant{Holder: "a", Term: 3, Epoch: 2, Slots: []int{1, 4}, TTL: time.Second}
+
+	// Guards against grants that lose fields on the way.
+	It("exchanges grants and states", func() {
+		var got fulmargrant.Grant
+		c, address, _ := start(func(w http.ResponseWriter, r *http.Request) {
+			defer GinkgoRecover()
+			Expect(r.URL.Path).To(Equal("/fulmarbend/grant"))
+			if r.Method == http.MethodPut {
+				Expect(json.NewDecoder(r.Body).Decode(&got)).To(Succeed())
+			}
+			_ = json.NewEncoder(w).Encode(state)
+		})
+		Expect(c.State(context.Background(), address)).To(Equal(state))
+		Expect(c.Grant(context.Background(), address, given)).To(Equal(state))
+		Expect(got).To(Equal(given))
+	})
+
+	// Guards against a displaced holder that does not learn of it, and against taking other answers as grants.
+	It("returns the state with a refusal, and other statuses as errors", func() {
+		status := http.StatusConflict
+		c, address, _ := start(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(fulmaroutcome.HeaderReason, "term")
+			w.WriteHeader(status)
+			_ = json.NewEncoder(w).Encode(state)
+		})
+		got, err := c.Grant(context.Background(), address, given)
+		Expect(got).To(Equal(state))
+		Expect(err).To(Equal(&fulmargrant.RefusedError{Reason: "term"}))
+		status = http.StatusInternalServerError
+		_, err = c.Grant(context.Background(), address, given)
+		Expect(err).To(Equal(&fulmartarget.StatusError{Status: 500}))
+	})
+})
+
+var _ = Describe("orders", func() {
+	order := func() fulmartarget.Order {
+		return fulmartarget.Order{
+			Method: http.MethodPost, Path: "/desk/a%2Fb?c=d", Body: strings.NewReader("body"), Length: 4,
+			Term: 7, Slot: 5, Sender: "a", Deadline: time.Now().Add(2 * time.Second),
+			Header: http.Header{
+				"Color": {"red"}, "Connection": {"X-Hop"}, "X-Hop": {"1"},
+				fulmaroutcome.HeaderKey: {"k"}, fulmaroutcome.HeaderAuth: {"proof"},
+			},
+		}
+	}
+
+	// Guards against orders without fence or deadline, and against passing on what concerns one hop only.
+	It("carries the request, the fence and the deadline", func() {
+		var got *http.Request
+		var body []byte
+		c, address, _ := start(func(_ http.ResponseWriter, r *http.Request) {
+			got = r.Clone(context.Background())
+			body, _ = io.ReadAll(r.Body)
+		})
+		o := order()
+		resp, err := c.Do(context.Background(), address, o)
+		Expect(err).NotTo(HaveOccurred())
+		_ = resp.Body.Close()
+		Expect(got.RequestURI).To(Equal(o.Path))
+		Expect(string(body)).To(Equal("body"))
+		Expect(got.ContentLength).To(BeEquivalentTo(4))
+		for name, want := range map[string]string{
+			"Color": "red", "X-Hop": "", fulmaroutcome.HeaderKey: "k", fulmaroutcome.HeaderAuth: "",
+			fulmaroutcome.HeaderTerm: "7", fulmaroutcome.HeaderSlot: "5", fulmaroutcome.HeaderSender: "a",
+			fulmaroutcome.HeaderDeadlineAt: o.Deadline.UTC().Format(time.RFC3339Nano),
+		} {
+			Expect(got.Header.Get(name)).To(Equal(want), name)
+		}
+		left, err := strconv.Atoi(got.Header.Get(fulmaroutcome.HeaderDeadline))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(left).To(And(BeNumerically(">", 1000), BeNumerically("<=", 2000)))
+	})
+
+	// Guards against taking an answer of the target's service for a refusal by its fence.
+	DescribeTable("tells a refusal from an answer", func(status int, outcome string, reason fulmaroutcome.Reason, notRun bool) {
+		c, address, _ := start(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(fulmaroutcome.HeaderOutcome, outcome)
+			w.WriteHeader(status)
+		})
+		resp, err := c.Do(context.Background(), address, order())
+		Expect(err).NotTo(HaveOccurred())
+		_ = resp.Body.Close()
+		got, ok := fulmartarget.NotRun(resp)
+		Expect(ok).To(Equal(notRun))
+		Expect(got).To(Equal(reason))
+	},
+		Entry("fenced", 412, "not-run", fulmaroutcome.Fenced, true),
+		Entry("shed", 503, "not-run", fulmaroutcome.Shed, true),
+		Entry("own 412", 412, "", fulmaroutcome.Reason(""), false),
+		Entry("own 503", 503, "", fulmaroutcome.Reason(""), false),
+		Entry("other status", 200, "not-run", fulmaroutcome.Reason(""), false),
+	)
+
+	// Guards against retrying an order that may have run, and against giving up one that was not sent.
+	It("tells a dial error from a connection that broke", func() {
+		c, address, s := start(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		_, err := c.Do(context.Background(), address, order())
+		Expect(err).To(HaveOccurred())
+		Expect(err).NotTo(MatchError(fulmartarget.ErrDial))
+		s.Close()
+		_, err = c.Do(context.Background(), address, order())
+		Expect(err).To(MatchError(fulmartarget.ErrDial))
+	})
+})
