Linger on a refusal while the sender is sending its body

A peer that refused a large request after reading a part of it closed the connection at once, because net/http avoids a reset only for requests without Expect: 100-continue. The reset destroyed the refusal, and the entry reported dispatcher-lost.

--- a/internal/fulmarentry/entry.go
+++ b/internal/fulmarentry/entry.go
@@ -80,8 +80,12 @@
 	// A caller that does not read must not hold a slot of the target beyond its deadline.
 	_ = control.SetWriteDeadline(time.Now().Add(q.deadline.Sub(q.began) + writeGrace))
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	body := &inbound{ReadCloser: r.Body}
+	r = r.WithContext(r.Context())
+	r.Body = body
 	if err := e.readBody(w, r, q); err != nil {
 		e.refuse(w, q, fulmaroutcome.NotRun, err.Reason, err.Detail)
+		body.linger(w)
 		return
 	}
 	complete := false
@@ -92,6 +96,7 @@
 	}()
 	e.route(w, r, q)
 	complete = true
+	body.linger(w)
 }
 
 // servePeer passes a peer's request to the local dispatcher of its target.
@@ -108,7 +113,11 @@
 	}
 	target := r.Header.Get(fulmaroutcome.HeaderTarget)
 	if d, ok := e.deps.Router.Dispatcher(target); ok {
-		d.ServeHTTP(w, r)
+		body := &inbound{ReadCloser: r.Body}
+		in := r.WithContext(r.Context())
+		in.Body = body
+		d.ServeHTTP(w, in)
+		body.linger(w)
 		return
 	}
 	if m, ok := e.deps.Router.Holder(target); ok && m.ID != e.deps.Self {
