--- a/internal/fulmarcontrol/controller.go
+++ b/internal/fulmarcontrol/controller.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarstore"
@@ -91,7 +92,8 @@
 type Controller struct {
 	Deps
 	group sync.WaitGroup
-	kick  chan struct{} // wakes the planner loop
+	kick  chan struct{}             // wakes the planner loop
+	until atomic.Pointer[time.Time] // end of the quorum lease, readable without the lock
 
 	mu        sync.Mutex
 	table     fulmarslot.Table
@@ -168,12 +170,12 @@
 		return nil
 	}
 	rosterChanged := !sameRoster(c.table.Roster(), table.Roster())
+	c.mergeQuarantine(table)
 	c.table, c.tableRaw = table, raw
 	if rosterChanged {
 		c.setRoster(ctx)
 	}
 	c.dropImports()
-	c.Guard.Merge(marks(table.Quarantined()))
 	c.syncKeepers(ctx)
 	c.notify()
 	c.Log.Debug("table adopted", "epoch", table.Epoch())
@@ -192,6 +194,21 @@
 	return true
 }
 
+// mergeQuarantine takes over the marks of the new table, and lifts those that
+// it no longer has. mu must be held.
+func (c *Controller) mergeQuarantine(table fulmarslot.Table) {
+	kept := make(map[uint64]bool)
+	for _, q := range table.Quarantined() {
+		kept[q.Fingerprint] = true
+	}
+	for _, q := range c.table.Quarantined() {
+		if !kept[q.Fingerprint] {
+			c.Guard.Lift(q.Fingerprint)
+		}
+	}
+	c.Guard.Merge(marks(table.Quarantined()))
+}
+
 func marks(quarantined []fulmarslot.Quarantine) []fulmarguard.Mark {
 	out := make([]fulmarguard.Mark, len(quarantined))
 	for i, q := range quarantined {
@@ -217,6 +234,7 @@
 		ids = nil
 	}
 	c.lease.SetRoster(ids)
+	c.held(time.Now())
 }
 
 // adoptConfig puts a newer configuration in force; an older or equal one is ignored.
@@ -258,13 +276,22 @@
 
 // held reports whether the quorum lease is in force; mu must be held.
 func (c *Controller) held(now time.Time) bool {
-	if !c.lease.Held(now) {
+	until := c.lease.Until()
+	c.until.Store(&until)
+	if !now.Before(until) {
 		return false
 	}
 	c.lastHeld = now
 	return true
 }
 
+// Current reports whether the quorum lease was in force when last looked at
+// and still is. It takes no lock, so that a dispatcher may call it.
+func (c *Controller) Current() bool {
+	until := c.until.Load()
+	return until != nil && time.Now().Before(*until)
+}
+
 // dropImports forgets request memory whose move did not end at the target.
 // Memory of a move that the own table does not have yet is kept. mu must be held.
 func (c *Controller) dropImports() {
--- a/internal/fulmarcontrol/keeper.go
+++ b/internal/fulmarcontrol/keeper.go
@@ -524,7 +524,10 @@
 func (k *keeper) open(ctx context.Context, t fulmarslot.Target, before fulmargrant.State, g fulmargrant.Grant, owned []int, handed *fulmarwire.Handover) {
 	d := k.c.NewDispatcher(t)
 	if handed != nil {
-		d.Import(handed.Snapshot)
+		// Memory of slots that are not owned now would be stale when they return.
+		for _, slot := range owned {
+			d.Import(snapshotOf(handed.Snapshot, slot))
+		}
 	}
 	d.Open(g.Term, max(before.Slots-before.Running, 1), owned)
 	k.c.mu.Lock()
@@ -605,3 +608,13 @@
 	}
 	return out
 }
+
+// Fenced wakes the keeper of a target that refused an order by its fence, so
+// that a dispatcher that was displaced learns of it before the next renewal.
+func (c *Controller) Fenced(target string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k, ok := c.keepers[target]; ok {
+		k.wake()
+	}
+}
