--- a/cmd/fulmarbend/main.go
+++ b/cmd/fulmarbend/main.go
@@ -70,7 +70,8 @@
 	if err := level.UnmarshalText([]byte(cmd.String("log-level"))); err != nil {
 		return fmt.Errorf("fulmarbend: log level: %w", err)
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("instance", settings.ID)
+	options := &slog.HandlerOptions{Level: level, ReplaceAttr: plainErrors}
+	log := slog.New(slog.NewTextHandler(os.Stderr, options)).With("instance", settings.ID)
 	node, err := fulmarnode.New(settings, log)
 	if err != nil {
 		return err
@@ -88,3 +89,12 @@
 	}()
 	return node.Run(stopCtx)
 }
+
+// plainErrors logs the message of an error. The text handler would print the
+// stack that errors of pkg/errors carry, which breaks the one line of an event.
+func plainErrors(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		return slog.String(a.Key, err.Error())
+	}
+	return a
+}
--- a/internal/fulmarcontrol/controller.go
+++ b/internal/fulmarcontrol/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -77,6 +78,7 @@
 // Deps are what a controller works with.
 type Deps struct {
 	Self          fulmarslot.Member
+	Source        net.IP   // local address of connections to peers, nil for any
 	Seeds         []string // control addresses to try when the catalog does not answer
 	Key           []byte   // shared by all daemons
 	Timing        Timing
@@ -268,12 +270,6 @@
 	}
 }
 
-func (c *Controller) wake() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.notify()
-}
-
 // held reports whether the quorum lease is in force; mu must be held.
 func (c *Controller) held(now time.Time) bool {
 	until := c.lease.Until()
--- a/internal/fulmarcontrol/handover.go
+++ b/internal/fulmarcontrol/handover.go
@@ -46,14 +46,14 @@
 		k.betterSince = now
 	}
 	if leaving || now.Sub(k.betterSince) >= rankSettle {
-		k.handOver(ctx, t, p)
+		k.handOver(ctx, p)
 	}
 }
 
 // handOver stops admission, waits a little for work in flight, and offers the
 // target with its request memory. Work that takes longer goes on: the target
 // finishes it under the new term, and the former dispatcher answers it.
-func (k *keeper) handOver(ctx context.Context, t fulmarslot.Target, p *peer) {
+func (k *keeper) handOver(ctx context.Context, p *peer) {
 	idle := k.dispatcher.StopAll()
 	timer := time.NewTimer(handoverDrain)
 	defer timer.Stop()
--- a/internal/fulmarcontrol/keeper.go
+++ b/internal/fulmarcontrol/keeper.go
@@ -52,7 +52,6 @@
 	stamp       time.Duration
 	stampAt     time.Time
 	failures    int
-	fenced      bool
 	stopping    map[int]<-chan struct{}
 	admitted    []int
 	contested   bool // a handover failed with open outcome
@@ -202,7 +201,7 @@
 
 // renew extends the grant and brings its slots up to date.
 func (k *keeper) renew(ctx context.Context, t fulmarslot.Target) {
-	k.stopMoving(t)
+	k.stopMoving()
 	if k.lost {
 		k.probeLost(ctx, t)
 		return
@@ -316,7 +315,7 @@
 
 // stopMoving stops admission for slots that started to move and resumes it
 // for those whose move was cancelled.
-func (k *keeper) stopMoving(t fulmarslot.Target) {
+func (k *keeper) stopMoving() {
 	k.c.mu.Lock()
 	moving := k.c.table.MovingFrom(nil, k.id)
 	owned := k.c.table.OwnedBy(nil, k.id)
@@ -538,7 +537,7 @@
 	k.c.notify()
 	k.c.mu.Unlock()
 	k.c.Log.Info("target taken over", "target", k.id, "term", g.Term, "epoch", g.Epoch, "slots", len(owned), "handover", handed != nil)
-	k.stopMoving(t)
+	k.stopMoving()
 	k.inForce(ctx, t, g, owned)
 }
 
@@ -591,7 +590,7 @@
 		k.stepDown(fulmaroutcome.NotHolder)
 	case held:
 		k.failures = 0
-		k.stopMoving(t)
+		k.stopMoving()
 		k.inForce(ctx, t, fulmargrant.Grant{Epoch: epoch, Slots: append(owned, k.busy()...)}, owned)
 	}
 }
--- a/internal/fulmarcontrol/mesh.go
+++ b/internal/fulmarcontrol/mesh.go
@@ -51,12 +51,12 @@
 	if ok {
 		known.close()
 	}
-	beat, err := fulmarpeer.NewClient(m.Control, c.Key)
+	beat, err := fulmarpeer.NewClient(m.Control, c.Source, c.Key)
 	if err != nil {
 		c.Log.Error("peer client", "peer", m.ID, "error", err)
 		return
 	}
-	bulk, err := fulmarpeer.NewClient(m.Control, c.Key)
+	bulk, err := fulmarpeer.NewClient(m.Control, c.Source, c.Key)
 	if err != nil {
 		c.Log.Error("peer client", "peer", m.ID, "error", err)
 		return
@@ -77,7 +77,7 @@
 // runPeer exchanges heartbeats with one peer.
 func (c *Controller) runPeer(ctx context.Context, p *peer) {
 	// The first pull tells the peer how to reach this daemon.
-	if _, err := c.pull(ctx, p.bulk); err != nil {
+	if err := c.pull(ctx, p.bulk); err != nil {
 		c.Log.Debug("peer does not answer", "peer", p.ID, "error", err)
 	}
 	ticker := time.NewTicker(c.Timing.Heartbeat)
@@ -104,11 +104,11 @@
 		return
 	}
 	if c.behind(reply) {
-		if _, err := c.pull(ctx, p.bulk); err != nil {
+		if err := c.pull(ctx, p.bulk); err != nil {
 			c.Log.Warn("pull failed", "peer", p.ID, "error", err)
 		}
 	}
-	c.observe(ctx, reply, sent)
+	c.observe(reply, sent)
 }
 
 // behind reports whether the peer has a newer table or configuration.
@@ -120,7 +120,7 @@
 
 // observe takes in a peer's status. sent is when the question was sent to
 // which the status is the answer, or zero for a heartbeat that the peer sent.
-func (c *Controller) observe(ctx context.Context, s *fulmarwire.Status, sent time.Time) {
+func (c *Controller) observe(s *fulmarwire.Status, sent time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -169,14 +169,14 @@
 }
 
 // pull fetches newer versions from a peer and adopts them.
-func (c *Controller) pull(ctx context.Context, client *fulmarpeer.Client) (*fulmarwire.Bundle, error) {
+func (c *Controller) pull(ctx context.Context, client *fulmarpeer.Client) error {
 	callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	bundle, err := client.Pull(callCtx, c.want())
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return bundle, c.adopt(ctx, bundle)
+	return c.adopt(ctx, bundle)
 }
 
 func (c *Controller) want() *fulmarwire.Want {
@@ -345,12 +345,12 @@
 }
 
 func (c *Controller) pullSeed(ctx context.Context, address string) {
-	client, err := fulmarpeer.NewClient(address, c.Key)
+	client, err := fulmarpeer.NewClient(address, c.Source, c.Key)
 	if err != nil {
 		return
 	}
 	defer client.Close()
-	if _, err := c.pull(ctx, client); err != nil {
+	if err := c.pull(ctx, client); err != nil {
 		c.Log.Debug("seed does not answer", "address", address, "error", err)
 	}
 }
--- a/internal/fulmarcontrol/planner.go
+++ b/internal/fulmarcontrol/planner.go
@@ -43,7 +43,7 @@
 		Imbalance:  1.15,
 		HotKeys:    256,
 		Quarantine: 30 * time.Minute,
-		Down:       10 * time.Second,
+		Down:       3 * time.Second,
 	}
 }
 
@@ -248,7 +248,7 @@
 		c.Counter.Count("push_failed")
 		return
 	}
-	c.observe(ctx, reply, sent)
+	c.observe(reply, sent)
 }
 
 // refreshTargets reads the platform's list now and then, and asks targets
--- a/internal/fulmarcontrol/rpc.go
+++ b/internal/fulmarcontrol/rpc.go
@@ -22,7 +22,7 @@
 
 // Heartbeat takes in a peer's status and answers with the own one.
 func (h *Calls) Heartbeat(_ context.Context, s *fulmarwire.Status) (*fulmarwire.Status, error) {
-	h.observe(h.base, s, time.Time{})
+	h.observe(s, time.Time{})
 	return h.status(s.ID), nil
 }
 
--- a/internal/fulmardemo/fleet.go
+++ b/internal/fulmardemo/fleet.go
@@ -136,7 +136,7 @@
 func (f *fleet) config() []byte {
 	var b bytes.Buffer
 	b.WriteString("[defaults]\nweight = 1.0\nqueue = 200\ntimeout = \"2s\"\nmaxtimeout = \"30s\"\n" +
-		"body = 1048576\nslots = 64\nlong = 8.0\nmoving = 64\n")
+		"body = \"1MiB\"\nslots = 64\nlong = 8.0\nmoving = 64\n")
 	for _, s := range f.deployment.services {
 		fmt.Fprintf(&b, "\n[[service]]\nname = %q\nslots = %d\nidempotent = %t\n", s.name, s.slots, s.idempotent)
 	}
--- a/internal/fulmardispatch/harness_test.go
+++ b/internal/fulmardispatch/harness_test.go
@@ -84,7 +84,7 @@
 
 // dispatcher returns another dispatcher of the rig's target.
 func (r *rig) dispatcher() (*fulmardispatch.Dispatcher, *fulmarguard.Guard) {
-	client := fulmartarget.New(8)
+	client := fulmartarget.New(8, nil)
 	DeferCleanup(client.Close)
 	guard := fulmarguard.New(time.Hour, 16)
 	address := strings.TrimPrefix(r.target.URL, "http://")
--- a/internal/fulmarentry/entry.go
+++ b/internal/fulmarentry/entry.go
@@ -1,6 +1,7 @@
 package fulmarentry
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -34,12 +35,13 @@
 	Retried(r fulmaroutcome.Reason)
 }
 
-// Deps are what an entry works with; all fields are required.
+// Deps are what an entry works with; all fields but Source are required.
 type Deps struct {
 	Router      Router
 	Self        string // id of the own instance
 	Key         []byte // shared by the peers
 	Connections int    // most connections to each peer
+	Source      net.IP // local address of the connections, nil for any
 	Budget      *fulmarbudget.Budget
 	Metrics     Metrics
 	Now         func() time.Time
@@ -53,7 +55,7 @@
 
 // New returns an entry.
 func New(deps Deps) *Entry {
-	return &Entry{deps: deps, transport: fulmartransport.New(deps.Connections)}
+	return &Entry{deps: deps, transport: fulmartransport.New(deps.Connections, deps.Source)}
 }
 
 // Close closes the idle connections to peers.
--- a/internal/fulmarentry/harness_test.go
+++ b/internal/fulmarentry/harness_test.go
@@ -35,7 +35,7 @@
 queue = 100
 timeout = "5s"
 maxtimeout = "30s"
-body = 134217728
+body = "64MiB"
 slots = 4
 long = 8.0
 moving = 64
@@ -59,7 +59,7 @@
 [[exception]]
 name = "little"
 group = "small"
-body = 100
+body = "100B"
 reason = "test of the bound on bodies"
 `
 
--- a/internal/fulmarnode/node.go
+++ b/internal/fulmarnode/node.go
@@ -11,7 +11,6 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/fulmarbend/fulmarbend/internal/fulmaradmin"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarcontrol"
 	"github.com/fulmarbend/fulmarbend/internal/fulmardispatch"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarentry"
@@ -39,6 +38,8 @@
 	// targetConnections to one target are few because a target runs 3 requests
 	// at once; the rest are for grants and for answers that are still read.
 	targetConnections = 8
+	storeConnections  = 4
+	storeDialTimeout  = 500 * time.Millisecond
 	headerTimeout     = 5 * time.Second
 	maxHeader         = 16 << 10
 	leaveTimeout      = 10 * time.Second // for handing over the targets
@@ -68,19 +69,20 @@
 		settings: s,
 		log:      log,
 		metrics:  metrics,
-		targets:  fulmartarget.New(targetConnections),
+		targets:  fulmartarget.New(targetConnections, s.Advertise.Source),
 		guard:    fulmarguard.New(condemnedFor, maxMarks),
 		cost:     fulmarcost.New(defaultLongRatio),
 	}
 	n.control = fulmarcontrol.New(fulmarcontrol.Deps{
 		Self: fulmarslot.Member{
 			ID: s.ID, Incarnation: uint64(time.Now().UnixMilli()),
-			Control: s.Listen.Control, Data: s.Listen.Data, DataCentre: s.DC,
+			Control: s.Advertise.Control, Data: s.Advertise.Data, DataCentre: s.DC,
 		},
+		Source:        s.Advertise.Source,
 		Seeds:         s.Peer.Seeds,
 		Key:           s.Peer.Key,
 		Timing:        timing(s.Timing),
-		Store:         fulmarstore.New(s.Store.Address, s.Store.Timeout, &http.Client{}),
+		Store:         fulmarstore.New(s.Store.Address, s.Store.Timeout, storeClient(s.Advertise.Source)),
 		Targets:       n.targets,
 		NewDispatcher: n.newDispatcher,
 		Guard:         n.guard,
@@ -92,6 +94,7 @@
 		Self:        s.ID,
 		Key:         s.Peer.Key,
 		Connections: peerConnections,
+		Source:      s.Advertise.Source,
 		Budget:      fulmarbudget.New(retryRatio, retryRate, rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Metrics:     metrics,
 		Now:         time.Now,
@@ -100,6 +103,14 @@
 	return n, nil
 }
 
+func storeClient(source net.IP) *http.Client {
+	dialer := &net.Dialer{Timeout: storeDialTimeout}
+	if source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: storeConnections}}
+}
+
 // defaultLongRatio is the ratio of the configuration's default; see fulmarcost.
 const defaultLongRatio = 8
 
@@ -244,7 +255,6 @@
 // adminHandler serves the operators' API, the probes and the metrics.
 func (n *Node) adminHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/v1/", fulmaradmin.New(&source{Controller: n.control, node: n}, n.settings.Admin.Key))
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
--- a/internal/fulmarpeer/client.go
+++ b/internal/fulmarpeer/client.go
@@ -17,6 +17,7 @@
 // Client calls one peer over one connection.
 type Client struct {
 	address string
+	source  net.IP
 	key     []byte
 	codec   fulmarwire.Codec
 
@@ -24,13 +25,14 @@
 	conn *drpcconn.Conn
 }
 
-// NewClient returns a client of the peer that listens at address.
-func NewClient(address string, key []byte) (*Client, error) {
+// NewClient returns a client of the peer that listens at address. Connections
+// are opened from the local address source, or from any if it is nil.
+func NewClient(address string, source net.IP, key []byte) (*Client, error) {
 	codec, err := fulmarwire.New()
 	if err != nil {
 		return nil, err
 	}
-	return &Client{address: address, key: key, codec: codec}, nil
+	return &Client{address: address, source: source, key: key, codec: codec}, nil
 }
 
 // Heartbeat exchanges status.
@@ -84,6 +86,9 @@
 		}
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
+	if c.source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: c.source}
+	}
 	raw, err := dialer.DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return nil, errors.Wrap(err, "fulmarpeer: dial")
--- a/internal/fulmarpeer/doc.go
+++ b/internal/fulmarpeer/doc.go
@@ -5,5 +5,5 @@
 // handshake can't be replayed. The handshake names the protocol version; the
 // connection speaks the lower of the two versions, and version 0 is refused.
 // Messages are at most 2 MB. A Client opens its connection on first use and
-// opens a new one after an error; calls on one client are serialized by drpc.
+// opens a new one after an error; calls on one client are serialised by drpc.
 package fulmarpeer
--- a/internal/fulmarpeer/peer_test.go
+++ b/internal/fulmarpeer/peer_test.go
@@ -65,7 +65,7 @@
 		Eventually(done, "5s").Should(BeClosed(), "the server did not end with its context")
 	})
 	client := func(key []byte) *fulmarpeer.Client {
-		c, err := fulmarpeer.NewClient(address, key)
+		c, err := fulmarpeer.NewClient(address, nil, key)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(c.Close)
 		return c
--- a/internal/fulmarsettings/settings.go
+++ b/internal/fulmarsettings/settings.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"net"
 	"net/netip"
 	"net/url"
 	"os"
@@ -22,6 +23,14 @@
 	Admin   string // operators' API, probes and metrics
 }
 
+// Advertise has the addresses under which peers reach this daemon, where they
+// differ from the listeners', and the local address of its own connections.
+type Advertise struct {
+	Data    string
+	Control string
+	Source  net.IP // nil if the operating system chooses
+}
+
 // Peer has what daemons need to talk to each other.
 type Peer struct {
 	Key   []byte
@@ -54,13 +63,14 @@
 
 // Settings are the settings of one daemon.
 type Settings struct {
-	ID     string
-	DC     string
-	Listen Listen
-	Peer   Peer
-	Admin  Admin
-	Store  Store
-	Timing Timing
+	ID        string
+	DC        string
+	Listen    Listen
+	Advertise Advertise
+	Peer      Peer
+	Admin     Admin
+	Store     Store
+	Timing    Timing
 }
 
 // Fault is one error in a settings file.
@@ -89,7 +99,7 @@
 		Order:     2 * time.Second,
 		Skew:      100 * time.Millisecond,
 		Stale:     5 * time.Second,
-		Lease:     time.Second,
+		Lease:     600 * time.Millisecond,
 	}
 }
 
@@ -115,6 +125,11 @@
 		Control any `toml:"control"`
 		Admin   any `toml:"admin"`
 	} `toml:"listen"`
+	Advertise struct {
+		Data    any `toml:"data"`
+		Control any `toml:"control"`
+		Source  any `toml:"source"`
+	} `toml:"advertise"`
 	Peer struct {
 		Key   any `toml:"key"`
 		Seeds any `toml:"seeds"`
@@ -173,6 +188,11 @@
 			Control: p.address("listen.control", f.Listen.Control),
 			Admin:   p.address("listen.admin", f.Listen.Admin),
 		},
+		Advertise: Advertise{
+			Data:    p.reachable("advertise.data", f.Advertise.Data, f.Listen.Data),
+			Control: p.reachable("advertise.control", f.Advertise.Control, f.Listen.Control),
+			Source:  p.ip("advertise.source", f.Advertise.Source),
+		},
 		Peer:  Peer{Key: p.key("peer.key", f.Peer.Key), Seeds: p.seeds("peer.seeds", f.Peer.Seeds)},
 		Admin: Admin{Key: p.key("admin.key", f.Admin.Key)},
 		Store: Store{
@@ -251,6 +271,32 @@
 	}
 }
 
+// reachable returns the address under which peers reach a listener, which is
+// the listener's own unless another one is set.
+func (p parser) reachable(field string, leaf, listen any) string {
+	if leaf == nil {
+		s, _ := listen.(string)
+		return s
+	}
+	s, ok := p.required(field, leaf)
+	if ok {
+		p.checkAddress(field, s, false)
+	}
+	return s
+}
+
+func (p parser) ip(field string, leaf any) net.IP {
+	if leaf == nil {
+		return nil
+	}
+	s, _ := p.required(field, leaf)
+	ip := net.ParseIP(s)
+	if ip == nil || ip.IsUnspecified() {
+		p.Fault(field, "%q is not the IP of an interface", s)
+	}
+	return ip
+}
+
 func (p parser) seeds(field string, leaf any) []string {
 	if leaf == nil {
 		return nil
--- a/internal/fulmartarget/client.go
+++ b/internal/fulmartarget/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -52,9 +53,10 @@
 	transport *fulmartransport.Transport
 }
 
-// New returns a client that keeps at most connections connections to each target.
-func New(connections int) *Client {
-	return &Client{transport: fulmartransport.New(connections)}
+// New returns a client that keeps at most connections connections to each
+// target, opened from the local address source, or from any if it is nil.
+func New(connections int, source net.IP) *Client {
+	return &Client{transport: fulmartransport.New(connections, source)}
 }
 
 // Close closes the idle connections.
--- a/internal/fulmartarget/client_test.go
+++ b/internal/fulmartarget/client_test.go
@@ -23,7 +23,7 @@
 func start(h http.HandlerFunc) (*fulmartarget.Client, string, *httptest.Server) {
 	before := goleak.IgnoreCurrent()
 	s := httptest.NewServer(h)
-	c := fulmartarget.New(4)
+	c := fulmartarget.New(4, nil)
 	DeferCleanup(func() {
 		c.Close()
 		s.Close()
@@ -75,7 +75,7 @@
 			Method: http.MethodPost, Path: "/desk/a%2Fb?c=d", Body: strings.NewReader("body"), Length: 4,
 			Term: 7, Slot: 5, Sender: "a", Deadline: time.Now().Add(2 * time.Second),
 			Header: http.Header{
-				"Color": {"red"}, "Connection": {"X-Hop"}, "X-Hop": {"1"},
+				"Colour": {"red"}, "Connection": {"X-Hop"}, "X-Hop": {"1"},
 				fulmaroutcome.HeaderKey: {"k"}, fulmaroutcome.HeaderAuth: {"proof"},
 			},
 		}
@@ -97,7 +97,7 @@
 		Expect(string(body)).To(Equal("body"))
 		Expect(got.ContentLength).To(BeEquivalentTo(4))
 		for name, want := range map[string]string{
-			"Color": "red", "X-Hop": "", fulmaroutcome.HeaderKey: "k", fulmaroutcome.HeaderAuth: "",
+			"Colour": "red", "X-Hop": "", fulmaroutcome.HeaderKey: "k", fulmaroutcome.HeaderAuth: "",
 			fulmaroutcome.HeaderTerm: "7", fulmaroutcome.HeaderSlot: "5", fulmaroutcome.HeaderSender: "a",
 			fulmaroutcome.HeaderDeadlineAt: o.Deadline.UTC().Format(time.RFC3339Nano),
 		} {
--- a/internal/fulmartransport/transport.go
+++ b/internal/fulmartransport/transport.go
@@ -34,8 +34,12 @@
 }
 
 // New returns a transport with at most connections connections to each address.
-func New(connections int) *Transport {
+// They are opened from the local address source, or from any if it is nil.
+func New(connections int, source net.IP) *Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	if source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
 	return &Transport{http: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
--- a/internal/fulmartransport/transport_test.go
+++ b/internal/fulmartransport/transport_test.go
@@ -27,7 +27,7 @@
 	s := httptest.NewUnstartedServer(h)
 	s.Config.ErrorLog = log.New(io.Discard, "", 0)
 	s.Start()
-	t := fulmartransport.New(4)
+	t := fulmartransport.New(4, nil)
 	DeferCleanup(func() {
 		t.Close()
 		s.CloseClientConnections()
--- a/pkg/fulmarplan/move.go
+++ b/pkg/fulmarplan/move.go
@@ -134,7 +134,8 @@
 	}
 }
 
-// cancels ends cooperative moves that take too long or whose next target is lost.
+// cancels ends cooperative moves that take too long or whose next target is lost. A move away from a leaving target
+// waits for its work instead, because the target must not get new work.
 func (s *step) cancels() {
 	for at, m := range s.moves {
 		if m.Forced || s.touched[at] {
@@ -144,7 +145,7 @@
 		switch {
 		case s.lost[m.Next] != nil:
 			reason = "cancel-lost"
-		case s.passed(m.since.Add(s.policy.Stuck)):
+		case !s.leaves(m.Owner) && s.passed(m.since.Add(s.policy.Stuck)):
 			reason = "cancel-stuck"
 		default:
 			continue
