Tolerate an early close in the handshake test

Change: both may fail; the read to the end and the next client's call decide. Ruled out: a fault of the server: it closed as required. Conclusion: the verdict no longer depends on timing.

--- a/internal/fulmarpeer/peer_test.go
+++ b/internal/fulmarpeer/peer_test.go
@@ -105,9 +105,9 @@
 			conn, err := net.Dial("tcp", address)
 			Expect(err).NotTo(HaveOccurred())
 			defer conn.Close()
-			_, err = conn.Write([]byte(text))
-			Expect(err).NotTo(HaveOccurred())
-			Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+			// The server may have closed already after a part of the text.
+			_, _ = conn.Write([]byte(text))
+			_ = conn.(*net.TCPConn).CloseWrite()
 			Expect(conn.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
 			_, _ = io.Copy(io.Discard, conn)
 			_, err = client(key).Heartbeat(ctx, &fulmarwire.Status{})
