Back off after cancelled moves and model partitions

A slot with long work in flight was moved again as soon as its move was cancelled, so that its requests were refused half of the time. The wait now doubles with each cancelled move.

--- a/pkg/fulmarplan/balance.go
+++ b/pkg/fulmarplan/balance.go
@@ -66,11 +66,21 @@
 			}
 		}
 	}
+	s.forget()
+}
+
+// forget drops what is known of slots that have not moved for long.
+func (s *step) forget() {
 	for at, h := range s.held {
 		if s.now.After(h.expires) {
 			delete(s.held, at)
 		}
 	}
+	for at, b := range s.retry {
+		if s.now.After(b.until.Add(s.policy.Stuck << maxBackoff)) {
+			delete(s.retry, at)
+		}
+	}
 }
 
 // relieve moves slots away from a target until its load is calm. A slot moves only if that lowers the higher load of
--- a/pkg/fulmarplan/even.go
+++ b/pkg/fulmarplan/even.go
@@ -101,7 +101,7 @@
 					return
 				}
 				at := place{service, slot}
-				if s.touched[at] || !s.passed(s.retry[at]) {
+				if s.touched[at] || !s.passed(s.retry[at].until) {
 					continue
 				}
 				if to, ok := even.next(t.ID); ok {
--- a/pkg/fulmarplan/move.go
+++ b/pkg/fulmarplan/move.go
@@ -130,6 +130,7 @@
 // commit ends a move unless its next target is lost.
 func (s *step) commit(at place, m move, how string) {
 	if s.lost[m.Next] == nil && s.touch(at) {
+		delete(s.retry, at)
 		s.add("commit-"+how, fulmarslot.Commit(at.service, at.slot))
 	}
 }
@@ -152,14 +153,34 @@
 		s.touch(at)
 		s.share[m.Next]--
 		s.share[m.Owner]++
-		s.retry[at] = s.now.Add(s.policy.Stuck)
+		if reason == "cancel-stuck" {
+			s.postpone(at)
+		}
 		s.add(reason, fulmarslot.Cancel(at.service, at.slot))
 	}
 }
 
+// backoff keeps a slot whose move was cancelled where it is.
+type backoff struct {
+	until time.Time
+	count int
+}
+
+// maxBackoff is how often the wait after a cancelled move is doubled.
+const maxBackoff = 6
+
+// postpone keeps a slot from moving for Policy.Stuck, and for twice as long after each further cancelled move: requests
+// for the slot are refused while it moves, so that work that lasts long must not make it move again and again.
+func (s *step) postpone(at place) {
+	b := s.retry[at]
+	b.until = s.now.Add(s.policy.Stuck << b.count)
+	b.count = min(b.count+1, maxBackoff)
+	s.retry[at] = b
+}
+
 // cooperate starts a cooperative move if the bound allows it and the slot has no change yet.
 func (s *step) cooperate(at place, from, to, reason string) bool {
-	if s.moving >= s.policy.Moving || s.now.Before(s.retry[at]) || !s.touch(at) {
+	if s.moving >= s.policy.Moving || s.now.Before(s.retry[at].until) || !s.touch(at) {
 		return false
 	}
 	s.moving++
--- a/pkg/fulmarplan/plan.go
+++ b/pkg/fulmarplan/plan.go
@@ -85,7 +85,7 @@
 	cleared map[string]uint64 // for each target without a dispatcher: the epoch since which it has none
 	lost    map[string]*loss
 	sound   map[string]bool // targets that this planner saw in use
-	retry   map[place]time.Time
+	retry   map[place]backoff
 	loads   map[string]*loads
 	held    map[place]hold
 	filling map[string]bool // targets that have joined and get slots
@@ -102,7 +102,7 @@
 func New(policy Policy, seed uint64) *Planner {
 	return &Planner{
 		policy: policy, seed: seed, roster: roster{heard: map[string]time.Time{}}, cleared: map[string]uint64{},
-		lost: map[string]*loss{}, sound: map[string]bool{}, retry: map[place]time.Time{}, loads: map[string]*loads{},
+		lost: map[string]*loss{}, sound: map[string]bool{}, retry: map[place]backoff{}, loads: map[string]*loads{},
 		held: map[place]hold{}, filling: map[string]bool{},
 	}
 }
--- a/pkg/fulmarplan/sim_test.go
+++ b/pkg/fulmarplan/sim_test.go
@@ -14,6 +14,13 @@
 
 const tick = 50 * time.Millisecond
 
+// quick is policy with short waits that do not matter for safety, so that moves begin, end and begin again often.
+var quick = func() fulmarplan.Policy {
+	p := policy
+	p.Stuck, p.Settle, p.Down, p.Order = 500*time.Millisecond, 400*time.Millisecond, time.Second, 300*time.Millisecond
+	return p
+}()
+
 // grant is what a target takes orders for until lapse. A target that checks no fence has one for each sender.
 type grant struct {
 	sender string
@@ -28,8 +35,8 @@
 type daemon struct {
 	id          string
 	incarnation uint64
-	cut         bool // reaches nobody
-	down        bool
+	side        int // of a partition; the planners and the key-value service are on side 0
+	paused      bool
 	started     time.Time
 	table       fulmarslot.Table
 	lease       *fulmarlease.Lease
@@ -52,7 +59,6 @@
 	releases []fulmarplan.Release
 	confirm  []string
 	drain    []string
-	loads    func() []fulmarplan.Load
 	terms    uint64
 	faults   bool
 }
@@ -69,14 +75,14 @@
 		w.restart(d)
 	}
 	for i := range 2 {
-		w.planners = append(w.planners, fulmarplan.New(policy, uint64(i)))
+		w.planners = append(w.planners, fulmarplan.New(quick, uint64(i)))
 	}
 	return w
 }
 
 // restart starts a new incarnation, which knows nothing and pulls a table from a random place.
 func (w *world) restart(d *daemon) {
-	*d = daemon{id: d.id, incarnation: d.incarnation + 1, cut: d.cut, started: w.now, lease: fulmarlease.New(d.id, policy.Window), lapse: map[string]time.Time{}}
+	*d = daemon{id: d.id, incarnation: d.incarnation + 1, side: d.side, started: w.now, lease: fulmarlease.New(d.id, quick.Window), lapse: map[string]time.Time{}}
 	d.table = w.table
 	if p := w.pick("pull"); p.incarnation > 0 && p != d && w.faults {
 		d.table = p.table
@@ -89,7 +95,7 @@
 
 func (w *world) chance(label string) bool { return rapid.Bool().Draw(w.t, label) }
 
-func (d *daemon) up() bool { return !d.cut && !d.down }
+func (d *daemon) hears(p *daemon) bool { return p != d && !p.paused && p.side == d.side }
 
 // listed reports whether this incarnation is in the roster of t.
 func listed(t fulmarslot.Table, d *daemon) bool {
@@ -99,16 +105,13 @@
 // beat exchanges heartbeats with all peers and pulls newer tables.
 func (w *world) beat(d *daemon, sent time.Time) {
 	for _, p := range w.daemons {
-		if !p.up() || p == d {
-			continue
-		}
-		if p.table.Epoch() > d.table.Epoch() {
+		if d.hears(p) && p.table.Epoch() > d.table.Epoch() {
 			d.table = p.table
 		}
 	}
 	w.setRoster(d)
 	for _, p := range w.daemons {
-		if p != d && p.up() && p.table.Epoch() <= d.table.Epoch() && listed(d.table, p) {
+		if d.hears(p) && p.table.Epoch() <= d.table.Epoch() && listed(d.table, p) {
 			d.lease.Confirm(p.id, sent)
 		}
 	}
@@ -134,12 +137,12 @@
 // send makes d send a grant, or an order to a target that checks no fence, without the slots that move.
 func (w *world) send(d *daemon, target fulmarslot.Target, late bool) {
 	t, ok := d.table.Target(target.ID)
-	if d.down || !ok || !d.lease.Held(w.now) || !t.Fenced && t.Dispatcher != d.id {
+	if d.paused || !ok || !d.lease.Held(w.now) || !t.Fenced && t.Dispatcher != d.id {
 		return
 	}
-	life := policy.TTL
+	life := quick.TTL
 	if !t.Fenced {
-		life = policy.Order
+		life = quick.Order
 	}
 	w.terms++
 	g := grant{d.id, w.terms, d.table.Epoch(), d.table, d.table.OwnedBy(nil, t.ID), w.now.Add(life)}
@@ -203,6 +206,15 @@
 	deliver()
 }
 
+// loads returns false reports, which make slots move and keys hot.
+func (w *world) loads() []fulmarplan.Load {
+	slot := rapid.IntRange(0, 7).Draw(w.t, "loaded")
+	return []fulmarplan.Load{
+		{Service: "rota", Slot: slot, Used: time.Second},
+		{Service: "rota", Slot: slot, Hash: uint64(slot + 8), Used: 300 * time.Millisecond},
+	}
+}
+
 // plan makes a planner step; a paused one tries its compare-and-swap later.
 func (w *world) plan(p *fulmarplan.Planner, late bool) {
 	in := fulmarplan.Input{Table: w.table, Services: map[string]int{"rota": 8}, Acks: w.acks, Releases: slices.Clone(w.releases), Drain: w.drain, Confirm: w.confirm}
@@ -217,7 +229,7 @@
 			in.Losses = append(in.Losses, fulmarplan.Loss{Target: t.ID, Suspects: []uint64{uint64(len(t.ID))}})
 		}
 	}
-	if w.loads != nil {
+	if w.faults {
 		in.Loads = w.loads()
 	}
 	out := p.Step(w.now, in)
@@ -253,13 +265,16 @@
 				w.t.Fatalf("%s takes orders of %s and %s", t.ID, sender, g.sender)
 			}
 			sender = g.sender
-			for _, slot := range g.slots {
-				key := uint64(slot)
-				if _, hash, ok := g.table.Parent("rota", slot); ok {
-					key = hash
+			for key := range uint64(16) {
+				slot, hot := g.table.Hot("rota", key)
+				if !hot {
+					slot = int(key % 8)
+				}
+				if !slices.Contains(g.slots, slot) {
+					continue
 				}
 				if o, ok := owner[key]; ok && o != t.ID {
-					w.t.Fatalf("slot %d is in force at %s and %s (epochs %d and now %d)", slot, o, t.ID, g.epoch, w.table.Epoch())
+					w.t.Fatalf("key %d is in force at %s and %s (epochs %d and now %d)", key, o, t.ID, g.epoch, w.table.Epoch())
 				}
 				owner[key] = t.ID
 			}
@@ -269,12 +284,15 @@
 
 // fault makes one random fault or action.
 func (w *world) fault() {
+	if len(w.releases) > 40 {
+		w.releases = w.releases[20:]
+	}
 	d, target := w.pick("daemon"), rapid.SampledFrom(w.targets).Draw(w.t, "target")
 	switch rapid.IntRange(0, 16).Draw(w.t, "action") {
 	case 0:
-		d.cut = !d.cut
+		d.side = rapid.IntRange(0, 2).Draw(w.t, "side")
 	case 1:
-		d.down = !d.down
+		d.paused = !d.paused
 	case 2:
 		w.restart(d)
 	case 3, 4:
@@ -294,11 +312,11 @@
 			w.delayed = slices.Delete(w.delayed, i, i+1)
 		}
 	case 12:
-		if !d.down {
+		if !d.paused && d.side == 0 {
 			w.acknowledge(d, w.chance("late"))
 		}
 	case 13:
-		if !d.down {
+		if !d.paused {
 			w.read(d)
 		}
 	case 14:
@@ -307,7 +325,7 @@
 			w.drain = []string{target.ID}
 		}
 	default:
-		w.turn(2)
+		w.turn(rapid.IntRange(1, 8).Draw(w.t, "ticks"))
 	}
 	w.check()
 }
@@ -316,14 +334,16 @@
 func (w *world) turn(ticks int) {
 	for range ticks {
 		for _, d := range w.daemons {
-			if !d.up() {
+			if d.paused {
 				continue
 			}
 			w.beat(d, w.now)
-			if !w.faults || w.chance("reads") {
+			if d.side == 0 && (!w.faults || w.chance("reads")) {
 				w.read(d)
 			}
-			w.acknowledge(d, false)
+			if d.side == 0 {
+				w.acknowledge(d, false)
+			}
 		}
 		w.check()
 		for _, t := range w.targets {
@@ -333,7 +353,7 @@
 					d = w.daemons[i]
 				}
 			}
-			if d.up() && !w.gone[t.ID] {
+			if !d.paused && !w.gone[t.ID] {
 				w.release(d, t)
 				if t.Fenced || len(d.table.MovingFrom(nil, t.ID)) == 0 {
 					w.send(d, t, false)
@@ -354,7 +374,7 @@
 	clear(w.gone)
 	w.drain, w.delayed = nil, nil
 	for _, d := range w.daemons {
-		d.cut, d.down = false, false
+		d.side, d.paused = 0, false
 	}
 }
 
