--- /dev/null
+++ b/internal/fulmaradmin/client.go
@@ -0,0 +1,158 @@
+package fulmaradmin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of the client; compare with errors.Is.
+var (
+	ErrUnreachable = errors.New("fulmaradmin: no daemon could be reached")
+	ErrAmbiguous   = errors.New("fulmaradmin: no answer, the request may have taken effect")
+)
+
+// Client is an operator's client of the API.
+type Client struct {
+	addresses []string
+	key       []byte
+	http      *http.Client
+}
+
+// NewClient returns a client of the daemons at the addresses (IP:port), which are tried in order.
+func NewClient(addresses []string, key []byte, client *http.Client) *Client {
+	return &Client{addresses: addresses, key: key, http: client}
+}
+
+// Status returns the status of the first daemon that answers.
+func (c *Client) Status(ctx context.Context) (s Status, err error) {
+	err = c.call(ctx, http.MethodGet, "/v1/status", nil, &s)
+	return s, err
+}
+
+// Config returns the configuration in force.
+func (c *Client) Config(ctx context.Context) (v Config, err error) {
+	err = c.call(ctx, http.MethodGet, "/v1/config", nil, &v)
+	return v, err
+}
+
+// Check returns the difference from the configuration in force, or an *Error with faults.
+func (c *Client) Check(ctx context.Context, text string) (v Checked, err error) {
+	err = c.call(ctx, http.MethodPost, "/v1/config/check", Check{text}, &v)
+	return v, err
+}
+
+// Put replaces the configuration. It is repeated at the next daemon after a lost answer, which the operation id makes safe.
+func (c *Client) Put(ctx context.Context, p Put) (v Done, err error) {
+	err = c.call(ctx, http.MethodPut, "/v1/config", p, &v)
+	return v, err
+}
+
+// Table returns a summary of the slot table.
+func (c *Client) Table(ctx context.Context) (v Table, err error) {
+	err = c.call(ctx, http.MethodGet, "/v1/table", nil, &v)
+	return v, err
+}
+
+// Targets returns the targets.
+func (c *Client) Targets(ctx context.Context) (v []Target, err error) {
+	err = c.call(ctx, http.MethodGet, "/v1/targets", nil, &v)
+	return v, err
+}
+
+// Explain tells how a request is routed; group may be empty.
+func (c *Client) Explain(ctx context.Context, service, key, group string) (v Explanation, err error) {
+	q := url.Values{"service": {service}, "key": {key}}
+	if group != "" {
+		q.Set("group", group)
+	}
+	err = c.call(ctx, http.MethodGet, "/v1/explain?"+q.Encode(), nil, &v)
+	return v, err
+}
+
+// Quarantine returns the fingerprints under quarantine.
+func (c *Client) Quarantine(ctx context.Context) (v []Quarantined, err error) {
+	err = c.call(ctx, http.MethodGet, "/v1/quarantine", nil, &v)
+	return v, err
+}
+
+// Lift ends the quarantine of a fingerprint.
+func (c *Client) Lift(ctx context.Context, fingerprint string) error {
+	return c.call(ctx, http.MethodDelete, "/v1/quarantine/"+url.PathEscape(fingerprint), nil, nil)
+}
+
+// Confirm states that a member is lost for good.
+func (c *Client) Confirm(ctx context.Context, member string) error {
+	return c.call(ctx, http.MethodPost, "/v1/roster/confirm", Confirm{member}, nil)
+}
+
+// call tries the daemons in order until one answers. Each request may be repeated safely.
+func (c *Client) call(ctx context.Context, method, path string, body, dst any) error {
+	var payload []byte
+	if body != nil {
+		var err error
+		if payload, err = json.Marshal(body); err != nil {
+			return errors.Wrap(err, "fulmaradmin")
+		}
+	}
+	result, last := ErrUnreachable, error(nil)
+	for _, address := range c.addresses {
+		sent, err := c.try(ctx, address, method, path, payload, dst)
+		var answered *Error
+		if err == nil || errors.As(err, &answered) && answered.Status != http.StatusServiceUnavailable {
+			return err
+		}
+		if sent && answered == nil && method != http.MethodGet {
+			result = ErrAmbiguous
+		}
+		last = err
+	}
+	var answered *Error
+	if errors.As(last, &answered) && !errors.Is(result, ErrAmbiguous) {
+		return answered
+	}
+	if last == nil {
+		return result
+	}
+	return errors.WithMessage(result, last.Error())
+}
+
+// try makes one request; sent says whether the daemon may have received it.
+func (c *Client) try(ctx context.Context, address, method, path string, payload []byte, dst any) (sent bool, err error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(payload))
+	if err != nil {
+		return false, errors.Wrap(err, "fulmaradmin")
+	}
+	Sign(req, c.key, payload, time.Now())
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return connected.Load(), errors.Wrap(err, "fulmaradmin")
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 2*maxBody))
+	if err != nil {
+		return true, errors.Wrap(err, "fulmaradmin")
+	}
+	if resp.StatusCode != http.StatusOK {
+		e := &Error{}
+		if json.Unmarshal(text, e) != nil || e.Status == 0 {
+			e = &Error{Status: resp.StatusCode, Message: strings.TrimSpace(string(text[:min(len(text), 200)]))}
+		}
+		return true, e
+	}
+	if dst == nil {
+		return true, nil
+	}
+	return true, errors.Wrap(json.Unmarshal(text, dst), "fulmaradmin")
+}
