Add the operators' command line

Operators and their scripts need one tool for status, configuration, exceptions, drains, routing, quarantine and roster. Exit codes separate a refusal, wrong usage, a conflict, an outage without effect and a change that may have taken effect.

--- /dev/null
+++ b/cmd/fulmarctl/fleet.go
@@ -0,0 +1,223 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmaradmin"
+)
+
+// pollPause is the time between looks at the status while waiting for a version.
+const pollPause = 200 * time.Millisecond
+
+var errNotInForce = errors.New("version is not in force everywhere")
+
+func (t *tool) statusCommand() *cli.Command {
+	wait := &cli.Uint64Flag{Name: "wait", Usage: "wait until configuration `VERSION` or a later one is in force on every instance that is not down"}
+	return t.leaf("status", "show a daemon and the fleet as it knows it", "", []cli.Flag{wait}, func(ctx context.Context, s *session) error {
+		v, err := s.Status(ctx)
+		if want := s.c.Uint64("wait"); want > 0 {
+			v, err = s.await(ctx, want)
+		}
+		if err != nil {
+			return err
+		}
+		return s.print(v, func(w io.Writer) { printStatus(w, v) })
+	})
+}
+
+// await polls the status until the version is in force everywhere; no daemon answering is waited out too.
+func (s *session) await(ctx context.Context, version uint64) (fulmaradmin.Status, error) {
+	ticker := time.NewTicker(pollPause)
+	defer ticker.Stop()
+	for {
+		v, err := s.Status(ctx)
+		missing := behind(v, version)
+		if err == nil && len(missing) == 0 {
+			return v, nil
+		}
+		if err != nil && !errors.Is(err, fulmaradmin.ErrUnreachable) {
+			return v, err
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			if err != nil {
+				return v, err
+			}
+			return v, errors.WithMessagef(errNotInForce, "waiting for %s", strings.Join(missing, ", "))
+		}
+	}
+}
+
+// behind returns the members that are not down and have an older version, or the daemon itself if it has.
+func behind(v fulmaradmin.Status, version uint64) []string {
+	var ids []string
+	if v.Config < version {
+		ids = append(ids, v.Instance)
+	}
+	for _, m := range v.Members {
+		if m.State != "down" && m.Config < version && m.ID != v.Instance {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+func printStatus(w io.Writer, v fulmaradmin.Status) {
+	fmt.Fprintf(w, "instance %s in %s: epoch %d, configuration %d, store=%s\n", v.Instance, v.DataCentre, v.Epoch, v.Config, v.Store)
+	fmt.Fprintf(w, "current: %t; planner: %s; holds %d targets\n", v.Current, orNone(v.Planner), len(v.Held))
+	if v.Refusing != "" {
+		fmt.Fprintln(w, "refuses callers:", v.Refusing)
+	}
+	if v.Stalled != "" {
+		fmt.Fprintln(w, "moves wait:", v.Stalled)
+	}
+	if len(v.Confirm) > 0 {
+		fmt.Fprintln(w, "waiting for roster confirm of:", strings.Join(v.Confirm, ", "))
+	}
+	columns(w, func(w io.Writer) {
+		fmt.Fprintln(w, "MEMBER\tDC\tSTATE\tROSTER\tEPOCH\tCONFIG")
+		for _, m := range v.Members {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%d\t%d\n", m.ID, m.DataCentre, m.State, m.Roster, m.Epoch, m.Config)
+		}
+	})
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
+
+func columns(w io.Writer, write func(io.Writer)) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	write(t)
+	_ = t.Flush() // the output of a command line; a closed pipe ends the program anyway
+}
+
+func (t *tool) targetCommand() *cli.Command {
+	return &cli.Command{
+		Name: "target", Usage: "show targets", Action: group,
+		Commands: []*cli.Command{
+			t.leaf("list", "list the targets with their dispatchers", "", nil, func(ctx context.Context, s *session) error {
+				list, err := s.Targets(ctx)
+				if err != nil {
+					return err
+				}
+				return s.print(list, func(w io.Writer) {
+					columns(w, func(w io.Writer) {
+						fmt.Fprintln(w, "TARGET\tSERVICE\tADDRESS\tDC\tSLOTS\tDISPATCHER\tFENCED\tSTATE")
+						for _, g := range list {
+							fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%t\t%s\n", g.ID, g.Service, g.Address, g.DataCentre, g.Slots, orNone(g.Dispatcher), g.Fenced, targetState(g))
+						}
+					})
+				})
+			}),
+		},
+	}
+}
+
+func targetState(g fulmaradmin.Target) string {
+	switch {
+	case g.Drain != "":
+		return "drained: " + g.Drain
+	case g.Leaving:
+		return "leaving"
+	}
+	return "live"
+}
+
+func (t *tool) explainCommand() *cli.Command {
+	flags := []cli.Flag{
+		&cli.StringFlag{Name: "group", Usage: "also show the limits of the group `NAME`"},
+	}
+	return t.leaf("explain", "show how a request with a key is routed", "SERVICE KEY", flags, func(ctx context.Context, s *session) error {
+		e, err := s.Explain(ctx, s.arg(0), s.arg(1), s.c.String("group"))
+		if err != nil {
+			return err
+		}
+		return s.print(e, func(w io.Writer) { printExplanation(w, e) })
+	})
+}
+
+func printExplanation(w io.Writer, e fulmaradmin.Explanation) {
+	fmt.Fprintf(w, "slot %d of %s at epoch %d (hot key: %t)\n", e.Slot, e.Service, e.Epoch, e.Hot)
+	fmt.Fprintf(w, "owner %s, dispatcher %s\n", orNone(e.Owner), orNone(e.Dispatcher))
+	if e.Next != "" {
+		fmt.Fprintln(w, "moving to", e.Next)
+	}
+	if e.Limits == nil {
+		return
+	}
+	fmt.Fprintf(w, "limits of %s by configuration %d:\n", e.Group, e.Config)
+	columns(w, func(w io.Writer) {
+		for _, l := range []struct {
+			name  string
+			value any
+		}{
+			{"weight", e.Limits.Weight},
+			{"queue", e.Limits.Queue},
+			{"timeout", e.Limits.Timeout},
+			{"maxtimeout", e.Limits.MaxTimeout},
+			{"body", e.Limits.Body},
+		} {
+			fmt.Fprintf(w, "  %s\t%v\t%s\n", l.name, l.value, e.Limits.Source[l.name])
+		}
+	})
+}
+
+func (t *tool) quarantineCommand() *cli.Command {
+	return &cli.Command{
+		Name: "quarantine", Usage: "show and lift the quarantine of requests that crash targets", Action: group,
+		Commands: []*cli.Command{
+			t.leaf("list", "list suspect and condemned fingerprints", "", nil, func(ctx context.Context, s *session) error {
+				list, err := s.Quarantine(ctx)
+				if err != nil {
+					return err
+				}
+				return s.print(list, func(w io.Writer) {
+					for _, q := range list {
+						state := "suspect"
+						if q.Condemned {
+							state = "condemned"
+						}
+						fmt.Fprintf(w, "%s %s until %s\n", q.Fingerprint, state, q.Until.Format(time.RFC3339))
+					}
+				})
+			}),
+			t.leaf("lift", "end the quarantine of a fingerprint", "FINGERPRINT", nil, func(ctx context.Context, s *session) error {
+				if _, err := fulmaradmin.ParseFingerprint(s.arg(0)); err != nil {
+					return usage("fingerprint must have 16 hexadecimal digits")
+				}
+				return s.done(s.Lift(ctx, s.arg(0)), "lifted")
+			}),
+		},
+	}
+}
+
+func (t *tool) rosterCommand() *cli.Command {
+	return &cli.Command{
+		Name: "roster", Usage: "act on the daemons whose majority counts", Action: group,
+		Commands: []*cli.Command{
+			t.leaf("confirm", "confirm that a member is lost for good", "MEMBER", nil, func(ctx context.Context, s *session) error {
+				return s.done(s.Confirm(ctx, s.arg(0)), "confirmed")
+			}),
+		},
+	}
+}
+
+func (s *session) done(err error, word string) error {
+	if err != nil {
+		return err
+	}
+	return s.print(map[string]string{"result": word}, func(w io.Writer) { fmt.Fprintln(w, word) })
+}
--- /dev/null
+++ b/cmd/fulmarctl/main_test.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmaradmin"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarstore"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarconfig"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
+)
+
+const text = "# ours\n[[service]]\nname = \"rota-board\"\nslots = 2\n[[group]]\nname = \"north\"\n"
+
+// fake is a Source; fail is the error of each put, lag the version in force on the other member.
+type fake struct {
+	mu     sync.Mutex
+	stored fulmarconfig.Versioned
+	fail   error
+	lag    uint64
+	lifted []uint64
+}
+
+func (f *fake) Status() fulmaradmin.Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.stored.Version
+	return fulmaradmin.Status{Instance: "a", Config: v, Store: fulmaradmin.StoreUp, Members: []fulmaradmin.Member{
+		{ID: "a", State: "live", Config: v}, {ID: "b", State: "live", Config: f.lag}, {ID: "c", State: "down"},
+	}}
+}
+
+func (f *fake) Table() fulmarslot.Table {
+	t, err := fulmarslot.New(map[string]int{"rota-board": 2}).With(
+		fulmarslot.PutTarget(fulmarslot.Target{ID: "t1", Service: "rota-board", Address: "127.0.0.1:1"}),
+		fulmarslot.PutMember(fulmarslot.Member{ID: "c", Incarnation: 1}),
+		fulmarslot.PutQuarantine(fulmarslot.Quarantine{Fingerprint: 0xab, Until: time.Now().Add(time.Hour)}),
+	)
+	if err != nil {
+		panic(err)
+	}
+	return t
+}
+
+func (f *fake) Versioned() fulmarconfig.Versioned {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stored
+}
+
+func (f *fake) PutConfig(_ context.Context, v fulmarconfig.Versioned, _ uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fail == nil {
+		f.stored = v
+	}
+	return f.fail
+}
+
+func (f *fake) Holder(string) (fulmarslot.Member, bool) { return fulmarslot.Member{ID: "a"}, true }
+func (f *fake) Confirm(string)                          {}
+func (f *fake) Lift(fingerprint uint64)                 { f.lifted = append(f.lifted, fingerprint) }
+
+var _ = Describe("fulmarctl", func() {
+	key := []byte("0123456789abcdef")
+	var source *fake
+	var address string
+	BeforeEach(func() {
+		source = &fake{stored: fulmarconfig.Versioned{Version: 3, Author: "ann", Operation: "op3", Text: []byte(text)}, lag: 3}
+		server := httptest.NewServer(fulmaradmin.New(source, key))
+		DeferCleanup(server.Close)
+		address = strings.TrimPrefix(server.URL, "http://")
+	})
+
+	// expect runs a command line and returns its output.
+	expect := func(code int, args ...string) (stdout, stderr string) {
+		GinkgoHelper()
+		var out, errs bytes.Buffer
+		line := append([]string{"fulmarctl", "--server", address, "--key", hex.EncodeToString(key), "--author", "bo"}, args...)
+		got := run(context.Background(), line, strings.NewReader(text+"[defaults]\nqueue = 9\n"), &out, &errs)
+		Expect(got).To(Equal(code), "%v\n%s%s", args, out.String(), errs.String())
+		return out.String(), errs.String()
+	}
+
+	// Guards against a script that takes a failure for success, or one kind of failure for another.
+	DescribeTable("exit codes", func(code int, output string, args ...string) {
+		out, errs := expect(code, args...)
+		Expect(out + errs).To(ContainSubstring(output))
+	},
+		Entry("status", 0, "store=up", "status"),
+		Entry("config show", 0, "# version 3 by ann", "config", "show"),
+		Entry("config check", 0, "no faults", "config", "check", "-"),
+		Entry("config diff", 0, "~ defaults.queue: 64 -> 9", "config", "diff", "-"),
+		Entry("config put", 0, "stored as version 4", "config", "put", "--base", "3", "-"),
+		Entry("config put of an old base", 3, "~ defaults.queue", "config", "put", "--base", "2", "-"),
+		Entry("config put without base", 2, "base", "config", "put", "-"),
+		Entry("config put of no file", 1, "no such file", "config", "put", "--base", "3", "/nonexistent"),
+		Entry("config set", 0, "stored", "config", "set", "weight", "2"),
+		Entry("config set out of bounds", 1, "greater than 0", "config", "set", "weight", "0"),
+		Entry("config set of an unknown name", 1, "unknown key", "config", "set", "wait", "0"),
+		Entry("exception add", 0, "stored", "exception", "add", "--group", "north", "--weight", "2", "--reason", "contract", "x"),
+		Entry("exception for an unknown group", 1, "unknown group", "exception", "add", "--group", "west", "--weight", "2", "--reason", "r", "x"),
+		Entry("exception without reason", 2, "reason", "exception", "add", "--group", "north", "--weight", "2", "x"),
+		Entry("exception remove", 1, "no exception", "exception", "remove", "x"),
+		Entry("exception list", 0, "", "exception", "list"),
+		Entry("drain add", 0, "stored", "drain", "add", "--reason", "disk", "t1"),
+		Entry("drain remove", 1, "not drained", "drain", "remove", "t1"),
+		Entry("target list", 0, "127.0.0.1:1", "target", "list"),
+		Entry("explain", 0, "weight", "explain", "--group", "north", "rota-board", "k"),
+		Entry("explain an unknown service", 1, "unknown service", "explain", "pay-desk", "k"),
+		Entry("explain without key", 2, "needs 2 arguments", "explain", "rota-board"),
+		Entry("quarantine list", 0, "00000000000000ab suspect", "quarantine", "list"),
+		Entry("quarantine lift", 0, "lifted", "quarantine", "lift", "00000000000000ab"),
+		Entry("quarantine lift of nonsense", 2, "hexadecimal", "quarantine", "lift", "x"),
+		Entry("roster confirm", 0, "confirmed", "roster", "confirm", "c"),
+		Entry("roster confirm of a live member", 3, "not down", "roster", "confirm", "b"),
+		Entry("completion", 0, "completion", "completion", "bash"),
+		Entry("unknown command", 2, "no command", "statu"),
+		Entry("unknown flag", 2, "bogus", "status", "--bogus"),
+		Entry("host name", 2, "IP:port", "--server", "localhost:1", "status"),
+		Entry("wrong key", 1, "wrong key", "--key", "00", "status"),
+	)
+
+	// Guards against an operator who repeats a change that may be in force, or gives up one that is not.
+	It("tells an outage from a lost answer", func() {
+		source.fail = fulmarstore.ErrUnavailable
+		expect(4, "config", "set", "weight", "2")
+		source.fail = fulmarstore.ErrAmbiguous
+		_, errs := expect(5, "config", "set", "weight", "2")
+		Expect(errs).To(ContainSubstring("operation: "))
+		address = "127.0.0.1:1"
+		expect(4, "status")
+	})
+
+	// Guards against a wait that ends before the last instance has the version, or for a lost instance never.
+	It("waits for a version", func() {
+		_, errs := expect(4, "status", "--wait", "4", "--timeout", "300ms")
+		Expect(errs).To(ContainSubstring("waiting for a, b"))
+		done := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(done)
+			expect(0, "status", "--wait", "4", "--timeout", "10s")
+		}()
+		source.mu.Lock()
+		source.stored.Version = 4
+		source.mu.Unlock()
+		Consistently(done, "300ms").ShouldNot(BeClosed())
+		source.mu.Lock()
+		source.lag = 4
+		source.mu.Unlock()
+		Eventually(done, "5s").Should(BeClosed())
+	})
+
+	// Guards against an edit that drops comments on its way through the command.
+	It("keeps comments", func() {
+		expect(0, "config", "set", "body", "2MiB")
+		Expect(string(source.stored.Text)).To(HavePrefix(text))
+		Expect(source.stored.Author).To(Equal("bo"))
+	})
+
+	// Guards against output that scripts cannot read.
+	It("prints JSON", func() {
+		for _, args := range [][]string{{"status"}, {"config", "show"}, {"exception", "list"}, {"target", "list"}, {"explain", "rota-board", "k"}, {"quarantine", "list"}, {"config", "set", "queue", "5"}} {
+			out, _ := expect(0, append([]string{"--json"}, args...)...)
+			Expect(json.Valid([]byte(out))).To(BeTrue(), out)
+		}
+	})
+
+	// Guards against a key file with a final newline, and a second daemon that is not tried.
+	It("takes servers and key from the environment", func() {
+		broken := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+		DeferCleanup(broken.Close)
+		path := filepath.Join(GinkgoT().TempDir(), "key")
+		Expect(os.WriteFile(path, []byte(hex.EncodeToString(key)+"\n"), 0o600)).To(Succeed())
+		GinkgoT().Setenv("FULMARBEND_SERVERS", strings.TrimPrefix(broken.URL, "http://")+","+address)
+		GinkgoT().Setenv("FULMARBEND_KEY_FILE", path)
+		var out, errs bytes.Buffer
+		Expect(run(context.Background(), []string{"fulmarctl", "status"}, nil, &out, &errs)).To(Equal(0), errs.String())
+	})
+})
