Refuse a body limit of zero

The entry takes a limit of zero for no limit, so an operator who forbids bodies would allow bodies of any size. The smallest limit is one byte.

--- a/pkg/fulmarconfig/config_test.go
+++ b/pkg/fulmarconfig/config_test.go
@@ -135,6 +135,7 @@
 		Entry("bad unit", `"5s"`, `"5 seconds"`, 4, "defaults.timeout", "unit"),
 		Entry("no unit", `"5s"`, `5`, 4, "defaults.timeout", "unit"),
 		Entry("bad size", `weight = 1 `, `body = "1MB" `, 3, "defaults.body", "KiB"),
+		Entry("zero size", `weight = 1 `, `body = "0B" `, 3, "defaults.body", "out of bounds"),
 		Entry("size overflow", `weight = 1 `, `body = "9007199254740993MiB" `, 3, "defaults.body", "out of bounds"),
 		Entry("zero weight", `weight = 1 `, `weight = 0 `, 3, "defaults.weight", "greater than 0"),
 		Entry("negative weight", `weight = 2.5`, `weight = -2.5`, 31, "exception[1].weight", "greater than 0"),
--- a/pkg/fulmarconfig/parse.go
+++ b/pkg/fulmarconfig/parse.go
@@ -108,7 +108,7 @@
 	s.limits.Queue = p.int("defaults.queue", d.Queue, s.limits.Queue, maxQueue)
 	s.limits.Timeout = p.timeout("defaults.timeout", d.Timeout, s.limits.Timeout)
 	s.limits.MaxTimeout = p.timeout("defaults.maxtimeout", d.MaxTimeout, s.limits.MaxTimeout)
-	s.limits.Body = p.Size("defaults.body", d.Body, s.limits.Body, 0, maxBody)
+	s.limits.Body = p.Size("defaults.body", d.Body, s.limits.Body, 1, maxBody)
 	s.slots = p.int("defaults.slots", d.Slots, s.slots, maxSlots)
 	s.long = p.Float("defaults.long", d.Long, s.long, maxLong)
 	if s.long <= 1 {
@@ -253,7 +253,7 @@
 		x.MaxTimeout = &t
 	}
 	if v.Body != nil {
-		b := p.Size(field+Body, v.Body, DefaultBody, 0, maxBody)
+		b := p.Size(field+Body, v.Body, DefaultBody, 1, maxBody)
 		x.Body = &b
 	}
 }
