Serve the operators' API from the daemon

Cause: fulmarctl had nothing to talk to. Change: the controller gives an overview, reads and puts the configuration by compare-and-swap on the version that the operator edited; the node shows both to the API. Ruled out: putting through the planner only, which would make configuration changes wait for an election. Conclusion: operators can act through any daemon.

--- a/internal/fulmarcontrol/mesh.go
+++ b/internal/fulmarcontrol/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarpeer"
@@ -154,13 +155,7 @@
 
 func (c *Controller) rosterIncarnation(id string) uint64 {
 	i, ok := slices.BinarySearchFunc(c.table.Roster(), id, func(m fulmarslot.Member, id string) int {
-		switch {
-		case m.ID < id:
-			return -1
-		case m.ID > id:
-			return 1
-		}
-		return 0
+		return strings.Compare(m.ID, id)
 	})
 	if !ok {
 		return 0
--- /dev/null
+++ b/internal/fulmarcontrol/operate.go
@@ -0,0 +1,131 @@
+package fulmarcontrol
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarstore"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarconfig"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarmember"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
+)
+
+// Member is a daemon as another one knows it.
+type Member struct {
+	fulmarmember.Peer
+	State  fulmarmember.State
+	Epoch  uint64
+	Config uint64
+}
+
+// Overview is what a daemon knows of itself and the fleet.
+type Overview struct {
+	Self     fulmarslot.Member
+	Epoch    uint64
+	Config   uint64
+	StoreErr error // of the last call to the key-value service
+	Current  bool
+	Planner  string // id, empty if unknown
+	Held     []string
+	Members  []Member // self included, in order of id
+	Down     []string // members of the roster that are down
+}
+
+// Overview returns what this daemon knows.
+func (c *Controller) Overview() Overview {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	o := Overview{
+		Self: c.Self, Epoch: c.table.Epoch(), Config: c.versioned.Version,
+		StoreErr: c.storeErr, Current: c.held(now), Held: c.statusLocked("").Held,
+	}
+	if now.Before(c.plannerTo) {
+		o.Planner = c.Self.ID
+	}
+	state := fulmarmember.Live
+	if c.leaving {
+		state = fulmarmember.Leaving
+	}
+	self := fulmarmember.Peer{
+		ID: c.Self.ID, Incarnation: c.Self.Incarnation, Control: c.Self.Control, Data: c.Self.Data,
+		DataCentre: c.Self.DataCentre, Leaving: c.leaving,
+	}
+	o.Members = append(o.Members, Member{Peer: self, State: state, Epoch: o.Epoch, Config: o.Config})
+	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
+		p := c.peers[id]
+		state := c.view.State(now, id)
+		o.Members = append(o.Members, Member{Peer: p.Peer, State: state, Epoch: p.status.Epoch, Config: p.status.Config})
+		if state != fulmarmember.Down && p.status.Planner {
+			o.Planner = id
+		}
+	}
+	slices.SortFunc(o.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	for _, m := range c.table.Roster() {
+		if m.ID != c.Self.ID && c.view.State(now, m.ID) == fulmarmember.Down {
+			o.Down = append(o.Down, m.ID)
+		}
+	}
+	return o
+}
+
+// ConflictError reports that another version was stored before.
+type ConflictError struct{ Current fulmarconfig.Versioned }
+
+// Error names the version that is stored.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("fulmarcontrol: version %d of the configuration is stored", e.Current.Version)
+}
+
+// ReadConfig reads the stored configuration consistently; it is the zero
+// value if none is stored.
+func (c *Controller) ReadConfig(ctx context.Context) (fulmarconfig.Versioned, error) {
+	v, _, err := c.readConfig(ctx)
+	return v, err
+}
+
+func (c *Controller) readConfig(ctx context.Context) (fulmarconfig.Versioned, uint64, error) {
+	value, err := c.Store.Get(ctx, keyConfig)
+	c.noteStore(err)
+	if errors.Is(err, fulmarstore.ErrNotFound) {
+		return fulmarconfig.Versioned{}, 0, nil
+	}
+	if err != nil {
+		return fulmarconfig.Versioned{}, 0, err
+	}
+	v, err := fulmarconfig.DecodeVersioned(value.Data)
+	return v, value.Index, err
+}
+
+// PutConfig stores v if the stored version is still base, and puts it in force here.
+func (c *Controller) PutConfig(ctx context.Context, v fulmarconfig.Versioned, base uint64) error {
+	stored, index, err := c.readConfig(ctx)
+	if err != nil {
+		return err
+	}
+	if stored.Version != base {
+		return &ConflictError{Current: stored}
+	}
+	raw, err := v.Encode()
+	if err != nil {
+		return err
+	}
+	err = c.Store.Put(ctx, keyConfig, raw, index)
+	c.noteStore(err)
+	if errors.Is(err, fulmarstore.ErrConflict) {
+		if stored, _, err = c.readConfig(ctx); err == nil {
+			err = &ConflictError{Current: stored}
+		}
+	}
+	if err != nil {
+		return err
+	}
+	c.Log.Info("configuration stored", "version", v.Version, "author", v.Author, "operation", v.Operation)
+	return c.adoptConfig(raw)
+}
--- a/internal/fulmarcontrol/planner.go
+++ b/internal/fulmarcontrol/planner.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -292,12 +293,7 @@
 		})
 	}
 	group.Wait()
-	slices.SortFunc(listed, func(a, b fulmarslot.Target) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(listed, func(a, b fulmarslot.Target) int { return strings.Compare(a.ID, b.ID) })
 	p.listed = listed
 }
 
--- a/internal/fulmarnode/node.go
+++ b/internal/fulmarnode/node.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmaradmin"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarcontrol"
 	"github.com/fulmarbend/fulmarbend/internal/fulmardispatch"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarentry"
@@ -255,6 +256,7 @@
 // adminHandler serves the operators' API, the probes and the metrics.
 func (n *Node) adminHandler() http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle("/v1/", fulmaradmin.New(source{n.control}, n.settings.Admin.Key))
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
