Allow short leases in the stand-in for the platform

Cause: the stand-in refused session TTLs under 1 s, so no planner was elected with the lease of 600 ms; the demo did not become ready. Ruled out: a lease of 1 s, with which the loss of a planner and a target together exceeds 2 s.

--- a/internal/fulmarplatform/platform.go
+++ b/internal/fulmarplatform/platform.go
@@ -16,7 +16,7 @@
 const (
 	defaultWait = 5 * time.Minute
 	sweepEvery  = 50 * time.Millisecond
-	minTTL      = time.Second
+	minTTL      = 100 * time.Millisecond
 )
 
 // Fault is the fault in force; the zero Fault is none.
