Split the harness of processes out of the demonstration

Cause: proofs of the invariants under faults need the demonstration's processes, and faults that the demonstration can't inject. Change: internal/fulmarfleet builds the programs, runs a deployment, freezes, ends and restarts its processes, and connects daemons, targets and the platform through forwarders that know a daemon by its source address and cut or hold back the connections between any two servers. fulmardemo uses it. Ruled out: one forwarder process for each server, since a test must change links at a known moment; forwarders that keep accepting for a server that has ended, since daemons tell a refused connection from a broken one.

--- a/internal/fulmardemo/demo.go
+++ b/internal/fulmardemo/demo.go
@@ -2,29 +2,24 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"os"
-	"os/exec"
-	"path/filepath"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarfleet"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarhistory"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarload"
 )
 
 const (
-	readyWithin = 30 * time.Second
-	listLag     = time.Second
-	probed      = 200 * time.Millisecond // mean interval of the calls for a key that is judged for gaps
-	keyBytes    = 32
-	shown       = 5 // violations printed for each rule
+	listLag    = time.Second
+	stopWithin = 5 * time.Second
+	probed     = 200 * time.Millisecond // mean interval of the calls for a key that is judged for gaps
+	shown      = 5                      // violations printed for each rule
 )
 
 // ErrInvariant means that an invariant did not hold.
@@ -42,9 +37,6 @@
 type Demo struct {
 	settings Settings
 	out      io.Writer
-
-	mu        sync.Mutex
-	processes []*process
 }
 
 // New returns a demonstration that reports to out.
@@ -65,23 +57,22 @@
 	if err != nil {
 		return errors.Wrap(err, "fulmardemo: create folder")
 	}
-	defer d.stopAll()
-	daemon := filepath.Join(folder, "fulmarbend")
-	build := exec.CommandContext(ctx, "go", "build", "-o", daemon, "./cmd/fulmarbend")
-	if out, err := build.CombinedOutput(); err != nil {
-		return errors.Wrapf(err, "fulmardemo: build the daemon: %s", out)
+	programs, err := fulmarfleet.Build(ctx, folder)
+	if err != nil {
+		return err
 	}
 	fmt.Fprintf(d.out, "settings, logs and histories: %s\n", folder)
 	var fleets []*fleet
 	for i, deployment := range deployments {
-		f := &fleet{demo: d, deployment: deployment, daemon: daemon, folder: filepath.Join(folder, deployment.name), seed: d.settings.Seed + uint64(i)}
+		f := d.newFleet(i, deployment, folder, programs)
+		defer f.Stop(stopWithin)
 		fleets = append(fleets, f)
 	}
 	results := make([]fulmarload.Result, len(fleets))
 	tasks, taskCtx := errgroup.WithContext(ctx)
 	for i, f := range fleets {
 		tasks.Go(func() error {
-			if err := f.start(taskCtx); err != nil {
+			if err := f.Start(taskCtx); err != nil {
 				return err
 			}
 			var err error
@@ -102,7 +93,7 @@
 	}
 	if d.settings.Keep {
 		for _, f := range fleets {
-			f.printAddresses()
+			f.Print(func(format string, args ...any) { fmt.Fprintf(d.out, format, args...) })
 		}
 		<-ctx.Done()
 	}
@@ -116,7 +107,7 @@
 // report prints what happened in one deployment and reports whether the invariants held.
 func (f *fleet) report(result fulmarload.Result) (bool, error) {
 	out := f.demo.out
-	events, err := fulmarhistory.ReadFiles[fulmarhistory.Event](f.histories...)
+	events, err := fulmarhistory.ReadFiles[fulmarhistory.Event](f.Histories()...)
 	if err != nil {
 		return false, err
 	}
@@ -148,9 +139,3 @@
 	}
 	return checked.OK() && served > 0, nil
 }
-
-func secret() string {
-	b := make([]byte, keyBytes)
-	_, _ = rand.Read(b) // never fails, as crypto/rand documents
-	return hex.EncodeToString(b)
-}
--- /dev/null
+++ b/internal/fulmardemo/demo_test.go
@@ -0,0 +1,25 @@
+package fulmardemo
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarfleet"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarconfig"
+)
+
+var _ = Describe("deployments", func() {
+	// Guards against a first configuration that no daemon can read, or that leaves out a service or group.
+	It("give a valid first configuration", func() {
+		for i, d := range deployments {
+			f := New(Settings{Daemons: 1}, GinkgoWriter).newFleet(i, d, GinkgoT().TempDir(), fulmarfleet.Programs{})
+			config, err := fulmarconfig.Parse(f.Config())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(config.Services()).To(HaveLen(len(d.services)))
+			for _, g := range d.groups {
+				_, known := config.Limits(d.services[0].Name, g)
+				Expect(known).To(BeTrue(), g)
+			}
+		}
+	})
+})
--- /dev/null
+++ b/internal/fulmarfleet/process.go
@@ -0,0 +1,136 @@
+package fulmarfleet
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// module is the path of the module whose programs are built.
+const module = "github.com/fulmarbend/fulmarbend"
+
+// Programs are the paths of the programs that a fleet runs.
+type Programs struct {
+	Daemon string
+	Lab    string // with the commands platform and target
+}
+
+// Build builds the programs into folder. The working directory must be within the module.
+func Build(ctx context.Context, folder string) (Programs, error) {
+	p := Programs{Daemon: filepath.Join(folder, "fulmarbend"), Lab: filepath.Join(folder, "fulmarlab")}
+	for _, path := range []string{p.Daemon, p.Lab} {
+		build := exec.CommandContext(ctx, "go", "build", "-o", path, module+"/cmd/"+filepath.Base(path))
+		if out, err := build.CombinedOutput(); err != nil {
+			return p, errors.Wrapf(err, "fulmarfleet: build %s: %s", filepath.Base(path), out)
+		}
+	}
+	return p, nil
+}
+
+// Process is a server that a fleet started.
+type Process struct {
+	Log  string // path of its output
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// Done returns a channel that is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// ExitCode returns the exit code of a process that has ended, -1 if a signal ended it.
+func (p *Process) ExitCode() int {
+	<-p.done
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// Kill ends the process without notice and waits for its end.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Terminate asks the process to end.
+func (p *Process) Terminate() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
+
+// Freeze stops the process until Resume.
+func (p *Process) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Resume lets a frozen process go on.
+func (p *Process) Resume() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// processes are the servers that were started, in order.
+type processes struct {
+	mu   sync.Mutex
+	list []*Process
+}
+
+// spawn starts a process whose output goes to the file named log.
+func (l *processes) spawn(log, path string, args ...string) (*Process, error) {
+	file, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "fulmarfleet: open log")
+	}
+	defer func() { _ = file.Close() }()
+	// The context is not tied to the caller's, so that stop can end the
+	// processes in order after an interrupt.
+	cmd := exec.CommandContext(context.Background(), path, args...)
+	cmd.Stdout, cmd.Stderr = file, file
+	// A process group of its own keeps a terminal's interrupt from the process.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if err := cmd.Start(); err != nil {
+		return nil, errors.Wrap(err, "fulmarfleet: start process")
+	}
+	p := &Process{Log: log, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		close(p.done)
+	}()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = append(l.list, p)
+	return p, nil
+}
+
+// stop asks the processes to end in the reverse order of their start, and
+// kills those that have not ended within grace.
+func (l *processes) stop(grace time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := time.After(grace)
+	for i := len(l.list) - 1; i >= 0 && grace > 0; i-- {
+		l.list[i].Resume()
+		l.list[i].Terminate()
+	}
+	for _, p := range l.list {
+		select {
+		case <-p.done:
+		case <-limit:
+			p.Kill()
+			limit = time.After(0)
+		}
+	}
+	l.list = nil
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress(ctx context.Context) (string, error) {
+	l, err := listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	l, err := config.Listen(ctx, "tcp", address)
+	return l, errors.Wrap(err, "fulmarfleet: listen")
+}
