Judge keys, grants and configurations in histories

Cause: the checks knew slots only, so that a key served by its own slot on one target and by its plain slot on another passed; a late answer did not count as unavailable time, and a single lost call beside served ones counted in full. Change: rules for executions of one key on two targets and for work without a grant, at most once by request id also for ids that no caller logged, answers before their commit, the spread of a configuration, starts after a moment; the longest time without service starts at the first call after the last served answer. Each rule has histories that it must fail. Ruled out: judging aborted executions of fenced targets, since the fence undid them; a rule on hot keys' slot numbers alone, which the rule on keys covers.

--- a/internal/fulmardemo/demo.go
+++ b/internal/fulmardemo/demo.go
@@ -124,6 +124,8 @@
 		{"doubled executions", checked.Doubled},
 		{"executions behind a not-run answer", checked.RefusedRan},
 		{"answers not whole or not their own", checked.Broken},
+		{"keys that two targets worked on", checked.Keys},
+		{"work without a grant at a fenced target", checked.Unfenced},
 	} {
 		fmt.Fprintf(out, "%s: %d\n", rule.name, len(rule.violations))
 		for _, v := range rule.violations[:min(shown, len(rule.violations))] {
--- a/internal/fulmarhistory/check.go
+++ b/internal/fulmarhistory/check.go
@@ -19,11 +19,32 @@
 	RefusedRan []string
 	Broken     []string
 	Owners     []string
+	Keys       []string
+	Unfenced   []string
 }
 
 // OK reports whether all rules held.
-func (r Report) OK() bool {
-	return len(r.Doubled)+len(r.RefusedRan)+len(r.Broken)+len(r.Owners) == 0
+func (r Report) OK() bool { return len(r.Violations()) == 0 }
+
+// Violations returns all violations, each with the name of its rule.
+func (r Report) Violations() []string {
+	var out []string
+	for _, rule := range []struct {
+		name       string
+		violations []string
+	}{
+		{"doubled", r.Doubled},
+		{"refused-ran", r.RefusedRan},
+		{"broken", r.Broken},
+		{"owners", r.Owners},
+		{"keys", r.Keys},
+		{"unfenced", r.Unfenced},
+	} {
+		for _, v := range rule.violations {
+			out = append(out, rule.name+": "+v)
+		}
+	}
+	return out
 }
 
 // Check applies the rules to the events of the targets and the callers' log.
@@ -44,20 +65,32 @@
 		}
 	}
 	return Report{
-		Doubled:    doubled(attempts, starts, commits),
+		Doubled:    doubled(calls, starts, commits),
 		RefusedRan: refusedRan(attempts, starts),
 		Broken:     broken(calls, commits),
 		Owners:     owners(events),
+		Keys:       keys(events),
+		Unfenced:   ungranted(events),
 	}
 }
 
-func sortedIDs(attempts map[string][]Call) []string { return slices.Sorted(maps.Keys(attempts)) }
+func sortedIDs[V any](byID map[string]V) []string { return slices.Sorted(maps.Keys(byID)) }
 
-func doubled(attempts map[string][]Call, starts, commits map[string][]Event) []string {
+// doubled judges all ids of a service that a call names as at most once, also
+// those of callers that did not live to write their log.
+func doubled(calls []Call, starts, commits map[string][]Event) []string {
+	once := map[string]bool{}
+	for _, c := range calls {
+		once[c.Service] = once[c.Service] || c.Once
+	}
 	var out []string
-	for _, id := range sortedIDs(attempts) {
-		if attempts[id][0].Once && (len(starts[id]) > 1 || len(commits[id]) > 1) {
-			out = append(out, fmt.Sprintf("%s: %d starts, %d commits", id, len(starts[id]), len(commits[id])))
+	for _, id := range sortedIDs(starts) {
+		if id != "" && once[starts[id][0].Service] && (len(starts[id]) > 1 || len(commits[id]) > 1) {
+			var targets []string
+			for _, e := range starts[id] {
+				targets = append(targets, e.Target)
+			}
+			out = append(out, fmt.Sprintf("%s: %d starts by %v, %d commits", id, len(starts[id]), targets, len(commits[id])))
 		}
 	}
 	return out
@@ -89,6 +122,8 @@
 			out = append(out, fmt.Sprintf("%s: answer of request %q", c.ID, c.Echo))
 		case len(commits[c.ID]) == 0:
 			out = append(out, c.ID+": served without a commit")
+		case commits[c.ID][0].At > c.End:
+			out = append(out, c.ID+": served before its commit")
 		}
 	}
 	return out
--- a/internal/fulmarhistory/check_test.go
+++ b/internal/fulmarhistory/check_test.go
@@ -23,10 +23,24 @@
 	return event{Kind: kind, Target: target, Service: "s", ID: id, At: at, Serial: uint64(at / 10)}
 }
 
+// keyed is an event of an execution of the key k at a fenced target.
+func keyed(kind, target string, at int64, serial uint64, slot int) event {
+	return event{Kind: kind, Target: target, Service: "s", Fenced: true, Key: "k", ID: "1", At: at, Serial: serial, Slot: slot}
+}
+
+func at(epoch uint64, e event) event {
+	e.Epoch = epoch
+	return e
+}
+
 func called(id, outcome string, start, end int64) call {
 	return call{ID: id, Once: true, Outcome: outcome, Start: start, End: end, Echo: id, Key: "k", Service: "s", Kind: "short"}
 }
 
+func stated(daemon string, incarnation uint64, at int64, config uint64, refusing bool) fulmarhistory.Version {
+	return fulmarhistory.Version{Daemon: daemon, Incarnation: incarnation, Asked: at, Answered: at + 1, Config: config, Refusing: refusing}
+}
+
 var _ = Describe("Check", func() {
 	// Guards against checks that pass a broken history or fail a sound one.
 	DescribeTable("counts violations",
@@ -65,6 +79,68 @@
 		}, nil, 0, 0, 0, 1),
 	)
 
+	// Guards against a rule on keys that slot numbers mislead, and against one that fails a sound move.
+	DescribeTable("finds keys with two owners",
+		func(events []event, keys, owners int) {
+			r := fulmarhistory.Check(events, nil)
+			Expect(r.Keys).To(HaveLen(keys), "%v", r.Violations())
+			Expect(r.Owners).To(HaveLen(owners), "%v", r.Violations())
+			Expect(r.OK()).To(Equal(keys+owners == 0), "%v", r.Violations())
+		},
+		Entry("move to another target", []event{
+			at(1, granted("a", 1, 20, 5)), keyed("start", "a", 10, 1, 5), keyed("commit", "a", 19, 1, 5),
+			at(3, granted("b", 20, 50, 5)), keyed("start", "b", 21, 1, 5), keyed("commit", "b", 29, 1, 5),
+		}, 0, 0),
+		Entry("hot key that is still served by its plain slot", []event{
+			at(1, granted("a", 1, 90, 5)), at(1, granted("b", 2, 90, 70)),
+			keyed("start", "a", 10, 1, 5), keyed("start", "b", 15, 1, 70), keyed("commit", "a", 19, 1, 5), keyed("commit", "b", 29, 1, 70),
+		}, 1, 0),
+		Entry("hot key that is served by its plain slot in turns", []event{
+			at(4, granted("a", 1, 90, 5)), at(4, granted("b", 2, 90, 70)),
+			keyed("start", "a", 10, 1, 5), keyed("commit", "a", 11, 1, 5), keyed("start", "b", 15, 1, 70), keyed("commit", "b", 29, 1, 70),
+		}, 1, 0),
+		Entry("return to an owner that has the older table", []event{
+			at(1, granted("a", 1, 90, 5)), keyed("start", "a", 10, 1, 5), keyed("commit", "a", 11, 1, 5),
+			at(3, granted("b", 12, 90, 70)), keyed("start", "b", 15, 1, 70), keyed("commit", "b", 29, 1, 70),
+			keyed("start", "a", 40, 2, 5), keyed("commit", "a", 41, 2, 5),
+		}, 1, 0),
+		Entry("execution of a frozen target that the fence undid", []event{
+			at(1, granted("a", 1, 20, 5)), keyed("start", "a", 10, 1, 5),
+			at(3, granted("b", 20, 50, 5)), keyed("start", "b", 21, 1, 5), keyed("commit", "b", 29, 1, 5), keyed("abort", "a", 40, 1, 5),
+		}, 0, 0),
+		Entry("overlap on targets without a fence, in two slots", []event{
+			{Kind: "start", Target: "a", Service: "s", Key: "k", At: 10, Serial: 1, Slot: 5},
+			{Kind: "start", Target: "b", Service: "s", Key: "k", At: 15, Serial: 1, Slot: 70},
+			{Kind: "abort", Target: "a", Service: "s", Key: "k", At: 20, Serial: 1, Slot: 5},
+			{Kind: "commit", Target: "b", Service: "s", Key: "k", At: 25, Serial: 1, Slot: 70},
+		}, 1, 0),
+	)
+
+	// Guards against a stand-in whose fence lets orders through, which would hide faults of daemons.
+	DescribeTable("finds work without a grant",
+		func(unfenced int, events ...event) {
+			Expect(fulmarhistory.Check(events, nil).Unfenced).To(HaveLen(unfenced))
+		},
+		Entry("no grant", 1, keyed("start", "a", 10, 1, 5)),
+		Entry("another slot", 1, granted("a", 1, 20, 6), keyed("start", "a", 10, 1, 5)),
+		Entry("lapsed at the commit", 1, granted("a", 1, 20, 5), keyed("start", "a", 10, 1, 5), keyed("commit", "a", 20, 1, 5)),
+		Entry("grant of a former process", 1, granted("a", 1, 20, 5), event{Kind: "up", Target: "a", Fenced: true, At: 5}, keyed("start", "a", 10, 1, 5)),
+		Entry("another term", 1, granted("a", 1, 20, 5), event{Kind: "start", Target: "a", Fenced: true, Slot: 5, At: 10, Term: 7}),
+		Entry("sound", 0, granted("a", 1, 20, 5), keyed("start", "a", 10, 1, 5), keyed("commit", "a", 19, 1, 5)),
+	)
+
+	// Guards against a second execution at another target, by callers that did not log their call.
+	It("judges ids that no caller logged", func() {
+		r := fulmarhistory.Check([]event{ran("start", "a", "2", 10), ran("start", "b", "2", 20)}, []call{called("1", "not-run", 5, 25)})
+		Expect(r.Doubled).To(ConsistOf(ContainSubstring("2 starts by [a b]")))
+	})
+
+	// Guards against an answer that was made up before the work was done.
+	It("finds an answer before its commit", func() {
+		r := fulmarhistory.Check([]event{ran("start", "a", "1", 10), ran("commit", "a", "1", 40)}, []call{called("1", "served", 5, 25)})
+		Expect(r.Broken).To(HaveLen(1))
+	})
+
 	// Guards against an outage that the report leaves out.
 	It("finds the longest time without service", func() {
 		calls := []call{
@@ -75,6 +151,45 @@
 		Expect(fulmarhistory.LongestGap(calls, 5).Length).To(BeZero())
 	})
 
+	// Guards against outages that show only in late answers or at the end, and against a single lost call taken for one.
+	DescribeTable("measures the time without service",
+		func(want time.Duration, open bool, calls ...call) {
+			g := fulmarhistory.LongestGap(calls, 1)
+			Expect(g.Length).To(Equal(want))
+			Expect(g.Open).To(Equal(open))
+		},
+		Entry("late answer", 90*time.Nanosecond, false, called("1", "served", 0, 5), called("2", "served", 10, 100)),
+		Entry("late answer of a call in flight", 95*time.Nanosecond, false, called("1", "served", 3, 5), called("2", "served", 4, 100)),
+		Entry("not served to the end", 40*time.Nanosecond, true, called("1", "served", 0, 5), called("2", "unknown", 10, 20), called("3", "not-run", 30, 50)),
+		Entry("never served", 40*time.Nanosecond, true, called("2", "unknown", 10, 20), called("3", "not-run", 30, 50)),
+		Entry("one lost call beside served ones", 10*time.Nanosecond, false,
+			called("1", "served", 0, 5), called("2", "unknown", 4, 90), called("3", "served", 10, 20), called("4", "served", 80, 85), called("5", "served", 91, 95)),
+	)
+
+	// Guards against a configuration that reverts or spreads late unnoticed.
+	DescribeTable("judges the spread of a configuration",
+		func(want string, versions ...fulmarhistory.Version) {
+			got := fulmarhistory.CheckVersions(versions, []fulmarhistory.Put{{Config: 2, At: 100}}, 50)
+			if want == "" {
+				Expect(got).To(BeEmpty())
+				return
+			}
+			Expect(got).To(ConsistOf(ContainSubstring(want)))
+		},
+		Entry("in time", "", stated("a", 1, 90, 1, false), stated("a", 1, 150, 1, false), stated("a", 1, 151, 2, false)),
+		Entry("late", "version 1 in force 51ns", stated("a", 1, 151, 1, false)),
+		Entry("late but refusing callers", "", stated("a", 1, 151, 1, true)),
+		Entry("reverted", "version 1 after 2", stated("a", 1, 110, 2, false), stated("a", 1, 120, 1, false)),
+		Entry("reverted while refusing callers", "version 1 after 2", stated("a", 1, 110, 2, false), stated("a", 1, 200, 1, true)),
+		Entry("another incarnation", "", stated("a", 1, 110, 2, false), stated("a", 2, 120, 1, false)),
+	)
+
+	// Guards against work of a leaving target that is not counted.
+	It("lists what a target began after a moment", func() {
+		events := []event{ran("start", "a", "1", 10), ran("start", "a", "2", 20), ran("commit", "a", "2", 21), ran("start", "b", "3", 30)}
+		Expect(fulmarhistory.Began(events, "a", time.Unix(0, 15))).To(Equal([]event{events[1]}))
+	})
+
 	// Guards against a killed writer's last line failing the whole check.
 	It("reads back what was appended, without an unfinished line", func() {
 		var file bytes.Buffer
--- a/internal/fulmarhistory/gap.go
+++ b/internal/fulmarhistory/gap.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -13,10 +14,15 @@
 	Open         bool // not served again before the end of the log
 }
 
-// LongestGap returns the longest time from the sending of the first attempt that
-// was not served to the end of the next served one, over the keys with at least
-// least calls of kind short. Keys with fewer calls say little, because nobody
-// asked for them meanwhile.
+// LongestGap returns the longest time in which a key was asked for and not
+// served, over the keys with at least least calls of kind short. Keys with fewer
+// calls say little, because nobody asked for them meanwhile.
+//
+// The time ends with the answer of a served call. It begins when the first call
+// after the previous such answer was sent, or with that answer if the call that
+// is served next was sent before it. A call that is answered late thus counts as
+// well as one that fails, while a call that failed alone, beside served ones,
+// counts only from the last of these.
 func LongestGap(calls []Call, least int) Gap {
 	byKey := map[[2]string][]Call{}
 	for _, c := range calls {
@@ -38,24 +44,38 @@
 }
 
 func gap(calls []Call) Gap {
-	slices.SortFunc(calls, func(a, b Call) int { return cmp.Compare(a.End, b.End) })
-	var longest Gap
-	var from int64
+	var answers []Call
 	for _, c := range calls {
-		switch {
-		case c.Outcome == served:
-			if d := time.Duration(c.End - from); from != 0 && d > longest.Length {
-				longest = Gap{Length: d}
-			}
-			from = 0
-		case from == 0:
-			from = c.Start
+		if c.Outcome == served {
+			answers = append(answers, c)
 		}
 	}
-	if from != 0 {
-		if d := time.Duration(calls[len(calls)-1].End - from); d > longest.Length {
-			longest = Gap{Length: d, Open: true}
+	slices.SortFunc(answers, func(a, b Call) int { return cmp.Compare(a.End, b.End) })
+	slices.SortFunc(calls, func(a, b Call) int { return cmp.Compare(a.Start, b.Start) })
+	var longest Gap
+	last, next := int64(math.MinInt64), 0 // next is the first call that was sent after last
+	for _, a := range answers {
+		for next < len(calls) && calls[next].Start < last {
+			next++
+		}
+		from := max(a.Start, last)
+		if next < len(calls) {
+			from = min(from, calls[next].Start)
+		}
+		if d := time.Duration(a.End - from); d > longest.Length {
+			longest = Gap{Length: d}
 		}
+		last = a.End
+	}
+	for next < len(calls) && calls[next].Start < last {
+		next++
+	}
+	var end int64
+	for _, c := range calls[next:] {
+		end = max(end, c.End)
+	}
+	if next < len(calls) && time.Duration(end-calls[next].Start) > longest.Length {
+		longest = Gap{Length: time.Duration(end - calls[next].Start), Open: true}
 	}
 	return longest
 }
