--- /dev/null
+++ b/internal/fulmarproof/cut_test.go
@@ -0,0 +1,72 @@
+package fulmarproof
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarfleet"
+)
+
+var _ = Describe("partition", func() {
+	// Guards I1, I5 and the 2 s against two daemons that both believe that they
+	// are the dispatcher, while the key-value service confirms both.
+	It("of a daemon from its peers only", func(ctx SpecContext) {
+		t := begin(ctx)
+		d := t.holder(ctx, t.target(once+"-1"))
+		except := []string{fulmarfleet.PlatformName}
+		for _, g := range t.Targets {
+			except = append(except, g.ID)
+		}
+		fault := time.Now()
+		t.Cut(fulmarfleet.Swallow, d.ID, except...)
+		hold(ctx, frozen)
+		t.Network.Restore()
+		t.awaitAll(time.Now())
+		t.finish(fault, unavailable)
+	})
+
+	// Guards I1, I5 and the 2 s against a daemon without a majority that goes on renewing.
+	It("of a daemon from its peers and the platform", func(ctx SpecContext) {
+		t := begin(ctx)
+		d := t.holder(ctx, t.target(once+"-1"))
+		var except []string
+		for _, g := range t.Targets {
+			except = append(except, g.ID)
+		}
+		fault := time.Now()
+		t.Cut(fulmarfleet.Refuse, d.ID, except...)
+		hold(ctx, frozen)
+		t.Network.Restore()
+		t.awaitAll(time.Now())
+		t.finish(fault, unavailable)
+	})
+
+	// Guards I1, I2 and I5 against a pair that goes on by itself, and the 2 s
+	// against a forced move that waits for its answer.
+	It("of a daemon and its target from the rest", func(ctx SpecContext) {
+		t := begin(ctx)
+		g := t.target(once + "-1")
+		d := t.holder(ctx, g)
+		fault := time.Now()
+		t.Cut(fulmarfleet.Swallow, d.ID, g.ID)
+		t.Cut(fulmarfleet.Swallow, g.ID, d.ID)
+		hold(ctx, frozen)
+		t.Network.Restore()
+		t.awaitAll(time.Now())
+		t.finish(fault, unavailable)
+	})
+
+	// Guards I1, I5 and the 2 s against a live dispatcher whose target answers everyone else.
+	It("of a dispatcher from its target only", func(ctx SpecContext) {
+		t := begin(ctx)
+		g := t.target(once + "-1")
+		d := t.holder(ctx, g)
+		fault := time.Now()
+		t.Network.Set(fulmarfleet.Swallow, d.ID, g.ID)
+		hold(ctx, frozen)
+		t.Network.Restore()
+		t.awaitAll(time.Now())
+		t.finish(fault, unavailable)
+	})
+})
--- a/internal/fulmarproof/harness_test.go
+++ b/internal/fulmarproof/harness_test.go
@@ -41,8 +41,8 @@
 	settleWithin  = 20 * time.Second
 	recoverWithin = 15 * time.Second // a limit of the wait, no bound of the system
 	pollEvery     = 100 * time.Millisecond
-	hotKeys       = 12
-	rate          = 60.0                   // requests a second of each group at each service
+	hotKeys       = 8
+	rate          = 80.0                   // requests a second of each group at each service
 	probed        = 250 * time.Millisecond // longest mean interval of the calls for a key that is judged
 	timeout       = time.Second
 	before        = 150 // served calls before a fault
--- /dev/null
+++ b/internal/fulmarproof/unfenced_test.go
@@ -0,0 +1,38 @@
+package fulmarproof
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarfleet"
+)
+
+var _ = Describe("targets that check no fence", func() {
+	open := func(s *fulmarfleet.Settings) {
+		s.Services = []fulmarfleet.Service{{Name: once, Targets: 3, Slots: 12}, {Name: reads, Targets: 2, Slots: 12, Idempotent: true}}
+	}
+
+	// Guards I1 and I5 against a second dispatcher before the orders of the first have ended.
+	It("whose dispatcher is lost", func(ctx SpecContext) {
+		t := begin(ctx, open)
+		d := t.holder(ctx, t.target(once+"-1"))
+		fault := time.Now()
+		d.Kill()
+		t.finish(fault, 0) // the design's 2 s do not cover the longest order
+	})
+
+	// Guards I1 and I5 against orders that a paused dispatcher sends after its successor began.
+	It("whose dispatcher is paused", func(ctx SpecContext) {
+		t := begin(ctx, open)
+		g := t.target(once + "-1")
+		d := t.holder(ctx, g)
+		t.backlog(ctx, g)
+		fault := time.Now()
+		d.Freeze()
+		hold(ctx, frozen)
+		d.Resume()
+		t.awaitAll(time.Now())
+		t.finish(fault, 0)
+	})
+})
