Ask for keys at even intervals in the proofs

Cause: with random keys one key was not asked for during 0.6 s by chance, which counted as unavailable time; a forwarder accepted connections for some milliseconds after its server had ended, so that requests beside a crashing one were sent into the void and condemned; a free port was taken by an outgoing connection; load began before the horizons of the first dispatchers. Ruled out: a longer bound, since the design sets it.

--- a/internal/fulmarfleet/fleet.go
+++ b/internal/fulmarfleet/fleet.go
@@ -24,6 +24,8 @@
 	readyWithin = 30 * time.Second
 	pollEvery   = 50 * time.Millisecond
 	keyBytes    = 32
+	// operatorTimeout exceeds the time in which a daemon repeats a put.
+	operatorTimeout = 8 * time.Second
 )
 
 // Service is a service of a deployment with its targets.
@@ -110,7 +112,7 @@
 		}
 	}
 	for _, d := range f.Daemons {
-		if err := await(ctx, "http://"+d.Admin+"/readyz"); err != nil {
+		if err := await(ctx, "http://"+d.Admin+"/readyz", d.Done()); err != nil {
 			return errors.Wrapf(err, "fulmarfleet: %s is not ready, see %s", d.ID, d.Log)
 		}
 	}
@@ -138,7 +140,7 @@
 		return err
 	}
 	f.Platform = newPlatform(p, address)
-	if err := await(ctx, "http://"+address+"/lab/counts"); err != nil {
+	if err := await(ctx, "http://"+address+"/lab/counts", p.Done()); err != nil {
 		return err
 	}
 	return f.Platform.PutConfig(ctx, fulmarconfig.Versioned{
@@ -187,7 +189,7 @@
 	if t.listed, err = f.front(ctx, t.ID, t.Address, t.Done()); err != nil {
 		return err
 	}
-	if err := await(ctx, "http://"+t.Address+"/fulmarbend/grant"); err != nil {
+	if err := await(ctx, "http://"+t.Address+"/fulmarbend/grant", t.Done()); err != nil {
 		return err
 	}
 	return f.ListTarget(ctx, t, "live")
@@ -285,7 +287,7 @@
 
 // Operator returns a client of one daemon's operators' API.
 func (f *Fleet) Operator(d *Daemon) *fulmaradmin.Client {
-	return fulmaradmin.NewClient([]string{d.Admin}, f.adminKey, http.DefaultClient)
+	return fulmaradmin.NewClient([]string{d.Admin}, f.adminKey, &http.Client{Timeout: operatorTimeout})
 }
 
 // Daemon returns the daemon with the id, nil if there is none.
@@ -342,8 +344,8 @@
 	print("%s: platform http://%s, admin key in %s\n", f.settings.Name, f.Platform.Address, f.settings.Folder)
 }
 
-// await polls url until it answers 200.
-func await(ctx context.Context, url string) error {
+// await polls url until it answers 200 or its server has ended.
+func await(ctx context.Context, url string, ended <-chan struct{}) error {
 	ctx, cancel := context.WithTimeout(ctx, readyWithin)
 	defer cancel()
 	for {
@@ -359,6 +361,8 @@
 		}
 		select {
 		case <-time.After(pollEvery):
+		case <-ended:
+			return errors.Errorf("fulmarfleet: the server of %s has ended", url)
 		case <-ctx.Done():
 			return errors.Wrapf(ctx.Err(), "fulmarfleet: no answer from %s", url)
 		}
--- a/internal/fulmarfleet/network.go
+++ b/internal/fulmarfleet/network.go
@@ -26,6 +26,8 @@
 const (
 	chunk       = 32 << 10
 	dialTimeout = time.Second
+	// settleWithin is longer than the end of a process takes to be noticed.
+	settleWithin = 20 * time.Millisecond
 )
 
 // pair names two servers in ascending order.
@@ -137,7 +139,7 @@
 				return
 			}
 			if err == nil {
-				n.group.Go(func() { n.pass(conn, name, to) })
+				n.group.Go(func() { n.pass(conn, name, to, ended) })
 			}
 		}
 	})
@@ -145,7 +147,7 @@
 }
 
 // pass serves one connection until its ends or the link close it.
-func (n *Network) pass(in net.Conn, name, to string) {
+func (n *Network) pass(in net.Conn, name, to string, ended <-chan struct{}) {
 	defer func() { _ = in.Close() }()
 	source, _, _ := net.SplitHostPort(in.RemoteAddr().String())
 	n.mu.Lock()
@@ -161,6 +163,7 @@
 	dialer := net.Dialer{Timeout: dialTimeout}
 	out, err := dialer.DialContext(ctx, "tcp", to)
 	if err != nil {
+		n.settle(ctx, ended)
 		cancel()
 		return
 	}
@@ -178,6 +181,7 @@
 	for _, ends := range [][2]net.Conn{{out, in}, {in, out}} {
 		group.Go(func() {
 			if !n.copy(ctx, p, ends[0], ends[1]) {
+				n.settle(ctx, ended)
 				cancel()
 			}
 		})
@@ -187,6 +191,19 @@
 	<-watched
 }
 
+// settle waits a little for the end of a server whose connection broke. A
+// process that ends closes its listener before its connections, so that who
+// notices the break is refused from then on.
+func (n *Network) settle(ctx context.Context, ended <-chan struct{}) {
+	timer := time.NewTimer(settleWithin)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // wait waits until the link is open and reports false if it breaks or ctx ends.
 func (n *Network) wait(ctx context.Context, p pair) bool {
 	for {
--- a/internal/fulmarfleet/process.go
+++ b/internal/fulmarfleet/process.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -119,14 +122,31 @@
 	l.list = nil
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// Ports of the servers. They lie below those that the operating system gives to
+// outgoing connections, one of which could take a port before its server does.
+const (
+	firstPort = 15000
+	lastPort  = 32000
+
+	portAttempts = 100
+)
+
+var nextPort atomic.Int64
+
+// freeAddress returns a loopback address that was free a moment ago and that no
+// other call in this process returns soon.
 func freeAddress(ctx context.Context) (string, error) {
-	l, err := listen(ctx, "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	// Different processes begin at different ports.
+	nextPort.CompareAndSwap(0, rand.Int64N(lastPort-firstPort))
+	var err error
+	for range portAttempts {
+		address := net.JoinHostPort("127.0.0.1", strconv.FormatInt(firstPort+nextPort.Add(1)%(lastPort-firstPort), 10))
+		var l net.Listener
+		if l, err = listen(ctx, address); err == nil {
+			return address, l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 func listen(ctx context.Context, address string) (net.Listener, error) {
--- a/internal/fulmarload/load.go
+++ b/internal/fulmarload/load.go
@@ -50,6 +50,7 @@
 	Keys     int     // keys of each service, chosen uniformly
 	Hot      int     // hot keys of each service
 	HotShare float64 // share of requests for hot keys
+	Even     bool    // even intervals, with the hot keys and the daemons in turn, so that each key is asked for at bounded intervals
 	Short    time.Duration
 	Long     time.Duration
 	Timeout  time.Duration // of each attempt
@@ -128,7 +129,7 @@
 	pauses  []time.Duration
 }
 
-func (l *Load) draw(g Group, source *rand.Rand) request {
+func (l *Load) draw(g Group, source *rand.Rand, n int) request {
 	q := request{group: g, long: source.Float64() < g.Long}
 	q.key = "key-" + strconv.Itoa(source.IntN(max(1, l.settings.Keys)))
 	if l.settings.Hot > 0 && source.Float64() < l.settings.HotShare {
@@ -138,24 +139,32 @@
 		q.daemons = append(q.daemons, l.settings.Daemons[source.IntN(len(l.settings.Daemons))])
 		q.pauses = append(q.pauses, time.Duration(2*source.Float64()*float64(l.settings.Pause)))
 	}
+	if l.settings.Even {
+		q.key = "hot-" + strconv.Itoa(n%max(1, l.settings.Hot))
+		q.daemons[0] = l.settings.Daemons[n%len(l.settings.Daemons)]
+	}
 	return q
 }
 
-// send starts the requests of one group with exponential intervals.
+// send starts the requests of one group with exponential or even intervals.
 func (l *Load) send(ctx context.Context, g Group, source *rand.Rand, requests *sync.WaitGroup) {
 	next := time.Now()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for {
+	for n := 0; ; n++ {
 		timer.Reset(time.Until(next))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
-		q := l.draw(g, source)
+		q := l.draw(g, source, n)
 		due := next
-		next = next.Add(time.Duration(source.ExpFloat64() / max(g.Rate, minIntervals) * float64(time.Second)))
+		interval := source.ExpFloat64()
+		if l.settings.Even {
+			interval = 1
+		}
+		next = next.Add(time.Duration(interval / max(g.Rate, minIntervals) * float64(time.Second)))
 		select {
 		case l.slots <- struct{}{}:
 			requests.Go(func() {
--- a/internal/fulmarload/load_test.go
+++ b/internal/fulmarload/load_test.go
@@ -53,4 +53,25 @@
 		}
 		Expect(ids).To(HaveLen(sent))
 	})
+
+	// Guards against keys that chance leaves out, which would be taken for an outage.
+	It("asks for each key at even intervals", func() {
+		daemon := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Fulmarbend-Outcome", "not-run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		DeferCleanup(daemon.Close)
+		result := fulmarload.New(fulmarload.Settings{
+			Daemons: []string{daemon.Listener.Addr().String()}, Groups: []fulmarload.Group{{Name: "g", Service: "s", Rate: 400}},
+			Hot: 4, HotShare: 1, Even: true, Duration: 200 * time.Millisecond, Timeout: time.Second, Attempts: 1, InFlight: 50,
+		}, fulmarhistory.New(io.Discard)).Run(context.Background())
+		keys := map[string]int{}
+		for _, c := range result.Calls {
+			keys[c.Key]++
+		}
+		Expect(keys).To(HaveLen(4))
+		for _, n := range keys {
+			Expect(n).To(BeNumerically("~", len(result.Calls)/4, 1))
+		}
+	})
 })
