--- a/internal/fulmarfleet/network.go
+++ b/internal/fulmarfleet/network.go
@@ -178,14 +178,18 @@
 		}
 	}()
 	var group sync.WaitGroup
-	for _, ends := range [][2]net.Conn{{out, in}, {in, out}} {
-		group.Go(func() {
-			if !n.copy(ctx, p, ends[0], ends[1]) {
-				n.settle(ctx, ended)
-				cancel()
-			}
-		})
-	}
+	group.Go(func() {
+		if !n.copy(ctx, p, out, in, nil) {
+			n.settle(ctx, ended)
+			cancel()
+		}
+	})
+	group.Go(func() {
+		if !n.copy(ctx, p, in, out, ended) {
+			n.settle(ctx, ended)
+			cancel()
+		}
+	})
 	group.Wait()
 	unwatch()
 	<-watched
@@ -239,7 +243,8 @@
 
 // copy passes bytes on until src ends in order, or returns false. Each chunk
 // waits for the link, and so does the end, which must not overtake the bytes.
-func (n *Network) copy(ctx context.Context, p pair, dst, src net.Conn) bool {
+// If src is a server, ended is closed when its process has ended, else it is nil.
+func (n *Network) copy(ctx context.Context, p pair, dst, src net.Conn, ended <-chan struct{}) bool {
 	buffer := make([]byte, chunk)
 	for {
 		k, err := src.Read(buffer)
@@ -250,6 +255,9 @@
 			return false
 		}
 		if err != nil {
+			if ended != nil {
+				n.settle(ctx, ended)
+			}
 			t, ok := dst.(*net.TCPConn)
 			return ok && t.CloseWrite() == nil
 		}
