Leave targets to their holder while cut off from most daemons

Cause: a daemon that was cut off from its peers, but not from the targets and the key-value service, stayed current by reading the table. It took all other daemons for down and took over the targets that they held; the others took them back, every 150 ms without end. Each takeover began a new horizon, so that at-most-once requests were refused until the partition ended. Change: a daemon that hears no majority of the roster does not displace a holder whose grant has not lapsed. It still takes over when the grant lapses, so that the survivors of a loss of half of the roster go on serving. Ruled out: taking the key-value service alone as no proof of being current, since serving after the loss of half of the roster rests on it; a longer wait between takeovers, which only slows the exchange.

--- a/internal/fulmarcontrol/keeper.go
+++ b/internal/fulmarcontrol/keeper.go
@@ -506,7 +506,10 @@
 	}
 	p, known := c.peers[id]
 	if !known || p.Incarnation != incarnation || c.view.State(now, id) == fulmarmember.Down {
-		return false
+		// To a daemon that is itself cut off from the others, silence of the
+		// holder says nothing. If it displaced holders that renew their grants,
+		// both sides would take the target from each other without end.
+		return state.Lapse > 0 && !c.hearsMajority(now)
 	}
 	c.learned[k.id] = id
 	if state.Lapse > 0 {
@@ -519,6 +522,17 @@
 	return now.Sub(k.lapsedSince) < holderPatience
 }
 
+// hearsMajority reports whether a majority of the roster, self included, is not down; mu must be held.
+func (c *Controller) hearsMajority(now time.Time) bool {
+	roster, heard := c.table.Roster(), 0
+	for _, m := range roster {
+		if m.ID == c.Self.ID || c.view.State(now, m.ID) != fulmarmember.Down {
+			heard++
+		}
+	}
+	return 2*heard > len(roster)
+}
+
 // open starts the dispatcher of a target that was taken over.
 func (k *keeper) open(ctx context.Context, t fulmarslot.Target, before fulmargrant.State, g fulmargrant.Grant, owned []int, handed *fulmarwire.Handover) {
 	d := k.c.NewDispatcher(t)
