Count staleness from the last confirmation

Cause: a daemon that was cut off refused callers 5 s after its quorum lease had ended, which is up to the window of 400 ms later than 5 s after its last contact. A configuration accepted at the moment of the cut was thus not in force there for 5.4 s, over the 5 s of I8. Change: the 5 s count from when the last confirmation of the lease was requested. Ruled out: a shorter setting stale, since operators would have to subtract the window themselves.

--- a/internal/fulmarcontrol/controller.go
+++ b/internal/fulmarcontrol/controller.go
@@ -105,7 +105,7 @@
 	configRaw []byte
 	view      *fulmarmember.View
 	lease     *fulmarlease.Lease
-	lastHeld  time.Time // when the quorum lease was last seen in force
+	confirmed time.Time // when the last confirmation of the quorum lease was requested
 	peers     map[string]*peer
 	keepers   map[string]*keeper
 	lapses    map[string]*lapseLog
@@ -274,11 +274,16 @@
 func (c *Controller) held(now time.Time) bool {
 	until := c.lease.Until()
 	c.until.Store(&until)
-	if !now.Before(until) {
-		return false
+	// The lease outlasts its confirmation by the window, in which a newer
+	// configuration may come into force elsewhere.
+	confirmed := until.Add(-c.Timing.Window)
+	if confirmed.After(now) { // the only daemon of the roster needs no confirmation
+		confirmed = now
 	}
-	c.lastHeld = now
-	return true
+	if confirmed.After(c.confirmed) {
+		c.confirmed = confirmed
+	}
+	return now.Before(until)
 }
 
 // Current reports whether the quorum lease was in force when last looked at
--- a/internal/fulmarcontrol/router.go
+++ b/internal/fulmarcontrol/router.go
@@ -53,7 +53,7 @@
 		return fulmaroutcome.Draining, false
 	}
 	now := time.Now()
-	if c.table.Epoch() == 0 || c.versioned.Version == 0 || (!c.held(now) && now.Sub(c.lastHeld) > c.Timing.Stale) {
+	if c.table.Epoch() == 0 || c.versioned.Version == 0 || (!c.held(now) && now.Sub(c.confirmed) > c.Timing.Stale) {
 		return fulmaroutcome.Stale, false
 	}
 	return "", true
