Start no suspect on a target where another has just broken off

Cause: a suspect runs alone, but when it crashed its target, the next suspect of the queue was started before the loss was known, over a connection that was about to break. It broke off too and was condemned, although it had done nothing: an innocent request that ran beside a crashing one was then refused for 30 min. Change: after a suspect broke off, work starts again when two renewals have succeeded; the first may have been answered before the crash. Conclusion: a suspect is condemned only for a loss that it can have caused.

--- a/internal/fulmardispatch/dispatcher.go
+++ b/internal/fulmardispatch/dispatcher.go
@@ -14,10 +14,13 @@
 )
 
 const (
-	sweep      = 10 * time.Second // period of dropping old request ids
-	linger     = time.Minute      // how long the memory of a slot is kept for export after it left the grant
-	suspicion  = 5 * time.Second  // how long a broken order counts as in flight when the target is lost
-	orderGrace = 5 * time.Second  // time after its deadline when an at-most-once order is given up
+	sweep  = 10 * time.Second // period of dropping old request ids
+	linger = time.Minute      // how long the memory of a slot is kept for export after it left the grant
+	// proofs is how many renewals show that a target lives whose suspect broke
+	// off. One may have been answered before the target crashed.
+	proofs     = 2
+	suspicion  = 5 * time.Second // how long a broken order counts as in flight when the target is lost
+	orderGrace = 5 * time.Second // time after its deadline when an at-most-once order is given up
 )
 
 // errLost is the cause of ending the orders of a lost target.
@@ -73,6 +76,7 @@
 	term      uint64
 	epoch     uint64
 	flight    int
+	doubt     int // renewals that must succeed before work starts again
 	opened    bool
 	suspended bool
 	stopped   bool
@@ -114,7 +118,7 @@
 			}
 		}
 	}
-	d.term, d.opened, d.suspended, d.stopped = term, true, false, false
+	d.term, d.opened, d.suspended, d.stopped, d.doubt = term, true, false, false, 0
 	d.queue.SetSlots(free)
 	d.apply(table, slots)
 	d.signal()
@@ -147,7 +151,7 @@
 	table := d.deps.Table()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.epoch, d.suspended = max(d.epoch, epoch), false
+	d.epoch, d.suspended, d.doubt = max(d.epoch, epoch), false, max(d.doubt-1, 0)
 	d.apply(table, slots)
 	d.signal()
 }
--- a/internal/fulmardispatch/dispatcher_test.go
+++ b/internal/fulmardispatch/dispatcher_test.go
@@ -301,6 +301,30 @@
 		expectRefused(r.do(background, call{path: "bad"}), notRun, fulmaroutcome.Condemned)
 	})
 
+	// Guards against a suspect that is sent to a target which has just crashed, breaks off as well and is condemned.
+	It("starts nothing after a suspect broke off until the target renewed twice", func() {
+		r := newRig(true, 3)
+		crash := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+		r.serve(crash)
+		for _, path := range []string{"bad", "good"} {
+			expectRefused(r.do(background, call{path: path}), unknown, fulmaroutcome.TargetLost)
+		}
+		marks := r.d.Lost()
+		Expect(marks).To(HaveLen(2))
+		r.guard.Lost(time.Now(), marks)
+		r.d.Grant(1, []int{0, 1, 2, 3})
+		expectRefused(r.do(background, call{path: "bad"}), unknown, fulmaroutcome.TargetLost)
+		g := newGate()
+		close(g.open)
+		r.serve(g.serve)
+		good := r.start(background, call{path: "good"})
+		Eventually(r.d.Waiting).Should(Equal(1))
+		r.d.Grant(1, []int{0, 1, 2, 3})
+		Consistently(r.d.Waiting, 30*time.Millisecond).Should(Equal(1))
+		r.d.Grant(1, []int{0, 1, 2, 3})
+		expectServed(<-good, "done")
+	})
+
 	// Guards against work that goes on for a caller that is gone.
 	It("cancels an idempotent order with its caller", func() {
 		r, g := newRig(true, 3), newGate()
