Look at a target at once when its dispatcher is down

Cause: after a daemon was found down, the keepers of its targets waited for their next tick of 150 ms, and for another one after a first refused call, so that the loss of a daemon and its target together came near the 2 s. Change: keepers act at once when the live peers change, and look again 50 ms after a first failed call. Ruled out: a shorter wait before the forced move commits, since a grant of the lost daemon may last that long; a nearer horizon, since callers' clocks need it.

--- a/internal/fulmarcontrol/keeper.go
+++ b/internal/fulmarcontrol/keeper.go
@@ -20,6 +20,9 @@
 	clockDrift = 0.001
 	// failuresLost is the number of failed calls in a row after which a target is lost.
 	failuresLost = 2
+	// secondLook is the wait after the first failed call to a target without a
+	// dispatcher. A refused call fails at once, and the next tick would be late.
+	secondLook = 50 * time.Millisecond
 	// rankSettle is how long another daemon must rank better before a target is handed over to it.
 	rankSettle = 5 * time.Second
 	// handoverDrain is how long a handover waits for work in flight; longer
@@ -488,7 +491,11 @@
 
 func (k *keeper) acquireFailed(err error) {
 	k.failures++
-	if k.failures >= failuresLost && !k.lost {
+	if k.failures < failuresLost {
+		time.AfterFunc(secondLook, k.wake)
+		return
+	}
+	if !k.lost {
 		k.c.Log.Warn("target does not answer", "target", k.id, "error", err)
 		k.setLost(true, nil)
 	}
--- a/internal/fulmarcontrol/mesh.go
+++ b/internal/fulmarcontrol/mesh.go
@@ -294,6 +294,9 @@
 			c.Log.Info("live peers changed", "live", n, "before", live)
 			live = n
 			c.notify()
+			for _, k := range c.keepers {
+				k.wake() // a takeover must not wait for the next tick
+			}
 		}
 		c.mu.Unlock()
 	}
--- a/internal/fulmarload/load.go
+++ b/internal/fulmarload/load.go
@@ -111,7 +111,7 @@
 	defer cancel()
 	for i, g := range l.settings.Groups {
 		source := rand.New(rand.NewPCG(l.settings.Seed, uint64(i)))
-		senders.Go(func() { l.send(ctx, g, source, &requests) })
+		senders.Go(func() { l.send(ctx, g, source, i, &requests) })
 	}
 	senders.Wait()
 	requests.Wait()
@@ -129,7 +129,7 @@
 	pauses  []time.Duration
 }
 
-func (l *Load) draw(g Group, source *rand.Rand, n int) request {
+func (l *Load) draw(g Group, source *rand.Rand, n, turn int) request {
 	q := request{group: g, long: source.Float64() < g.Long}
 	q.key = "key-" + strconv.Itoa(source.IntN(max(1, l.settings.Keys)))
 	if l.settings.Hot > 0 && source.Float64() < l.settings.HotShare {
@@ -141,14 +141,19 @@
 	}
 	if l.settings.Even {
 		q.key = "hot-" + strconv.Itoa(n%max(1, l.settings.Hot))
-		q.daemons[0] = l.settings.Daemons[n%len(l.settings.Daemons)]
+		q.daemons[0] = l.settings.Daemons[(n+turn)%len(l.settings.Daemons)]
 	}
 	return q
 }
 
 // send starts the requests of one group with exponential or even intervals.
-func (l *Load) send(ctx context.Context, g Group, source *rand.Rand, requests *sync.WaitGroup) {
+func (l *Load) send(ctx context.Context, g Group, source *rand.Rand, turn int, requests *sync.WaitGroup) {
 	next := time.Now()
+	if l.settings.Even {
+		// Groups ask for a key at different times and through different daemons.
+		cycle := float64(l.settings.Hot) / max(g.Rate, minIntervals)
+		next = next.Add(time.Duration(float64(turn) / float64(len(l.settings.Groups)) * cycle * float64(time.Second)))
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for n := 0; ; n++ {
@@ -158,7 +163,7 @@
 		case <-ctx.Done():
 			return
 		}
-		q := l.draw(g, source, n)
+		q := l.draw(g, source, n, turn)
 		due := next
 		interval := source.ExpFloat64()
 		if l.settings.Even {
