Prove that a paused dispatcher sends nothing to targets that have left

Cause: with the sender's check of its lease removed and the next dispatcher set without a wait, both tests of targets without a fence passed: the target stayed the same, so that no key had two owners. Change: a third test, in which the target leaves during the pause. Conclusion: the wait and the check are guarded.

--- a/internal/fulmarproof/pause_test.go
+++ b/internal/fulmarproof/pause_test.go
@@ -13,18 +13,23 @@
 
 // backlog starts a load of long work at the once service, and waits until the
 // target runs as much as it can and work waits for it at its dispatcher.
-func (t *trial) backlog(ctx context.Context, g *fulmarfleet.Target) *running {
+func (t *trial) backlog(ctx context.Context, g *fulmarfleet.Target) {
+	GinkgoHelper()
+	t.backlogFor(ctx, g, 5*time.Second)
+}
+
+// backlogFor is backlog with requests of the timeout.
+func (t *trial) backlogFor(ctx context.Context, g *fulmarfleet.Target, timeout time.Duration) {
 	GinkgoHelper()
 	settings := t.usual()
 	settings.Groups = []fulmarload.Group{{Name: groups[0], Service: once, Once: true, Rate: 300, Long: 1}}
-	settings.Long, settings.Timeout, settings.Attempts = 100*time.Millisecond, 5*time.Second, 2
+	settings.Long, settings.Timeout, settings.Attempts = 100*time.Millisecond, timeout, 2
 	settings.Duration, settings.Even = time.Second, false
-	r := t.load(settings)
+	t.load(settings)
 	Eventually(func() int { return t.state(ctx, g).Running }, recoverWithin, 10*time.Millisecond).Should(Equal(3))
 	// The rate is three times what the targets can do, so that the excess waits.
 	have := len(t.calls.all())
 	Eventually(func() int { return len(t.calls.all()) }, recoverWithin, 10*time.Millisecond).Should(BeNumerically(">=", have+30))
-	return r
 }
 
 var _ = Describe("pause", func() {
--- a/internal/fulmarproof/unfenced_test.go
+++ b/internal/fulmarproof/unfenced_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarfleet"
 )
@@ -34,4 +35,21 @@
 		t.awaitAll(time.Now())
 		t.finish(fault, 0)
 	})
+
+	// Guards I1 against orders that a paused dispatcher sends to a target whose
+	// slots have moved meanwhile. The pause is longer than W + the longest order
+	// deadline, after which they move, and shorter than the deadlines of what waits.
+	It("that leave while their dispatcher is paused", func(ctx SpecContext) {
+		const pause = 5 * time.Second
+		t := begin(ctx, open)
+		g, d := t.victim(ctx, once)
+		t.backlogFor(ctx, g, 2*pause)
+		fault := time.Now()
+		d.Freeze()
+		Expect(t.ListTarget(ctx, g, "leaving")).To(Succeed())
+		hold(ctx, pause)
+		d.Resume()
+		t.awaitAll(time.Now())
+		t.finish(fault, 0)
+	})
 })
