Bring reports of released slots up to the epoch of the grant

Cause: a dispatcher reported a released slot once, with the epoch of the grant that no longer had it. A planner that took over, or that read the table back after a lost answer, counts the move from the epoch in which it first saw it, and took the report for one of an earlier move. A move away from a leaving target is never cancelled, so that its keys were refused as moving from then on; another move was cancelled after 2 s. Change: with each renewal that still lacks the slots, the report takes the epoch of that renewal. Ruled out: a planner that counts reports of older epochs, since a slot may have come back to the owner in between; the pattern of the fault, since the keys stayed refused for 15 s in which writes succeeded in between. Conclusion: a lost answer delays a move and does not end it.

--- a/internal/fulmarcontrol/keeper.go
+++ b/internal/fulmarcontrol/keeper.go
@@ -376,6 +376,7 @@
 func (k *keeper) release(ctx context.Context, t fulmarslot.Target, epoch uint64, slots []int) {
 	k.c.mu.Lock()
 	if k.released(slots) {
+		k.refreshReleases(epoch, slots)
 		k.c.mu.Unlock()
 		return
 	}
@@ -406,6 +407,33 @@
 	return true
 }
 
+// refreshReleases brings reports on the slots up to the epoch of a grant that
+// still lacks them; mu must be held. A planner that took over, or that read the
+// table back after a lost answer, counts a move from the epoch in which it first
+// saw it, and would wait for a report from then on without end.
+func (k *keeper) refreshReleases(epoch uint64, slots []int) {
+	refreshed := false
+	for i, r := range k.releases {
+		if r.Epoch >= epoch {
+			continue
+		}
+		var still []int // the others have ended their move
+		for _, slot := range r.Slots {
+			if slices.Contains(slots, slot) {
+				still = append(still, slot)
+			}
+		}
+		if len(still) > 0 {
+			k.releases[i].Epoch, k.releases[i].Slots = epoch, still
+			refreshed = true
+		}
+	}
+	if refreshed {
+		k.c.notify()
+		k.c.kickPlanner()
+	}
+}
+
 // pruneReleases drops reports on slots that no longer move; mu must be held.
 func (k *keeper) pruneReleases() {
 	if len(k.releases) == 0 {
--- a/internal/fulmarproof/config_test.go
+++ b/internal/fulmarproof/config_test.go
@@ -94,6 +94,8 @@
 		t := begin(ctx)
 		t.sample()
 		g, _ := t.victim(ctx, once)
+		fault := time.Now()
+		Expect(t.ListTarget(ctx, g, "leaving")).To(Succeed())
 		faultCtx, end := context.WithCancel(ctx)
 		defer end()
 		var faults sync.WaitGroup
@@ -105,8 +107,6 @@
 				}
 			}
 		})
-		fault := time.Now()
-		Expect(t.ListTarget(ctx, g, "leaving")).To(Succeed())
 		for version := uint64(1); version < 4; version++ {
 			t.awaitConfig(ctx, version, t.Daemons)
 			done, err := t.put(ctx, t.Daemons[version], version, "ann", t.weighted(int(version)+1))
