Shorten the unknown window after a takeover

Cause: a new dispatcher's request memory began at the takeover, so every id minted between the loss and 200 ms after the takeover was unknown; a hop to a frozen or cut-off peer waited until the request's deadline; retries towards a dead dispatcher spent the groups' retry budgets. Change: a target tells when it last admitted an order or gained a slot, and the memory counts from then if the target owned all its keys since its last grant (Table.Steady); hops end when the peer is found down; retries that reached no dispatcher are free. Ruled out: trusting the caller's word that an id is new, since a proxy may resend a request unchanged.

--- a/internal/fulmarcontrol/keeper.go
+++ b/internal/fulmarcontrol/keeper.go
@@ -482,7 +482,7 @@
 		return "takeover refused"
 	}
 	k.term, k.stamp, k.stampAt = term, state2.Stamp, received
-	k.open(ctx, t, state, g, owned, handed)
+	k.open(ctx, t, takeover{before: state, after: state2, at: received, grant: g, owned: owned, handed: handed})
 	return ""
 }
 
@@ -519,9 +519,34 @@
 	return now.Sub(k.lapsedSince) < holderPatience
 }
 
+// takeover is a grant that the target accepted from its new dispatcher.
+type takeover struct {
+	before, after fulmargrant.State // of the target
+	at            time.Time         // when after was received
+	grant         fulmargrant.Grant
+	owned         []int
+	handed        *fulmarwire.Handover // nil unless the former dispatcher offered the target
+}
+
+// complete returns a time after which no order of an earlier dispatcher started
+// for the keys that the target owns now. The target tells when it last admitted
+// one; that counts only if all these keys were its own since the last grant,
+// because an order for a key may also have run at a former owner.
+func (c *Controller) complete(t takeover, target string) (time.Time, bool) {
+	if t.after.Last == 0 || t.before.Term == 0 || !c.Table().Steady(target, t.before.Epoch) {
+		return time.Time{}, false
+	}
+	age := t.after.Stamp - t.after.Last
+	return t.at.Add(-age + time.Duration(float64(age)*clockDrift)), true
+}
+
 // open starts the dispatcher of a target that was taken over.
-func (k *keeper) open(ctx context.Context, t fulmarslot.Target, before fulmargrant.State, g fulmargrant.Grant, owned []int, handed *fulmarwire.Handover) {
+func (k *keeper) open(ctx context.Context, t fulmarslot.Target, take takeover) {
 	d := k.c.NewDispatcher(t)
+	before, g, owned, handed := take.before, take.grant, take.owned, take.handed
+	if at, ok := k.c.complete(take, k.id); ok {
+		d.SetComplete(at)
+	}
 	if handed != nil {
 		// Memory of slots that are not owned now would be stale when they return.
 		for _, slot := range owned {
@@ -585,7 +610,7 @@
 		k.stepDown(fulmaroutcome.Stale)
 	case held && k.dispatcher == nil:
 		k.setLost(false, nil)
-		k.open(ctx, t, state, fulmargrant.Grant{Epoch: epoch, Slots: owned}, owned, nil)
+		k.open(ctx, t, takeover{before: state, grant: fulmargrant.Grant{Epoch: epoch, Slots: owned}, owned: owned})
 	case held && k.lost:
 		k.stepDown(fulmaroutcome.NotHolder)
 	case held:
--- a/internal/fulmarcontrol/mesh.go
+++ b/internal/fulmarcontrol/mesh.go
@@ -29,6 +29,7 @@
 	bulk   *fulmarpeer.Client
 	kick   chan struct{}
 	cancel context.CancelFunc
+	down   chan struct{} // closed while the peer is down
 	status fulmarwire.Status
 	heard  time.Time // when status was received
 }
@@ -66,12 +67,13 @@
 		Peer: fulmarmember.Peer{
 			ID: m.ID, Incarnation: m.Incarnation, Control: m.Control, Data: m.Data, DataCentre: m.DataCentre,
 		},
-		beat: beat, bulk: bulk, kick: make(chan struct{}, 1),
+		beat: beat, bulk: bulk, kick: make(chan struct{}, 1), down: make(chan struct{}),
 	}
 	var peerCtx context.Context
 	peerCtx, p.cancel = context.WithCancel(ctx)
 	c.peers[m.ID] = p
 	c.view.Learn(p.Peer)
+	c.followDown(time.Now())
 	c.group.Go(func() { c.runPeer(peerCtx, p) })
 }
 
@@ -141,6 +143,7 @@
 	losses := len(s.Losses) != len(p.status.Losses) || len(s.Releases) != len(p.status.Releases)
 	newer := s.Epoch > p.status.Epoch
 	p.status, p.heard = *s, now
+	p.follow(c.view.State(now, s.ID))
 	if !sent.IsZero() && s.Epoch <= c.table.Epoch() && c.rosterIncarnation(s.ID) == s.Incarnation {
 		c.lease.Confirm(s.ID, sent)
 		c.held(now)
@@ -294,11 +297,36 @@
 			c.Log.Info("live peers changed", "live", n, "before", live)
 			live = n
 			c.notify()
+			for _, k := range c.keepers {
+				k.wake()
+			}
 		}
+		c.followDown(now)
 		c.mu.Unlock()
 	}
 }
 
+// followDown closes the channels of peers that are down and opens new ones for
+// those that are back; mu must be held.
+func (c *Controller) followDown(now time.Time) {
+	for id, p := range c.peers {
+		p.follow(c.view.State(now, id))
+	}
+}
+
+func (p *peer) follow(state fulmarmember.State) {
+	select {
+	case <-p.down:
+		if state != fulmarmember.Down {
+			p.down = make(chan struct{})
+		}
+	default:
+		if state == fulmarmember.Down {
+			close(p.down)
+		}
+	}
+}
+
 // runDiscovery looks for peers in the catalog and the seeds while this daemon
 // has no table or no live peer.
 func (c *Controller) runDiscovery(ctx context.Context) {
--- a/internal/fulmarcontrol/router.go
+++ b/internal/fulmarcontrol/router.go
@@ -141,6 +141,16 @@
 	}
 }
 
+// Down returns a channel that is closed when the member is found down.
+func (c *Controller) Down(member string) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.peers[member]; ok {
+		return p.down
+	}
+	return nil
+}
+
 // Learn notes the dispatcher that a not-holder answer named.
 func (c *Controller) Learn(target, member string) {
 	c.mu.Lock()
--- a/internal/fulmardispatch/dispatcher.go
+++ b/internal/fulmardispatch/dispatcher.go
@@ -74,6 +74,7 @@
 	epoch     uint64
 	flight    int
 	opened    bool
+	complete  time.Time // no order of another dispatcher started later; zero if not known
 	suspended bool
 	stopped   bool
 	closed    bool
@@ -117,9 +118,18 @@
 	d.term, d.opened, d.suspended, d.stopped = term, true, false, false
 	d.queue.SetSlots(free)
 	d.apply(table, slots)
+	d.complete = time.Time{}
 	d.signal()
 }
 
+// SetComplete states that no order of another dispatcher started after at.
+// Memory that the next Open starts anew counts from then, instead of from Open.
+func (d *Dispatcher) SetComplete(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.complete = at
+}
+
 // Running returns the number of orders in flight.
 func (d *Dispatcher) Running() int {
 	d.mu.Lock()
@@ -341,6 +351,9 @@
 			return
 		}
 	}
+	if !d.complete.IsZero() && d.complete.Before(now) {
+		now = d.complete
+	}
 	d.memory.Open(now, n)
 }
 
--- a/internal/fulmardispatch/dispatcher_test.go
+++ b/internal/fulmardispatch/dispatcher_test.go
@@ -194,6 +194,28 @@
 		r.offset.Store(int64(-10 * time.Second))
 		expectRefused(r.do(background, call{id: ahead}), notRun, fulmaroutcome.IDAhead)
 	})
+
+	// Guards against refusing ids after a takeover that no earlier dispatcher
+	// can have run, and against running those that one may have run.
+	It("counts a new memory from the last order of other dispatchers", func() {
+		r := newRig(false, 3)
+		d, _ := r.dispatcher()
+		defer d.Close(fulmaroutcome.NotHolder)
+		d.SetComplete(time.Now().Add(-time.Second))
+		old, fresh := uuid.Must(uuid.NewV7()), newID()
+		at := time.Now().Add(-900 * time.Millisecond).UnixMilli() // within two skew bounds of the last order
+		for i := range 6 {
+			old[i] = byte(at >> (8 * (5 - i)))
+		}
+		d.Open(9, 3, []int{0, 1, 2, 3})
+		front := httptest.NewServer(d)
+		defer front.Close()
+		first := r.front
+		defer func() { r.front = first }()
+		r.front = front
+		expectRefused(r.do(background, call{id: old.String()}), unknown, fulmaroutcome.BeforeHorizon)
+		expectServed(r.do(background, call{id: fresh}), "done")
+	})
 })
 
 var _ = Describe("refusals", func() {
--- a/internal/fulmarentry/entry.go
+++ b/internal/fulmarentry/entry.go
@@ -26,6 +26,8 @@
 	Holder(target string) (fulmarslot.Member, bool)
 	// Learn takes over the holder named by a not-holder answer.
 	Learn(target, member string)
+	// Down returns a channel that is closed when the member is found down, nil if it is not known.
+	Down(member string) <-chan struct{}
 }
 
 // Metrics counts the outcomes of requests; *fulmarmetric.Metrics implements it.
--- a/internal/fulmarentry/entry_test.go
+++ b/internal/fulmarentry/entry_test.go
@@ -181,6 +181,20 @@
 		expectServed(do(a.request("desk", strings.NewReader("body"), first)))
 	})
 
+	// Guards against waiting until the deadline for a peer that was frozen or cut off.
+	It("gives up a hop when the peer is found down", func() {
+		down := make(chan struct{})
+		a, _ := pair(answers(func(_ http.ResponseWriter, r *http.Request) {
+			// The server notices a disconnect only after the body was read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			close(down)
+			<-r.Context().Done()
+		}, serve))
+		a.down = down
+		expectServed(do(a.request("desk", strings.NewReader("body"))))
+		Expect(a.retries(fulmaroutcome.DispatcherLost)).To(Equal(1))
+	})
+
 	// Guards against trusting the refusal of a dispatcher that was paused past the deadline.
 	It("reports a not-run answer after the deadline as unknown", func() {
 		n := alone(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/fulmarentry/harness_test.go
+++ b/internal/fulmarentry/harness_test.go
@@ -75,6 +75,7 @@
 	retried    map[fulmaroutcome.Reason]int
 	refused    map[fulmaroutcome.Reason]int
 	served     int
+	down       chan struct{}
 }
 
 func (r *router) Table() fulmarslot.Table     { return r.table }
@@ -90,6 +91,12 @@
 	return r.holder, r.holder.ID != ""
 }
 
+func (r *router) Down(string) <-chan struct{} {
+	down := r.down
+	r.down = nil // the peer is back for the next attempt
+	return down
+}
+
 func (r *router) Learn(_, member string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/fulmarentry/route.go
+++ b/internal/fulmarentry/route.go
@@ -25,6 +25,7 @@
 	holder  string // named by a not-holder answer
 	asked   bool   // a dispatcher answered
 	aborted bool   // the answer broke off after a part was passed on
+	routing bool   // the dispatcher was not reached, so that a retry costs no target anything
 }
 
 // place is where a request goes.
@@ -103,7 +104,7 @@
 	case fulmaroutcome.NotHolder, fulmaroutcome.NoDispatcher, fulmaroutcome.Stale:
 		return fulmaroutcome.NotHolder, false, true
 	case fulmaroutcome.Dial, fulmaroutcome.Shed, fulmaroutcome.Fenced:
-		return res.reason, true, true
+		return res.reason, !res.routing, true
 	case fulmaroutcome.DispatcherLost:
 		return res.reason, true, true // the request memory protects at-most-once requests
 	case fulmaroutcome.TargetLost, fulmaroutcome.BodyBroken:
@@ -210,12 +211,12 @@
 		out.Header.Set("Expect", "100-continue")
 	}
 	sign(out, e.deps.Key, e.deps.Now())
-	resp, err := e.transport.RoundTrip(out)
+	resp, err := e.roundTrip(out, m.ID)
 	switch {
 	case errors.Is(err, fulmartransport.ErrUnsent) && ctx.Err() != nil:
 		return result{outcome: fulmaroutcome.NotRun, reason: fulmaroutcome.Deadline}
 	case errors.Is(err, fulmartransport.ErrUnsent):
-		return result{outcome: fulmaroutcome.NotRun, reason: fulmaroutcome.Dial}
+		return result{outcome: fulmaroutcome.NotRun, reason: fulmaroutcome.Dial, routing: true}
 	case err != nil && ctx.Err() != nil:
 		return result{outcome: fulmaroutcome.Unknown, reason: fulmaroutcome.Late}
 	case err != nil:
@@ -225,6 +226,48 @@
 	return pass(ctx, w, resp)
 }
 
+// errDown is the cause of giving up a hop to a peer that was found down.
+var errDown = errors.New("fulmarentry: peer is down")
+
+// roundTrip sends a request to a peer and waits for the head of the answer
+// until the peer is found down. An answer that has begun is not given up,
+// because a peer may miss heartbeats while it still sends.
+func (e *Entry) roundTrip(r *http.Request, member string) (*http.Response, error) {
+	down := e.deps.Router.Down(member)
+	if down == nil {
+		return e.transport.RoundTrip(r)
+	}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	headed := make(chan struct{})
+	go func() {
+		select {
+		case <-down:
+			cancel(errDown)
+		case <-headed:
+		}
+	}()
+	resp, err := e.transport.RoundTrip(r.WithContext(ctx))
+	close(headed)
+	if err != nil {
+		cancel(nil)
+		return nil, err
+	}
+	resp.Body = &answerBody{ReadCloser: resp.Body, cancel: cancel}
+	return resp, nil
+}
+
+// answerBody releases the context of its request when it is closed.
+type answerBody struct {
+	io.ReadCloser
+	cancel context.CancelCauseFunc
+}
+
+// Close closes the body.
+func (b *answerBody) Close() error {
+	defer b.cancel(nil)
+	return b.ReadCloser.Close()
+}
+
 // pass passes on a served answer, or returns what the peer's dispatcher says.
 func pass(ctx context.Context, w http.ResponseWriter, resp *http.Response) result {
 	res := result{
--- a/pkg/fulmargrant/register.go
+++ b/pkg/fulmargrant/register.go
@@ -29,6 +29,7 @@
 	Slots   int           `json:"slots"` // concurrent requests that the target can run
 	Running int           `json:"running"`
 	Leaving bool          `json:"leaving"`
+	Last    time.Duration `json:"last"` // when an order was last admitted or a slot was last added, on the target's clock; zero if the target does not say
 }
 
 // Reasons of a RefusedError.
@@ -54,6 +55,7 @@
 	held  Grant // the zero Grant before the first one
 	stamp time.Duration
 	lapse time.Duration
+	last  time.Duration // when an order was last admitted or a slot was last added
 }
 
 // New returns a register that accepts no life longer than bound.
@@ -76,11 +78,24 @@
 		r.stamp = g.Stamp
 	}
 	g.Slots = slices.Clone(g.Slots)
+	if !covers(r.held.Slots, g.Slots) {
+		r.last = now
+	}
 	r.held = g
 	r.lapse = g.Stamp + g.TTL
 	return nil
 }
 
+// covers reports whether an ascending list has all elements of another one.
+func covers(all, some []int) bool {
+	for _, slot := range some {
+		if _, ok := slices.BinarySearch(all, slot); !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // refusal returns why g cannot be taken over at now, or the empty string.
 func (r *Register) refusal(now time.Duration, g Grant) string {
 	switch {
@@ -114,22 +129,22 @@
 	if g.Stamp != r.stamp {
 		return g.Stamp < r.stamp
 	}
-	for _, slot := range g.Slots {
-		if _, ok := slices.BinarySearch(r.held.Slots, slot); !ok {
-			return true
-		}
-	}
-	return false
+	return !covers(r.held.Slots, g.Slots)
 }
 
-// Check returns nil if an order with the term for the slot may run at now.
+// Check returns nil if an order with the term for the slot may run at now, and
+// notes that it does.
 func (r *Register) Check(now time.Duration, term uint64, slot int) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if term == 0 || term != r.held.Term {
 		return &RefusedError{Reason: ReasonTerm}
 	}
-	return r.checkSlot(now, slot)
+	if err := r.checkSlot(now, slot); err != nil {
+		return err
+	}
+	r.last = now
+	return nil
 }
 
 // CheckCommit returns nil if an order that passed Check may take effect at
@@ -161,6 +176,7 @@
 		Epoch:  r.held.Epoch,
 		Stamp:  now,
 		Lapse:  max(0, r.lapse-now),
+		Last:   r.last,
 	}
 }
 
--- a/pkg/fulmargrant/register_test.go
+++ b/pkg/fulmargrant/register_test.go
@@ -67,6 +67,25 @@
 	})
 })
 
+var _ = Describe("Last", func() {
+	// Guards against a successor that takes ids for new which ran before the
+	// target was taken over, or before a slot came to it.
+	It("tells when an order was admitted or a slot was added", func() {
+		r := fulmargrant.New(time.Minute)
+		Expect(r.State(1).Last).To(BeZero())
+		Expect(r.Apply(10, grant("a", 5, 7, 10, 1, 3))).To(Succeed())
+		Expect(r.State(10).Last).To(BeEquivalentTo(10), "slots were added")
+		Expect(r.Apply(20, grant("b", 6, 7, 20, 3))).To(Succeed())
+		Expect(r.State(20).Last).To(BeEquivalentTo(10), "a takeover adds nothing")
+		Expect(r.Check(30, 6, 1)).NotTo(Succeed())
+		Expect(r.State(30).Last).To(BeEquivalentTo(10), "a refused order runs nothing")
+		Expect(r.Check(40, 6, 3)).To(Succeed())
+		Expect(r.State(40).Last).To(BeEquivalentTo(40))
+		Expect(r.Apply(50, grant("b", 6, 8, 50, 1, 3))).To(Succeed())
+		Expect(r.State(50).Last).To(BeEquivalentTo(50), "a slot returned")
+	})
+})
+
 // Guards against two holders whose orders both pass for one slot of a target.
 func TestOneHolderAtATime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/fulmarslot/table.go
+++ b/pkg/fulmarslot/table.go
@@ -276,6 +276,27 @@
 	}
 }
 
+// Steady reports whether target has owned all keys that it owns now since the
+// epoch, as far as the table remembers: no slot started to move to it later, and
+// no hot key returned to a plain slot of its service later.
+func (t Table) Steady(target string, epoch uint64) bool {
+	s, owner := t.home(target)
+	if s == nil || epoch > t.epoch || t.epoch-epoch >= reuse {
+		return false
+	}
+	for _, h := range s.hots {
+		if !h.used && h.freed > epoch {
+			return false
+		}
+	}
+	for slot, since := range s.since {
+		if since > epoch && s.at(slot).owner == owner {
+			return false
+		}
+	}
+	return true
+}
+
 // HotKeys returns the slots and hashes of the hot keys of service in order of slot.
 func (t Table) HotKeys(service string) iter.Seq2[int, uint64] {
 	s := t.space(service)
--- a/pkg/fulmarslot/table_test.go
+++ b/pkg/fulmarslot/table_test.go
@@ -88,6 +88,27 @@
 		Expect(t.Assignment("rota", 0).Since).To(BeZero(), "starts of old moves are kept for ever")
 	})
 
+	// Guards against a new dispatcher that trusts a target's word on its orders
+	// for keys which another target served in the meantime.
+	It("tells whether a target owned its keys all along", func() {
+		t := filled(4, 2)
+		before := t.Epoch()
+		Expect(t.Steady("t00000", before)).To(BeTrue())
+		Expect(t.Steady("t00000", before+1)).To(BeFalse(), "an epoch of the future")
+		Expect(t.Steady("none", before)).To(BeFalse())
+		moving := expectWith(t, fulmarslot.Move("rota", 0, "t00001", false))
+		back := expectWith(expectWith(expectWith(moving, fulmarslot.Commit("rota", 0)), fulmarslot.Move("rota", 0, "t00000", false)), fulmarslot.Commit("rota", 0))
+		Expect(back.Steady("t00000", before)).To(BeFalse(), "a slot was away")
+		Expect(back.Steady("t00001", before)).To(BeTrue(), "it only lost a slot")
+		Expect(back.Steady("t00000", back.Epoch())).To(BeTrue())
+		hot := expectWith(expectWith(t, fulmarslot.PutHot("rota", 0)), fulmarslot.RemoveHot("rota", 0))
+		Expect(hot.Steady("t00000", before)).To(BeFalse(), "a hot key returned")
+		for range 64 {
+			t = expectWith(t)
+		}
+		Expect(t.Steady("t00000", before)).To(BeFalse(), "an epoch beyond what the table remembers")
+	})
+
 	// Guards against a hot key that gets another owner than its plain slot without a move.
 	It("gives hot keys slots of their own", func() {
 		hash := fulmarslot.Hash("rota", "k")
