Damp balance and test the planner's duties

A false report that alternates between targets moved every slot of a 64-slot service 6 times in 10 minutes. A slot's load is now the lower one of a fast and a slow average, and each move multiplies the wait until the slot's next one by 4: at most 4 moves for each slot in the same run, none back to the target it came from. Repeated reports of a loss mark nothing new once its slots move. Targets that own nothing and are no longer reported are removed. Commits and cancels come in the order of slots, so that steps are repeatable.

--- a/pkg/fulmarplan/balance.go
+++ b/pkg/fulmarplan/balance.go
@@ -11,7 +11,7 @@
 const (
 	hotShare  = 8  // a key is hot if it has more than 1/8 of the mean load of a target
 	coldShare = 32 // a hot key is cold again below 1/32 of it
-	maxDouble = 6  // how often the time between moves of one slot is doubled
+	maxHold   = 4  // how often the time between moves of one slot is multiplied by 4
 )
 
 // hold keeps a slot from moving for balance again.
@@ -28,20 +28,20 @@
 	return ok && (s.now.Before(h.until) || s.now.Before(h.expires) && h.from == to)
 }
 
-// shift moves a slot for balance. Each move doubles the time until the slot's next one, so that alternating reports
-// do not move a key back and forth.
+// shift moves a slot for balance. Each move multiplies the time until the slot's next one by 4, so that alternating
+// reports do not move a key back and forth.
 func (s *step) shift(at place, from, to, reason string) bool {
 	if s.holds(at, to) || !s.cooperate(at, from, to, reason) {
 		return false
 	}
 	h := s.held[at]
 	if s.now.Before(h.expires) {
-		h.count = min(h.count+1, maxDouble)
+		h.count = min(h.count+1, maxHold)
 	} else {
 		h.count = 0
 	}
-	h.until = s.now.Add(s.policy.Settle << h.count)
-	h.expires = s.now.Add(2 * samples * s.policy.Settle << h.count)
+	h.until = s.now.Add(s.policy.Settle << (2 * h.count))
+	h.expires = s.now.Add(2 * samples * s.policy.Settle << (2 * h.count))
 	h.from = from
 	s.held[at] = h
 	return true
@@ -121,10 +121,13 @@
 		}
 	}
 	for _, hash := range l.heaviest() {
-		if count >= s.policy.HotKeys || l.keyRate[hash]*hotShare <= l.mean {
+		if count >= s.policy.HotKeys {
 			break
 		}
 		at := place{service, int(hash % uint64(s.table.Plain(service)))}
+		if min(l.keyRate[hash], l.rate[at.slot])*hotShare <= l.mean {
+			continue
+		}
 		a := s.table.Assignment(service, at.slot)
 		if a.Next != "" || l.target[a.Owner] <= s.policy.Imbalance*l.mean || !s.touch(at) {
 			continue
--- a/pkg/fulmarplan/doc.go
+++ b/pkg/fulmarplan/doc.go
@@ -8,7 +8,8 @@
 // than one ahead of the last one has the same effect. Waits then restart, which is
 // slower and never unsafe.
 //
-// The caller passes every new table to Step, keeps Input.Losses and Input.Releases
+// The caller steps when a table, an acknowledgement or other news arrives: waits count from the step that saw the
+// acknowledgement. It passes every new table to Step, keeps Input.Losses and Input.Releases
 // until they have taken effect in the table, and passes each load once. An
 // acknowledgement counts only for the incarnation that the roster lists. All times
 // are readings of the clock that is passed as now. Steps return no errors: input
--- /dev/null
+++ b/pkg/fulmarplan/duty_test.go
@@ -0,0 +1,302 @@
+package fulmarplan_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarplan"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// settled returns a bench whose roster and slots are at rest.
+func settled(members, targets, slots int) *bench {
+	b := newBench(members, targets, slots)
+	b.run(3 * time.Second)
+	return b
+}
+
+func (b *bench) expectStep(reasons ...string) {
+	GinkgoHelper()
+	b.step()
+	Expect(b.reasons).To(ConsistOf(reasons))
+}
+
+// churn runs for d and returns how many slots began to move.
+func (b *bench) churn(d time.Duration) int {
+	moves := 0
+	for end := b.now.Add(d); b.now.Before(end); b.now = b.now.Add(50 * time.Millisecond) {
+		b.release()
+		before := b.in.Table
+		b.step()
+		for slot := range b.in.Table.Moving("rota") {
+			if slot >= before.Slots("rota") || before.Assignment("rota", slot).Next == "" {
+				moves++
+			}
+		}
+	}
+	return moves
+}
+
+var _ = Describe("Planner's roster", func() {
+	// Guards against majorities of consecutive rosters that do not intersect.
+	It("changes one member at a time, after a majority of both rosters acknowledged", func() {
+		b := settled(2, 1, 1)
+		b.in.Members = append(b.in.Members, fulmarslot.Member{ID: "m90", Incarnation: 1}, fulmarslot.Member{ID: "m91", Incarnation: 1})
+		b.silent["m00"] = true
+		b.expectStep("roster-add")
+		b.expectStep()
+		b.silent["m00"] = false
+		b.ack()
+		b.expectStep("roster-add")
+		b.expectStep()
+		Expect(b.in.Table.Roster()).To(HaveLen(4))
+	})
+
+	// Guards against an old process that counts as its successor, and against two processes of one id that both count.
+	It("replaces incarnations with the same address only", func() {
+		b := settled(3, 1, 1)
+		b.in.Members[1].Incarnation = 2
+		b.expectStep("roster-replace")
+		b.in.Members[1].Incarnation, b.in.Members[1].Control = 3, "elsewhere"
+		b.expectStep("roster-moved")
+		b.expectStep("roster-add")
+		Expect(b.in.Table.Roster()[1].Incarnation).To(BeEquivalentTo(3))
+	})
+
+	// Guards against a minority that takes over, and against an operator's word that has no effect.
+	It("removes members that are down, but half of the roster only once confirmed", func() {
+		b := settled(5, 2, 4)
+		lost := b.in.Members[3:]
+		b.in.Members = b.in.Members[:3]
+		b.run(policy.Down - time.Second)
+		Expect(b.in.Table.Roster()).To(HaveLen(5))
+		b.run(2 * time.Second)
+		Expect(b.in.Table.Roster()).To(HaveLen(3))
+		b.in.Members = append(b.in.Members, lost[0])
+		b.run(time.Second)
+		b.in.Members = b.in.Members[:2]
+		b.in.Losses = []fulmarplan.Loss{{Target: "t0000"}}
+		b.run(time.Minute)
+		Expect(b.in.Table.MovingFrom(nil, "t0000")).To(HaveLen(2))
+		b.in.Confirm = []string{"m02", "m03"}
+		b.run(5 * time.Second)
+		Expect(b.in.Table.Roster()).To(HaveLen(2))
+		b.expectShares(0, 4)
+	})
+})
+
+var _ = Describe("Planner's moves", func() {
+	// Guards against a release of an earlier move of the slot that ends a later one.
+	It("takes a release only from the epoch of the move, and restarts waits after a takeover", func() {
+		b := settled(3, 2, 4)
+		b.in.Drain = []string{"t0000"}
+		b.expectStep("drain")
+		slot := b.in.Table.MovingFrom(nil, "t0000")[0]
+		old := fulmarplan.Release{Target: "t0000", Service: "rota", Slots: []int{slot}, Epoch: b.in.Table.Epoch()}
+		b.in.Table, _ = b.in.Table.With(fulmarslot.Cancel("rota", slot))
+		b.in.Table, _ = b.in.Table.With(fulmarslot.Move("rota", slot, "t0001", false))
+		b.in.Releases = []fulmarplan.Release{old}
+		b.expectStep()
+		b.in.Releases[0].Epoch = b.in.Table.Epoch()
+		b.expectStep("commit-release")
+	})
+
+	// Guards against requests that are refused for long because work in flight does not end.
+	It("cancels a stuck move and waits longer each time", func() {
+		b := settled(3, 2, 4)
+		b.in.Drain = []string{"t0000"}
+		moving := 0
+		for range 600 {
+			b.step()
+			if _, away, _ := b.in.Table.Count("t0000"); away > 0 {
+				moving++
+			}
+			b.now = b.now.Add(100 * time.Millisecond)
+		}
+		Expect(moving).To(BeNumerically("~", 120, 30), "of 600 steps")
+	})
+
+	// Guards against a drain that stops the service of too many slots at once.
+	It("bounds the moves of a drain", func() {
+		b := settled(3, 3, 300)
+		b.in.Targets[0].Leaving = true
+		b.step()
+		Expect(b.in.Table.MovingFrom(nil, "t0000")).To(HaveLen(policy.Moving))
+		b.run(3 * time.Second)
+		b.expectShares(0, 150, 150)
+	})
+
+	// Guards against churn of ownership above 1.1 times the minimum.
+	It("moves little more than it must after a join, a loss and a return", func() {
+		b := settled(3, 4, 1000)
+		b.in.Targets = append(b.in.Targets, fulmarslot.Target{ID: "t0004", Service: "rota", Fenced: true})
+		Expect(b.churn(20 * time.Second)).To(BeNumerically("<=", 220))
+		b.expectShares(200, 200, 200, 200, 200)
+		b.in.Losses = []fulmarplan.Loss{{Target: "t0002"}}
+		Expect(b.churn(20 * time.Second)).To(BeNumerically("<=", 220))
+		b.expectShares(250, 250, 0, 250, 250)
+		b.in.Losses = nil
+		Expect(b.churn(20 * time.Second)).To(BeNumerically("<=", 220))
+		b.expectShares(200, 200, 200, 200, 200)
+		b.in.Targets = slices.Delete(b.in.Targets, 2, 3)
+		b.in.Drain = []string{"t0002"}
+		b.run(20 * time.Second)
+		b.expectShares(250, 250, 250, 250)
+	})
+
+	// Guards against a target without fence that runs orders for a slot that has gone to another one.
+	It("moves slots of a target that checks no fence by release, or late once its dispatcher is lost", func() {
+		b := newBench(3, 2, 4)
+		b.in.Targets[0].Fenced = false
+		b.run(3 * time.Second)
+		x, _ := b.in.Table.Target("t0000")
+		b.in.Losses = []fulmarplan.Loss{{Target: "t0000"}}
+		b.step()
+		b.now = b.now.Add(time.Minute)
+		b.expectStep()
+		b.in.Members = slices.DeleteFunc(b.in.Members, func(m fulmarslot.Member) bool { return m.ID == x.Dispatcher })
+		b.expectStep("target-dispatcher")
+		b.expectStep()
+		b.now = b.now.Add(2400 * time.Millisecond)
+		b.expectStep()
+		b.now = b.now.Add(3 * time.Millisecond)
+		b.expectStep("target-dispatcher", "commit-forced")
+		y, _ := b.in.Table.Target("t0000")
+		Expect(y.Dispatcher).NotTo(Or(BeEmpty(), Equal(x.Dispatcher)))
+	})
+})
+
+var _ = Describe("Planner's quarantine", func() {
+	// Guards against a request that costs a third target, and against innocent work that a repeated report condemns.
+	It("marks suspects with the moves and condemns those of a second loss", func() {
+		b := settled(3, 3, 6)
+		b.in.Losses = []fulmarplan.Loss{{Target: "t0000", Suspects: []uint64{1, 2}}}
+		b.expectStep("move-forced", "quarantine-put")
+		b.run(2 * time.Second)
+		b.planner = fulmarplan.New(policy, 2)
+		b.run(2 * time.Second)
+		Expect(b.in.Table.Quarantined()).To(HaveEach(HaveField("Condemned", false)))
+		b.in.Losses = append(b.in.Losses, fulmarplan.Loss{Target: "t0001", Suspects: []uint64{1}})
+		b.run(2 * time.Second)
+		Expect(b.in.Table.Quarantined()[0].Condemned).To(BeTrue())
+		Expect(b.in.Table.Quarantined()[1].Condemned).To(BeFalse())
+		b.in.Lift = []uint64{1}
+		b.expectStep("quarantine-lift")
+		b.now = b.now.Add(policy.Quarantine)
+		b.expectStep("quarantine-lift")
+		b.expectStep()
+	})
+})
+
+// load reports one second of load, where slot i uses weights[i%len] ms and key, if not zero, uses 900 ms.
+func (b *bench) load(key uint64, weight func(slot int) int) {
+	b.in.Loads = nil
+	for slot := range b.in.Table.Slots("rota") {
+		b.in.Loads = append(b.in.Loads, fulmarplan.Load{Service: "rota", Slot: slot, Used: time.Duration(weight(slot)) * time.Millisecond})
+	}
+	if key != 0 {
+		slot, ok := b.in.Table.Hot("rota", key)
+		if !ok {
+			slot = int(key % uint64(b.in.Table.Plain("rota")))
+		}
+		b.in.Loads[slot].Used += 900 * time.Millisecond
+		b.in.Loads = append(b.in.Loads, fulmarplan.Load{Service: "rota", Slot: slot, Hash: key, Used: 900 * time.Millisecond})
+	}
+}
+
+// seconds runs with the load for n seconds and returns how many slots began to move.
+func (b *bench) seconds(n int, load func(second int)) int {
+	moves := 0
+	for i := range n {
+		load(i)
+		b.step()
+		b.in.Loads = nil
+		moves += b.churn(time.Second)
+	}
+	return moves
+}
+
+var _ = Describe("Planner's balance", func() {
+	// Guards against imbalance above 1.25 with a hot key, and against slots of keys that are hot no more.
+	It("gives a hot key a slot of its own and takes it back", func() {
+		b := settled(3, 4, 64)
+		b.seconds(180, func(int) { b.load(1001, func(int) int { return 50 }) })
+		Expect(b.in.Table.Slots("rota")).To(Equal(65))
+		used := map[string]int{}
+		for slot := range 65 {
+			used[b.in.Table.Assignment("rota", slot).Owner] += 50
+		}
+		used[b.in.Table.Assignment("rota", 64).Owner] += 900
+		for id, ms := range used {
+			Expect(ms).To(BeNumerically("<=", 1.25*(65*50+900)/4), id)
+		}
+		b.seconds(120, func(int) { b.load(0, func(slot int) int { return 50 * (1 - slot/64) }) })
+		_, hot := b.in.Table.Hot("rota", 1001)
+		Expect(hot).To(BeFalse(), fmt.Sprint(used))
+	})
+
+	// Guards against false or alternating reports that move keys back and forth.
+	It("moves few slots under alternating reports and none under noise", func() {
+		b := settled(3, 4, 64)
+		Expect(b.seconds(120, func(i int) { b.load(0, func(slot int) int { return 40 + (slot*7+i*13)%20 }) })).To(BeZero())
+		path := make([][]string, 64) // owners of each slot
+		b.seconds(600, func(i int) {
+			for slot := range path {
+				if o := b.in.Table.Assignment("rota", slot).Owner; len(path[slot]) == 0 || o != path[slot][len(path[slot])-1] {
+					path[slot] = append(path[slot], o)
+				}
+			}
+			loud := fmt.Sprintf("t%04d", i/10%4)
+			b.load(0, func(slot int) int {
+				if slot < 64 && b.in.Table.Assignment("rota", slot).Owner == loud {
+					return 500
+				}
+				return 50
+			})
+		})
+		for _, owners := range path {
+			Expect(len(owners)).To(BeNumerically("<=", 5), "owners of a slot in 10 min")
+			for i := 2; i < len(owners); i++ {
+				Expect(owners[i]).NotTo(Equal(owners[i-2]), "a slot returned at once")
+			}
+		}
+	})
+})
+
+func ExamplePlanner_Step() {
+	p := fulmarplan.New(policy, 1)
+	out := p.Step(time.Unix(0, 0), fulmarplan.Input{
+		Table:    fulmarslot.New(map[string]int{"rota-board": 4}),
+		Members:  []fulmarslot.Member{{ID: "entry-1", Incarnation: 1}},
+		Targets:  []fulmarslot.Target{{ID: "rota-1", Service: "rota-board", Fenced: true}},
+		Services: map[string]int{"rota-board": 4},
+	})
+	fmt.Println(out.Reasons)
+	// Output: [target-add roster-found assign]
+}
+
+func BenchmarkStep(b *testing.B) {
+	for _, slots := range []int{1 << 10, 1 << 16, 1 << 20} {
+		for _, members := range []int{3, 27, 81} {
+			x := newBench(members, 20, slots)
+			x.run(3 * time.Second)
+			b.Run(fmt.Sprintf("slots=%d/members=%d", slots, members), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					x.planner.Step(x.now, x.in)
+				}
+			})
+			x.in.Losses = []fulmarplan.Loss{{Target: "t0001"}}
+			b.Run(fmt.Sprintf("loss/slots=%d/members=%d", slots, members), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					x.planner.Step(x.now, x.in)
+				}
+			})
+		}
+	}
+}
--- a/pkg/fulmarplan/fill.go
+++ b/pkg/fulmarplan/fill.go
@@ -6,7 +6,7 @@
 
 // leaves reports whether a target is to own nothing, and is not lost.
 func (s *step) leaves(id string) bool {
-	return s.lost[id] == nil && (s.targets[id].Leaving || slices.Contains(s.in.Drain, id))
+	return s.lost[id] == nil && (s.targets[id].Leaving || s.drained[id])
 }
 
 // fill moves slots to targets that have joined, at most the number that makes their share even.
--- a/pkg/fulmarplan/load.go
+++ b/pkg/fulmarplan/load.go
@@ -10,18 +10,22 @@
 )
 
 const (
-	samples   = 8    // load samples in Policy.Settle
-	smoothing = 0.3  // weight of the newest sample
-	steady    = 2    // samples in a row that must show an imbalance before slots move
-	coldAge   = 16   // samples in a row after which a hot key that is no longer hot loses its slot
-	maxKeys   = 1024 // candidates for hot keys of one service
+	samples = 8    // load samples in Policy.Settle
+	fast    = 0.3  // weight of the newest sample in the fast average
+	slow    = 0.05 // and in the slow average
+	steady  = 2    // samples in a row that must show an imbalance before slots move
+	coldAge = 16   // samples in a row after which a hot key that is no longer hot loses its slot
+	maxKeys = 1024 // candidates for hot keys of one service
 )
 
 // loads is the smoothed load of a service. Load is kept by slot, so a report that lags behind a move counts
-// for the target that the slot went to.
+// for the target that the slot went to. A slot's load is the lower one of a fast and a slow average, so that neither a
+// short burst of reports nor load that is gone moves slots.
 type loads struct {
 	used     []float64 // seconds used by each slot since the last sample
-	rate     []float64 // smoothed seconds used in a second
+	fast     []float64 // averages of seconds used in a second
+	slow     []float64
+	rate     []float64 // the lower average
 	keyUsed  map[uint64]float64
 	keyRate  map[uint64]float64
 	hot      map[int]uint64 // hot keys whose load has a slot of its own
@@ -56,6 +60,9 @@
 		if l := s.loads[service]; s.now.Sub(l.sampled) >= s.policy.Settle/samples && s.now.After(l.sampled) {
 			l.sample(s.now)
 		}
+		if len(s.in.Loads) > 0 {
+			s.wake(s.loads[service].sampled.Add(s.policy.Settle / samples))
+		}
 	}
 }
 
@@ -63,12 +70,13 @@
 func (l *loads) fit(t fulmarslot.Table, service string) {
 	for n := t.Slots(service); len(l.rate) < n; {
 		l.rate, l.used = append(l.rate, 0), append(l.used, 0)
+		l.fast, l.slow = append(l.fast, 0), append(l.slow, 0)
 	}
 	plain := uint64(t.Plain(service))
 	for slot, hash := range l.hot {
 		if now, ok := t.Hot(service, hash); !ok || now != slot {
-			l.rate[hash%plain] += l.rate[slot]
-			l.rate[slot], l.used[slot] = 0, 0
+			l.pass(slot, int(hash%plain), 1)
+			l.used[slot] = 0
 			delete(l.hot, slot)
 			delete(l.cold, slot)
 		}
@@ -78,13 +86,22 @@
 			continue
 		}
 		l.hot[slot] = hash
-		l.rate[slot] = min(l.keyRate[hash], l.rate[hash%plain])
-		l.rate[hash%plain] -= l.rate[slot]
+		if parent := int(hash % plain); l.rate[parent] > 0 {
+			l.pass(parent, slot, min(1, l.keyRate[hash]/l.rate[parent]))
+		}
 		delete(l.keyRate, hash)
 		delete(l.keyUsed, hash)
 	}
 }
 
+// pass moves a part of the load of one slot to another one.
+func (l *loads) pass(from, to int, part float64) {
+	for _, rates := range [][]float64{l.fast, l.slow, l.rate} {
+		rates[to] += part * rates[from]
+		rates[from] -= part * rates[from]
+	}
+}
+
 func (l *loads) add(t fulmarslot.Table, r Load) {
 	if r.Slot < 0 || r.Slot >= len(l.used) || r.Used <= 0 {
 		return
@@ -104,14 +121,16 @@
 func (l *loads) sample(now time.Time) {
 	elapsed := now.Sub(l.sampled).Seconds()
 	for i, used := range l.used {
-		l.rate[i] += smoothing * (used/elapsed - l.rate[i])
+		l.fast[i] += fast * (used/elapsed - l.fast[i])
+		l.slow[i] += slow * (used/elapsed - l.slow[i])
+		l.rate[i] = min(l.fast[i], l.slow[i])
 		l.used[i] = 0
 	}
 	for hash := range l.keyRate {
 		l.keyUsed[hash] += 0 // a key that was not reported is sampled as unused
 	}
 	for hash, used := range l.keyUsed {
-		l.keyRate[hash] += smoothing * (used/elapsed - l.keyRate[hash])
+		l.keyRate[hash] += slow * (used/elapsed - l.keyRate[hash])
 		if used == 0 && l.keyRate[hash] < 1e-6 {
 			delete(l.keyRate, hash)
 		}
--- a/pkg/fulmarplan/loss.go
+++ b/pkg/fulmarplan/loss.go
@@ -40,29 +40,47 @@
 // others reports whether another target of the service may get slots.
 func (s *step) others(id string) bool {
 	return slices.ContainsFunc(s.in.Targets, func(t fulmarslot.Target) bool {
-		return t.ID != id && t.Service == s.targets[id].Service && !t.Leaving && s.lost[t.ID] == nil && !slices.Contains(s.in.Drain, t.ID)
+		return t.ID != id && t.Service == s.targets[id].Service && !t.Leaving && s.lost[t.ID] == nil && !s.drained[t.ID]
 	})
 }
 
-// suspect decides how a loss marks the work that ran there. A suspect of an earlier loss is condemned. A planner that
-// has only just taken over does not condemn for a target without slots: that loss has been handled before.
+// suspect decides how a loss marks the work that ran there. A suspect of an earlier loss is condemned. A loss that is
+// reported again after its slots began to move marks nothing new, and a planner that has only just taken over does not
+// condemn for a target whose slots have nowhere to go, because the table may hold the marks of this very loss.
 func (s *step) suspect(l Loss) {
 	known := s.lost[l.Target]
 	if known == nil {
 		known = &loss{marks: map[uint64]bool{}}
 		s.lost[l.Target] = known
+		if s.handled(l.Target) {
+			known.done = true
+			return
+		}
 	}
-	owned, _, _ := s.table.Count(l.Target)
 	for _, f := range l.Suspects {
-		if _, ok := known.marks[f]; ok || owned == 0 && !s.sound[l.Target] {
+		if _, ok := known.marks[f]; ok || known.done && s.handled(l.Target) {
 			continue
 		}
-		known.marks[f] = s.marked(l.Target, f)
+		known.marks[f] = s.marked(l.Target, f) && (s.sound[l.Target] || s.others(l.Target))
 		known.done = false
 	}
 	delete(s.sound, l.Target)
 }
 
+// handled reports whether a target owns no slot but those of forced moves.
+func (s *step) handled(id string) bool {
+	owned, away, _ := s.table.Count(id)
+	if owned > 0 {
+		return false
+	}
+	for at, m := range s.moves {
+		if away > 0 && m.Owner == id && !m.Forced && at.service == s.targets[id].Service {
+			return false
+		}
+	}
+	return true
+}
+
 // marked reports whether the fingerprint is under suspicion already, by the table or by another loss.
 func (s *step) marked(target string, fingerprint uint64) bool {
 	for id, l := range s.lost {
--- a/pkg/fulmarplan/move.go
+++ b/pkg/fulmarplan/move.go
@@ -92,18 +92,19 @@
 		epoch uint64
 	}
 	over := map[key]bool{}
-	for at, m := range s.moves {
-		if !m.Forced {
-			continue
-		}
-		k := key{m.Owner, m.epoch}
-		done, ok := over[k]
-		if !ok {
-			done = s.over(m)
-			over[k] = done
-		}
-		if done {
-			s.commit(at, m, "forced")
+	for _, service := range s.table.Services() {
+		for slot, a := range s.table.Moving(service) {
+			at := place{service, slot}
+			m := s.moves[at]
+			k := key{m.Owner, m.epoch}
+			done, ok := over[k]
+			if !ok && a.Forced {
+				done = s.over(m)
+				over[k] = done
+			}
+			if done && a.Forced {
+				s.commit(at, m, "forced")
+			}
 		}
 	}
 }
@@ -137,27 +138,28 @@
 
 // cancels ends cooperative moves that take too long or whose next target is lost.
 func (s *step) cancels() {
-	for at, m := range s.moves {
-		if m.Forced || s.touched[at] {
-			continue
-		}
-		reason := ""
-		switch {
-		case s.lost[m.Next] != nil:
-			reason = "cancel-lost"
-		case s.passed(m.since.Add(s.policy.Stuck)):
-			reason = "cancel-stuck"
-		default:
-			continue
+	for _, service := range s.table.Services() {
+		for slot, a := range s.table.Moving(service) {
+			if at := (place{service, slot}); !a.Forced && !s.touched[at] {
+				s.cancel(at, s.moves[at])
+			}
 		}
-		s.touch(at)
-		s.share[m.Next]--
-		s.share[m.Owner]++
-		if reason == "cancel-stuck" {
-			s.postpone(at)
+	}
+}
+
+func (s *step) cancel(at place, m move) {
+	reason := "cancel-lost"
+	if s.lost[m.Next] == nil {
+		if !s.passed(m.since.Add(s.policy.Stuck)) {
+			return
 		}
-		s.add(reason, fulmarslot.Cancel(at.service, at.slot))
+		reason = "cancel-stuck"
+		s.postpone(at)
 	}
+	s.touch(at)
+	s.share[m.Next]--
+	s.share[m.Owner]++
+	s.add(reason, fulmarslot.Cancel(at.service, at.slot))
 }
 
 // backoff keeps a slot whose move was cancelled where it is.
--- a/pkg/fulmarplan/plan.go
+++ b/pkg/fulmarplan/plan.go
@@ -88,8 +88,9 @@
 	retry   map[place]backoff
 	loads   map[string]*loads
 	held    map[place]hold
-	filling map[string]bool // targets that have joined and get slots
-	began   time.Time       // when the planner took over
+	absent  map[string]time.Time // since when targets without slots are not reported
+	filling map[string]bool      // targets that have joined and get slots
+	began   time.Time            // when the planner took over
 }
 
 // place is one slot of the table.
@@ -103,24 +104,26 @@
 	return &Planner{
 		policy: policy, seed: seed, roster: roster{heard: map[string]time.Time{}}, cleared: map[string]uint64{},
 		lost: map[string]*loss{}, sound: map[string]bool{}, retry: map[place]backoff{}, loads: map[string]*loads{},
-		held: map[place]hold{}, filling: map[string]bool{},
+		held: map[place]hold{}, absent: map[string]time.Time{}, filling: map[string]bool{},
 	}
 }
 
 // step is the state of one call of Step.
 type step struct {
 	*Planner
-	now     time.Time
-	in      *Input
-	table   fulmarslot.Table
-	out     Output
-	live    map[string]fulmarslot.Member
-	confirm map[string]bool
-	targets map[string]fulmarslot.Target // after the changes of this step
-	usable  map[string][]string          // by service: targets that may get slots, in order of id
-	share   map[string]int               // by target: slots that it owns or will own
-	touched map[place]bool               // slots with a change in this step
-	moving  int                          // cooperative moves under way
+	now      time.Time
+	in       *Input
+	table    fulmarslot.Table
+	out      Output
+	live     map[string]fulmarslot.Member
+	confirm  map[string]bool
+	reported map[string]bool // targets of the input
+	drained  map[string]bool
+	targets  map[string]fulmarslot.Target // after the changes of this step
+	usable   map[string][]string          // by service: targets that may get slots, in order of id
+	share    map[string]int               // by target: slots that it owns or will own
+	touched  map[place]bool               // slots with a change in this step
+	moving   int                          // cooperative moves under way
 }
 
 // Step returns the changes to make next, as one compare-and-swap of the table.
@@ -147,7 +150,7 @@
 
 func (p *Planner) begin(now time.Time, in *Input) *step {
 	s := &step{
-		Planner: p, now: now, in: in, table: in.Table, live: map[string]fulmarslot.Member{}, confirm: map[string]bool{},
+		Planner: p, now: now, in: in, table: in.Table, live: map[string]fulmarslot.Member{}, confirm: map[string]bool{}, reported: map[string]bool{}, drained: map[string]bool{},
 		targets: map[string]fulmarslot.Target{}, usable: map[string][]string{}, share: map[string]int{}, touched: map[place]bool{},
 	}
 	for _, m := range in.Members {
@@ -158,6 +161,12 @@
 	for _, id := range in.Confirm {
 		s.confirm[id] = true
 	}
+	for _, id := range in.Drain {
+		s.drained[id] = true
+	}
+	for _, t := range in.Targets {
+		s.reported[t.ID] = true
+	}
 	for _, m := range in.Table.Roster() {
 		if l, ok := s.live[m.ID]; ok && l.Incarnation == m.Incarnation {
 			delete(s.confirm, m.ID) // a member that is heard is not lost
--- a/pkg/fulmarplan/roster.go
+++ b/pkg/fulmarplan/roster.go
@@ -1,6 +1,7 @@
 package fulmarplan
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -31,6 +32,9 @@
 	for id := range s.live {
 		s.roster.heard[id] = s.now
 	}
+	maps.DeleteFunc(s.roster.heard, func(id string, _ time.Time) bool {
+		return s.live[id].ID == "" && !slices.ContainsFunc(s.table.Roster(), func(m fulmarslot.Member) bool { return m.ID == id })
+	})
 	if len(s.table.Roster()) == 0 { // no daemon may act on an empty roster, so any next roster is safe
 		for _, m := range s.sortedLive() {
 			s.add("roster-found", fulmarslot.PutMember(m))
--- a/pkg/fulmarplan/target.go
+++ b/pkg/fulmarplan/target.go
@@ -25,6 +25,13 @@
 	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
 		t := s.targets[id]
 		before, ok := s.table.Target(id)
+		if ok && s.vanished(id) {
+			delete(s.targets, id)
+			delete(s.lost, id)
+			delete(s.absent, id)
+			s.add("target-remove", fulmarslot.RemoveTarget(id))
+			continue
+		}
 		if ok && !t.Fenced {
 			t.Dispatcher = s.dispatcher(t)
 			s.targets[id] = t
@@ -40,6 +47,19 @@
 	}
 }
 
+// vanished reports whether a target that owns and awaits nothing has not been reported for Policy.Down.
+func (s *step) vanished(id string) bool {
+	owned, away, incoming := s.table.Count(id)
+	if s.reported[id] || owned+away+incoming > 0 {
+		delete(s.absent, id)
+		return false
+	}
+	if _, ok := s.absent[id]; !ok {
+		s.absent[id] = s.now
+	}
+	return s.passed(s.absent[id].Add(s.policy.Down))
+}
+
 // report takes over what a target reports of itself.
 func (s *step) report(t fulmarslot.Target) {
 	if s.table.Slots(t.Service) == 0 && s.in.Services[t.Service] <= 0 {
@@ -105,13 +125,9 @@
 
 // findUsable lists for each service the targets that may get slots.
 func (s *step) findUsable() {
-	reported := map[string]bool{}
-	for _, t := range s.in.Targets {
-		reported[t.ID] = true
-	}
 	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
 		t := s.targets[id]
-		if reported[id] && !t.Leaving && s.lost[id] == nil && !slices.Contains(s.in.Drain, id) {
+		if s.reported[id] && !t.Leaving && s.lost[id] == nil && !s.drained[id] {
 			s.usable[t.Service] = append(s.usable[t.Service], id)
 		}
 	}
