Test shared lists of the table and takeovers of the planner

The model test of the table did not change targets and roster, which share memory between tables, and two mutated rules of the planner survived its tests: waits that do not restart after a takeover, and acknowledgements of a process elsewhere that count for the roster. Both mutants now fail.

--- a/pkg/fulmarplan/duty_test.go
+++ b/pkg/fulmarplan/duty_test.go
@@ -65,6 +65,16 @@
 		b.expectStep("roster-moved")
 		b.expectStep("roster-add")
 		Expect(b.in.Table.Roster()[1].Incarnation).To(BeEquivalentTo(3))
+		b = settled(3, 2, 4)
+		for i := range b.in.Members[1:] {
+			b.in.Members[i+1].Incarnation, b.in.Members[i+1].Control = 2, "elsewhere"
+		}
+		b.in.Losses = []fulmarplan.Loss{{Target: "t0000"}}
+		b.run(time.Minute)
+		Expect(b.in.Table.MovingFrom(nil, "t0000")).To(HaveLen(2), "processes elsewhere acknowledged for the roster")
+		b.in.Confirm = []string{"m01", "m02"}
+		b.run(5 * time.Second)
+		b.expectShares(0, 4)
 	})
 
 	// Guards against a minority that takes over, and against an operator's word that has no effect.
@@ -95,6 +105,7 @@
 		b := settled(3, 2, 4)
 		b.in.Drain = []string{"t0000"}
 		b.expectStep("drain")
+		b.expectStep()
 		slot := b.in.Table.MovingFrom(nil, "t0000")[0]
 		old := fulmarplan.Release{Target: "t0000", Service: "rota", Slots: []int{slot}, Epoch: b.in.Table.Epoch()}
 		b.in.Table, _ = b.in.Table.With(fulmarslot.Cancel("rota", slot))
--- a/pkg/fulmarslot/table_test.go
+++ b/pkg/fulmarslot/table_test.go
@@ -153,7 +153,7 @@
 		slot, to := rapid.IntRange(0, table.Slots("rota")).Draw(t, "slot"), fmt.Sprintf("t%05d", rapid.IntRange(0, 3).Draw(t, "target"))
 		a := model[slot]
 		var change fulmarslot.Change
-		switch rapid.IntRange(0, 4).Draw(t, "kind") {
+		switch rapid.IntRange(0, 7).Draw(t, "kind") {
 		case 0:
 			change, a = fulmarslot.Move("rota", slot, to, false), fulmarslot.Assignment{Owner: a.Owner, Next: to}
 		case 1:
@@ -165,13 +165,23 @@
 		case 4:
 			hash := uint64(slot) + 600*uint64(table.Slots("rota"))
 			change, a, slot = fulmarslot.PutHot("rota", hash), model[int(hash%600)], table.Slots("rota")
+		case 5:
+			change = fulmarslot.PutTarget(fulmarslot.Target{ID: to, Service: "rota", Address: fmt.Sprint(slot)})
+		case 6:
+			change = fulmarslot.PutMember(fulmarslot.Member{ID: to, Incarnation: uint64(slot)})
+		case 7:
+			change = fulmarslot.RemoveMember(to)
 		}
 		next, err := table.With(change)
 		if dump(table) != before {
 			t.Fatal("With modified its receiver")
 		}
-		if err == nil {
-			table, model[slot] = next, a
+		if err != nil {
+			continue
+		}
+		table = next
+		if a.Owner != "" { // a change of the lists may have drawn the number past the last slot
+			model[slot] = a
 		}
 	}
 	compare(t, table, model)
