--- a/pkg/fulmarplan/move.go
+++ b/pkg/fulmarplan/move.go
@@ -1,6 +1,7 @@
 package fulmarplan
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
@@ -9,14 +10,14 @@
 // move is a move under way.
 type move struct {
 	fulmarslot.Assignment
-	epoch uint64    // in which the move began, or was first seen
-	since time.Time // when it was first seen
+	epoch uint64    // in which the move began
+	seen  time.Time // when it was first seen
 }
 
 // same reports whether the move goes on as a; another next target does not restart a forced move, because
 // the next target gets no grant before the move ends.
 func (m move) same(a fulmarslot.Assignment) bool {
-	return m.Owner == a.Owner && m.Forced == a.Forced && (m.Forced || m.Next == a.Next)
+	return m.Owner == a.Owner && m.Forced == a.Forced && (m.Forced || m.Since == a.Since)
 }
 
 // observeTable follows the moves, the roster and the dispatchers from one table to the next.
@@ -46,7 +47,7 @@
 			at := place{service, slot}
 			m, ok := s.moves[at]
 			if !ok || takeover || !m.same(a) {
-				m = move{epoch: s.table.Epoch(), since: s.now}
+				m = move{epoch: cmp.Or(a.Since, s.table.Epoch()), seen: s.now}
 			}
 			m.Assignment = a
 			moves[at] = m
@@ -92,18 +93,19 @@
 		epoch uint64
 	}
 	over := map[key]bool{}
-	for at, m := range s.moves {
-		if !m.Forced {
-			continue
-		}
-		k := key{m.Owner, m.epoch}
-		done, ok := over[k]
-		if !ok {
-			done = s.over(m)
-			over[k] = done
-		}
-		if done {
-			s.commit(at, m, "forced")
+	for _, service := range s.table.Services() {
+		for slot, a := range s.table.Moving(service) {
+			at := place{service, slot}
+			m := s.moves[at]
+			k := key{m.Owner, m.epoch}
+			done, ok := over[k]
+			if !ok && a.Forced {
+				done = s.over(m)
+				over[k] = done
+			}
+			if done && a.Forced {
+				s.commit(at, m, "forced")
+			}
 		}
 	}
 }
@@ -138,27 +140,28 @@
 // cancels ends cooperative moves that take too long or whose next target is lost. A move away from a leaving target
 // waits for its work instead, because the target must not get new work.
 func (s *step) cancels() {
-	for at, m := range s.moves {
-		if m.Forced || s.touched[at] {
-			continue
-		}
-		reason := ""
-		switch {
-		case s.lost[m.Next] != nil:
-			reason = "cancel-lost"
-		case !s.leaves(m.Owner) && s.passed(m.since.Add(s.policy.Stuck)):
-			reason = "cancel-stuck"
-		default:
-			continue
+	for _, service := range s.table.Services() {
+		for slot, a := range s.table.Moving(service) {
+			if at := (place{service, slot}); !a.Forced && !s.touched[at] {
+				s.cancel(at, s.moves[at])
+			}
 		}
-		s.touch(at)
-		s.share[m.Next]--
-		s.share[m.Owner]++
-		if reason == "cancel-stuck" {
-			s.postpone(at)
+	}
+}
+
+func (s *step) cancel(at place, m move) {
+	reason := "cancel-lost"
+	if s.lost[m.Next] == nil {
+		if s.leaves(m.Owner) || !s.passed(m.seen.Add(s.policy.Stuck)) {
+			return
 		}
-		s.add(reason, fulmarslot.Cancel(at.service, at.slot))
+		reason = "cancel-stuck"
+		s.postpone(at)
 	}
+	s.touch(at)
+	s.share[m.Next]--
+	s.share[m.Owner]++
+	s.add(reason, fulmarslot.Cancel(at.service, at.slot))
 }
 
 // backoff keeps a slot whose move was cancelled where it is.
