--- a/internal/fulmarexperiment/doc.go
+++ b/internal/fulmarexperiment/doc.go
@@ -1,4 +1,4 @@
-// Package fulmarexperiment measures the queue core in virtual time.
+// Package fulmarexperiment measures the policy cores in virtual time.
 //
 // A run feeds one fulmarqueue.Queue and one fulmarcost.Estimator with seeded
 // arrivals and serves the items on the slots of one target in a simulation of
@@ -14,5 +14,10 @@
 // ideal, a target that has only these slots and no long work; Fair stays within
 // 1.05 times the ideal at all loads measured.
 //
+// MeasureBalance and MeasureChurn feed the planner core with the load of 20,000
+// keys on 20 targets, and compare it with hashing without a table. Its
+// compare-and-swaps succeed, members acknowledge at once and a cooperative move
+// ends after one step of 250 ms, so the figures are those of its decisions alone.
+//
 // The table is printed by go test -v ./internal/fulmarexperiment -ginkgo.v.
 package fulmarexperiment
