Add fulmarlab bench

Cause: the figures of the experiments could be seen only in test logs, and for one seed. Change: fulmarlab bench runs all experiments with a seed, prints aligned tables and writes them as CSV and as plots on demand. The test of the printed report now counts the rows of each of its four tables and the fields of each row, in place of the lines of the one table that it replaces.

--- /dev/null
+++ b/cmd/fulmarlab/bench.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarexperiment"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarqueue"
+)
+
+const (
+	plotWidth  = 5 * vg.Inch
+	plotHeight = 3.2 * vg.Inch
+
+	// shareInterval holds about 50 requests, enough for a steady share.
+	shareInterval = 100 * time.Millisecond
+	onset         = 1.0 // seconds from the first share to the surge
+
+	directoryMode = 0o755
+)
+
+func benchCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "bench",
+		Usage: "measure the policy cores in virtual time",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+			&cli.StringFlag{Name: "csv", Usage: "directory for a CSV file of each table"},
+			&cli.StringFlag{Name: "plots", Usage: "directory for PNG plots"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			return bench(c.Uint64("seed"), c.String("csv"), c.String("plots"))
+		},
+	}
+}
+
+// bench prints all tables and writes files where a directory is given.
+func bench(seed uint64, tables, plots string) error {
+	began := time.Now()
+	r := fulmarexperiment.New(seed)
+	if err := r.Print(os.Stdout); err != nil {
+		return err
+	}
+	if tables != "" {
+		if err := writeTables(tables, r); err != nil {
+			return err
+		}
+	}
+	if plots != "" {
+		if err := writePlots(plots, r); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("\nseed %d, %d cores, %s, took %v\n", seed, runtime.NumCPU(), runtime.Version(), time.Since(began).Round(time.Second))
+	return nil
+}
+
+func writeTables(directory string, r fulmarexperiment.Report) error {
+	if err := os.MkdirAll(directory, directoryMode); err != nil {
+		return errors.Wrap(err, "fulmarlab: make directory")
+	}
+	for _, t := range r.Tables {
+		if err := writeTable(filepath.Join(directory, t.Name+".csv"), t); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeTable(path string, t fulmarexperiment.Table) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "fulmarlab: write table")
+	}
+	err = t.CSV(file)
+	if closing := file.Close(); err == nil {
+		err = errors.Wrap(closing, "fulmarlab: write table")
+	}
+	return err
+}
+
+func writePlots(directory string, r fulmarexperiment.Report) error {
+	if err := os.MkdirAll(directory, directoryMode); err != nil {
+		return errors.Wrap(err, "fulmarlab: make directory")
+	}
+	for _, stragglers := range []int{1, 2} {
+		path := filepath.Join(directory, fmt.Sprintf("payout-%d.png", stragglers))
+		if err := plotPayout(path, r, stragglers); err != nil {
+			return err
+		}
+	}
+	for _, d := range fulmarexperiment.Disciplines {
+		shares := fulmarexperiment.Shares(d.Discipline, shareInterval, r.Seed)
+		path := filepath.Join(directory, "surge-"+d.Name+".png")
+		if err := plotShares(path, d.Name, shares); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// plotPayout draws the p99 of short work over its load.
+func plotPayout(path string, r fulmarexperiment.Report, stragglers int) error {
+	p := newPlot(fmt.Sprintf("Short work beside %d straggler(s)", stragglers), "load of short work / 3 slots", "p99, ms")
+	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.ConstantTicks{
+		{Value: 20, Label: "20"},
+		{Value: 50, Label: "50"},
+		{Value: 100, Label: "100"},
+		{Value: 200, Label: "200"},
+		{Value: 500, Label: "500"},
+	}
+	p.Y.Min = 20
+	var lines []any
+	add := func(name string, figure func(b fulmarexperiment.Beside) time.Duration) {
+		var points plotter.XYs
+		for _, b := range r.Payouts {
+			if b.Stragglers == stragglers {
+				points = append(points, plotter.XY{X: b.Load, Y: figure(b).Seconds() * 1000})
+			}
+		}
+		lines = append(lines, name, points)
+	}
+	for i, d := range fulmarexperiment.Disciplines {
+		add(d.Name, func(b fulmarexperiment.Beside) time.Duration { return b.By[i].Beside })
+		if d.Discipline == fulmarqueue.Fair {
+			add("ideal", func(b fulmarexperiment.Beside) time.Duration { return b.By[i].Left })
+		}
+	}
+	for i, d := range fulmarexperiment.Disciplines {
+		add(d.Name+" alone", func(b fulmarexperiment.Beside) time.Duration { return b.By[i].Alone })
+	}
+	return save(path, p, lines)
+}
+
+// plotShares draws the share of the target that each group receives.
+func plotShares(path, discipline string, shares [][4]float64) error {
+	p := newPlot("20-fold surge of group a: "+discipline, "seconds after the onset", "share of the target")
+	p.Y.Min, p.Y.Max = 0, 1
+	var lines []any
+	for group := range 4 {
+		var points plotter.XYs
+		for i, s := range shares {
+			points = append(points, plotter.XY{X: float64(i)*shareInterval.Seconds() - onset, Y: s[group]})
+		}
+		lines = append(lines, string(rune('a'+group)), points)
+	}
+	return save(path, p, lines)
+}
+
+func newPlot(title, x, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Add(plotter.NewGrid())
+	return p
+}
+
+// save draws lines, which are names and points in turn, and writes the file.
+func save(path string, p *plot.Plot, lines []any) error {
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return errors.Wrap(err, "fulmarlab: draw plot")
+	}
+	return errors.Wrap(p.Save(plotWidth, plotHeight, path), "fulmarlab: save plot")
+}
--- a/internal/fulmarexperiment/churn.go
+++ b/internal/fulmarexperiment/churn.go
@@ -1,8 +1,6 @@
 package fulmarexperiment
 
-import (
-	"slices"
-)
+import "slices"
 
 // Placement is a way to assign keys to targets.
 type Placement uint8
--- a/internal/fulmarexperiment/doc.go
+++ b/internal/fulmarexperiment/doc.go
@@ -19,5 +19,5 @@
 // compare-and-swaps succeed, members acknowledge at once and a cooperative move
 // ends after one step of 250 ms, so the figures are those of its decisions alone.
 //
-// The table is printed by go test -v ./internal/fulmarexperiment -ginkgo.v.
+// The tables are printed by fulmarlab bench.
 package fulmarexperiment
--- a/internal/fulmarexperiment/measure.go
+++ b/internal/fulmarexperiment/measure.go
@@ -1,11 +1,8 @@
 package fulmarexperiment
 
 import (
-	"fmt"
-	"io"
 	"math"
 	"slices"
-	"text/tabwriter"
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarqueue"
@@ -47,6 +44,14 @@
 // MeasureSurge returns the least shares of the entitlement that the groups
 // without a surge received.
 func MeasureSurge(d fulmarqueue.Discipline, seed uint64) Surge {
+	requests := Run(d, surge(seed))
+	return Surge{
+		First: leastShare(requests, onset, onset+settle),
+		Later: leastShare(requests, onset+settle, onset+after),
+	}
+}
+
+func surge(seed uint64) Workload {
 	w := Workload{Slots: slots, Duration: onset + after, Seed: seed}
 	for i, load := range []float64{0.7, 0.8, 1, 1.5} {
 		w.Sources = append(w.Sources, Source{
@@ -55,11 +60,23 @@
 		})
 	}
 	w.Sources[0].Factor = 20
-	requests := Run(d, w)
-	return Surge{
-		First: leastShare(requests, onset, onset+settle),
-		Later: leastShare(requests, onset+settle, onset+after),
+	return w
+}
+
+// Shares returns, for each interval of the given length in the surge of
+// MeasureSurge from a second before its onset on, the share of the target that
+// each group received.
+func Shares(d fulmarqueue.Discipline, interval time.Duration, seed uint64) [][4]float64 {
+	requests := Run(d, surge(seed))
+	var shares [][4]float64
+	for from := onset - settle; from+interval <= onset+3*settle; from += interval {
+		var s [4]float64
+		for _, r := range requests {
+			s[r.Source] += r.overlap(from, from+interval).Seconds() / (slots * interval.Seconds())
+		}
+		shares = append(shares, s)
 	}
+	return shares
 }
 
 // leastShare returns the least of received / entitled server time of the
@@ -203,39 +220,3 @@
 
 // Loads are the shares of the target that short work takes beside a payout run.
 var Loads = []float64{0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7}
-
-// Print writes the figures of all disciplines side by side.
-func Print(w io.Writer, seed uint64) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	row := func(name string, figure func(d fulmarqueue.Discipline) string) {
-		fmt.Fprint(t, name)
-		for _, d := range Disciplines {
-			fmt.Fprint(t, "\t", figure(d.Discipline))
-		}
-		fmt.Fprintln(t)
-	}
-	fmt.Fprint(t, "measure")
-	for _, d := range Disciplines {
-		fmt.Fprint(t, "\t", d.Name)
-	}
-	fmt.Fprintln(t)
-	row("surge: least share, first second", func(d fulmarqueue.Discipline) string {
-		return fmt.Sprintf("%.3f", MeasureSurge(d, seed).First)
-	})
-	row("surge: least share, later", func(d fulmarqueue.Discipline) string {
-		return fmt.Sprintf("%.3f", MeasureSurge(d, seed).Later)
-	})
-	for _, width := range []int{1, 2} {
-		for _, load := range Loads {
-			name := fmt.Sprintf("payout %d wide, short load %.1f: p99 short (ideal), run time", width, load)
-			row(name, func(d fulmarqueue.Discipline) string {
-				p := MeasurePayout(d, load, width, seed)
-				return fmt.Sprintf("%.2f (ideal %.2f), %.2f", p.Short, p.Ideal, p.Run)
-			})
-		}
-	}
-	row("tenfold demand: goodput", func(d fulmarqueue.Discipline) string {
-		return fmt.Sprintf("%.3f", MeasureRise(d, seed))
-	})
-	return t.Flush()
-}
--- a/internal/fulmarexperiment/measure_test.go
+++ b/internal/fulmarexperiment/measure_test.go
@@ -81,10 +81,18 @@
 		}
 	})
 
-	// Guards against a table that lacks a measure; -ginkgo.v shows the table.
-	It("prints the figures of all disciplines", func() {
-		var table strings.Builder
-		Expect(fulmarexperiment.Print(io.MultiWriter(&table, GinkgoWriter), 1)).To(Succeed())
-		Expect(strings.Count(table.String(), "\n")).To(Equal(1 + 2 + 2*len(fulmarexperiment.Loads) + 1))
+	// Guards against a report that lacks a measure; -ginkgo.v shows the report.
+	It("reports the figures of all disciplines", func() {
+		var text strings.Builder
+		r := fulmarexperiment.New(1)
+		Expect(r.Print(io.MultiWriter(&text, GinkgoWriter))).To(Succeed())
+		rows := []int{3, 2 * len(fulmarexperiment.Loads), 3 * 5, 2 * 3 * 3}
+		for i, t := range r.Tables {
+			Expect(t.Rows).To(HaveLen(rows[i]), t.Name)
+			for _, row := range t.Rows {
+				Expect(row).To(HaveLen(len(t.Head)), t.Name)
+			}
+		}
+		Expect(strings.Count(text.String(), "\n")).To(Equal(3 + 2*len(fulmarexperiment.Loads) + 3*5 + 2*3*3 + 3*len(rows) - 1))
 	})
 })
--- /dev/null
+++ b/internal/fulmarexperiment/report.go
@@ -0,0 +1,192 @@
+package fulmarexperiment
+
+import (
+	"io"
+	"sync"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarqueue"
+)
+
+// parallel is the number of runs at a time.
+const parallel = 4
+
+// Report is the figures of all experiments for one seed.
+type Report struct {
+	Seed    uint64
+	Payouts []Beside
+	Tables  []Table
+}
+
+// Beside is the figures of one payout run for each of Disciplines.
+type Beside struct {
+	Stragglers int
+	Load       float64
+	By         []Payout
+}
+
+// New runs all experiments with the seed.
+func New(seed uint64) Report {
+	r := Report{Seed: seed, Payouts: payouts(seed)}
+	r.Tables = []Table{surges(seed), payoutTable(r.Payouts), balances(seed), churns(seed)}
+	return r
+}
+
+// Print writes all tables.
+func (r Report) Print(w io.Writer) error {
+	for i, t := range r.Tables {
+		if i > 0 {
+			if _, err := io.WriteString(w, "\n"); err != nil {
+				return err
+			}
+		}
+		if err := t.Print(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// each returns f of all values, some at a time.
+func each[T, R any](values []T, f func(T) R) []R {
+	results := make([]R, len(values))
+	var wait sync.WaitGroup
+	places := make(chan struct{}, parallel)
+	for i, v := range values {
+		places <- struct{}{}
+		wait.Go(func() {
+			results[i] = f(v)
+			<-places
+		})
+	}
+	wait.Wait()
+	return results
+}
+
+// disciplines appends the names of all disciplines.
+func disciplines(head []string, suffix string) []string {
+	for _, d := range Disciplines {
+		head = append(head, d.Name+suffix)
+	}
+	return head
+}
+
+func surges(seed uint64) Table {
+	t := Table{
+		Name: "surge", Title: "Least share of entitlement in a 20-fold surge of one group; goodput at a tenfold demand",
+		Head: disciplines([]string{"measure"}, ""),
+	}
+	type result struct {
+		surge Surge
+		good  float64
+	}
+	var all []fulmarqueue.Discipline
+	for _, d := range Disciplines {
+		all = append(all, d.Discipline)
+	}
+	results := each(all, func(d fulmarqueue.Discipline) result {
+		return result{MeasureSurge(d, seed), MeasureRise(d, seed)}
+	})
+	rows := [][]any{{"share, first second"}, {"share, later"}, {"goodput"}}
+	for _, r := range results {
+		rows[0] = append(rows[0], r.surge.First)
+		rows[1] = append(rows[1], r.surge.Later)
+		rows[2] = append(rows[2], r.good)
+	}
+	for _, row := range rows {
+		t.add(row...)
+	}
+	return t
+}
+
+func payouts(seed uint64) []Beside {
+	var cases []Beside
+	for _, stragglers := range []int{1, 2} {
+		for _, load := range Loads {
+			cases = append(cases, Beside{Stragglers: stragglers, Load: load})
+		}
+	}
+	return each(cases, func(b Beside) Beside {
+		for _, d := range Disciplines {
+			b.By = append(b.By, MeasurePayout(d.Discipline, b.Load, b.Stragglers, seed))
+		}
+		return b
+	})
+}
+
+func payoutTable(rows []Beside) Table {
+	t := Table{
+		Name:  "payout",
+		Title: "Short work beside a payout run: p99 / p99 without the run, and time of the run / time alone",
+		Head:  disciplines(disciplines([]string{"stragglers", "load", "ideal"}, ""), ".run"),
+	}
+	for _, b := range rows {
+		row := []any{b.Stragglers, b.Load, b.By[0].Ideal}
+		for _, p := range b.By {
+			row = append(row, p.Short)
+		}
+		for _, p := range b.By {
+			row = append(row, p.Run)
+		}
+		t.add(row...)
+	}
+	return t
+}
+
+// exponents of the Zipf distribution of load over keys.
+var exponents = []float64{0, 0.8, 1}
+
+func balances(seed uint64) Table {
+	t := Table{
+		Name:  "balance",
+		Title: "Maximum / mean load over 20 targets; the 130 hottest keys change each 60 s of 300 s",
+		Head: []string{
+			"placement", "exponent", "lag", "false", "floor", "median", "p95", "most", "above", "longest", "moved", "returned",
+		},
+	}
+	type run struct {
+		placement Placement
+		exponent  float64
+		reports   Reports
+	}
+	var runs []run
+	for _, e := range exponents {
+		for _, r := range []Reports{{}, {Lag: 5}, {Lag: 5, False: true}} {
+			runs = append(runs, run{Planned, e, r})
+		}
+		runs = append(runs, run{Modulo, e, Reports{}}, run{Rendezvous, e, Reports{}})
+	}
+	results := each(runs, func(r run) Balance { return MeasureBalance(r.placement, r.exponent, r.reports, seed) })
+	for i, b := range results {
+		r := runs[i]
+		t.add(r.placement, r.exponent, r.reports.Lag, r.reports.False,
+			b.Floor, b.Median, b.P95, b.Most, b.Above, b.Longest, b.Moved, b.Returned)
+	}
+	return t
+}
+
+func churns(seed uint64) Table {
+	t := Table{
+		Name:  "churn",
+		Title: "Keys of 20,000 that move when one of 20 targets leaves or one joins",
+		Head:  []string{"event", "exponent", "placement", "moved", "minimum", "ratio", "after"},
+	}
+	type run struct {
+		placement Placement
+		event     Event
+		exponent  float64
+	}
+	var runs []run
+	for _, exponent := range exponents[:2] {
+		for _, e := range []Event{Loss, Drain, Join} {
+			for _, p := range []Placement{Planned, Modulo, Rendezvous} {
+				runs = append(runs, run{p, e, exponent})
+			}
+		}
+	}
+	results := each(runs, func(r run) Churn { return MeasureChurn(r.placement, r.event, r.exponent, seed) })
+	for i, c := range results {
+		r := runs[i]
+		t.add(r.event, r.exponent, r.placement, c.Moved, c.Minimum, c.Ratio, c.After)
+	}
+	return t
+}
--- /dev/null
+++ b/internal/fulmarexperiment/table.go
@@ -0,0 +1,52 @@
+package fulmarexperiment
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+// Table is the figures of one experiment.
+type Table struct {
+	Name  string // short, for files
+	Title string
+	Head  []string
+	Rows  [][]string
+}
+
+// Print writes the title and the aligned columns.
+func (t Table) Print(w io.Writer) error {
+	fmt.Fprintln(w, t.Title)
+	aligned := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(aligned, strings.Join(t.Head, "\t"))
+	for _, row := range t.Rows {
+		fmt.Fprintln(aligned, strings.Join(row, "\t"))
+	}
+	return errors.Wrap(aligned.Flush(), "fulmarexperiment: print table")
+}
+
+// CSV writes the head and the rows.
+func (t Table) CSV(w io.Writer) error {
+	out := csv.NewWriter(w)
+	if err := out.WriteAll(append([][]string{t.Head}, t.Rows...)); err != nil {
+		return errors.Wrap(err, "fulmarexperiment: write table "+t.Name)
+	}
+	return nil
+}
+
+// add appends a row.
+func (t *Table) add(fields ...any) {
+	row := make([]string, len(fields))
+	for i, f := range fields {
+		if x, ok := f.(float64); ok {
+			row[i] = fmt.Sprintf("%.3f", x)
+		} else {
+			row[i] = fmt.Sprint(f)
+		}
+	}
+	t.Rows = append(t.Rows, row)
+}
