--- a/cmd/fulmarlab/bench.go
+++ b/cmd/fulmarlab/bench.go
@@ -36,19 +36,23 @@
 		Usage: "measure the policy cores in virtual time",
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1},
+			&cli.IntFlag{Name: "seeds", Value: 5, Usage: "number of seeds for the figures that vary most"},
 			&cli.StringFlag{Name: "csv", Usage: "directory for a CSV file of each table"},
 			&cli.StringFlag{Name: "plots", Usage: "directory for PNG plots"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			return bench(c.Uint64("seed"), c.String("csv"), c.String("plots"))
+			if c.Int("seeds") < 1 {
+				return errors.New("fulmarlab: the number of seeds is less than 1")
+			}
+			return bench(c.Uint64("seed"), c.Int("seeds"), c.String("csv"), c.String("plots"))
 		},
 	}
 }
 
 // bench prints all tables and writes files where a directory is given.
-func bench(seed uint64, tables, plots string) error {
+func bench(seed uint64, seeds int, tables, plots string) error {
 	began := time.Now()
-	r := fulmarexperiment.New(seed)
+	r := fulmarexperiment.New(seed, seeds)
 	if err := r.Print(os.Stdout); err != nil {
 		return err
 	}
@@ -120,7 +124,7 @@
 		{Value: 200, Label: "200"},
 		{Value: 500, Label: "500"},
 	}
-	p.Y.Min = 20
+	p.Y.Min, p.X.Max, p.Legend.Left = 20, 1, false // room for the legend
 	var lines []any
 	add := func(name string, figure func(b fulmarexperiment.Beside) time.Duration) {
 		var points plotter.XYs
--- a/internal/fulmarexperiment/measure_test.go
+++ b/internal/fulmarexperiment/measure_test.go
@@ -84,15 +84,20 @@
 	// Guards against a report that lacks a measure; -ginkgo.v shows the report.
 	It("reports the figures of all disciplines", func() {
 		var text strings.Builder
-		r := fulmarexperiment.New(1)
+		const many = 2
+		r := fulmarexperiment.New(1, many)
 		Expect(r.Print(io.MultiWriter(&text, GinkgoWriter))).To(Succeed())
-		rows := []int{3, 2 * len(fulmarexperiment.Loads), 3 * 5, 2 * 3 * 3}
+		loads := len(fulmarexperiment.Loads)
+		rows := []int{3, 2 * loads, 2 * (loads + 1), 3 * 5, 2 * 3 * 3, many}
+		Expect(r.Tables).To(HaveLen(len(rows)))
+		lines := 3*len(rows) - 1 // titles, heads and blank lines between tables
 		for i, t := range r.Tables {
 			Expect(t.Rows).To(HaveLen(rows[i]), t.Name)
+			lines += rows[i]
 			for _, row := range t.Rows {
 				Expect(row).To(HaveLen(len(t.Head)), t.Name)
 			}
 		}
-		Expect(strings.Count(text.String(), "\n")).To(Equal(3 + 2*len(fulmarexperiment.Loads) + 3*5 + 2*3*3 + 3*len(rows) - 1))
+		Expect(strings.Count(text.String(), "\n")).To(Equal(lines))
 	})
 })
--- a/internal/fulmarexperiment/report.go
+++ b/internal/fulmarexperiment/report.go
@@ -1,7 +1,9 @@
 package fulmarexperiment
 
 import (
+	"fmt"
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarqueue"
@@ -24,10 +26,14 @@
 	By         []Payout
 }
 
-// New runs all experiments with the seed.
-func New(seed uint64) Report {
+// New runs all experiments with the seed, and those whose figures vary most
+// with the given number of seeds from that one on.
+func New(seed uint64, seeds int) Report {
 	r := Report{Seed: seed, Payouts: payouts(seed)}
-	r.Tables = []Table{surges(seed), payoutTable(r.Payouts), balances(seed), churns(seed)}
+	r.Tables = []Table{
+		surges(seed), payoutTable(r.Payouts), payoutSeeds(seed, seeds),
+		balances(seed), churns(seed), churnSeeds(seed, seeds),
+	}
 	return r
 }
 
@@ -132,6 +138,71 @@
 	return t
 }
 
+// goalShort is the bound of the p99 of short work beside a payout run.
+const goalShort = 1.5
+
+// payoutSeeds returns the worst figures of Fair over some seeds.
+func payoutSeeds(first uint64, seeds int) Table {
+	t := Table{
+		Name: "payout-seeds", Title: fmt.Sprintf("Short work beside a payout run under Fair: the highest of %d seeds", seeds),
+		Head: []string{"stragglers", "load", "short", "ideal", "short/ideal", "run", "above", "ideal.above"},
+	}
+	type run struct {
+		stragglers int
+		load       float64
+		seed       uint64
+	}
+	var runs []run
+	for _, stragglers := range []int{1, 2} {
+		for _, load := range slices.Concat([]float64{0.05}, Loads) {
+			for i := range uint64(seeds) {
+				runs = append(runs, run{stragglers, load, first + i})
+			}
+		}
+	}
+	results := each(runs, func(r run) Payout { return MeasurePayout(fulmarqueue.Fair, r.load, r.stragglers, r.seed) })
+	for i := 0; i < len(runs); i += seeds {
+		var most Payout
+		quotient := 0.0
+		above, ideal := 0, 0
+		for _, p := range results[i : i+seeds] {
+			most = Payout{Short: max(most.Short, p.Short), Ideal: max(most.Ideal, p.Ideal), Run: max(most.Run, p.Run)}
+			quotient = max(quotient, p.Short/p.Ideal)
+			if p.Short > goalShort {
+				above++
+			}
+			if p.Ideal > goalShort {
+				ideal++
+			}
+		}
+		t.add(runs[i].stragglers, fmt.Sprintf("%.2f", runs[i].load), most.Short, most.Ideal, quotient, most.Run, above, ideal)
+	}
+	return t
+}
+
+// churnSeeds returns the ratios of moved keys to the minimum for some seeds.
+func churnSeeds(first uint64, seeds int) Table {
+	t := Table{
+		Name: "churn-seeds", Title: "Keys that move under the planner / minimum, load of exponent 0.8",
+		Head: []string{"seed", Loss.String(), Drain.String(), Join.String()},
+	}
+	type run struct {
+		event Event
+		seed  uint64
+	}
+	var runs []run
+	for i := range uint64(seeds) {
+		for _, e := range []Event{Loss, Drain, Join} {
+			runs = append(runs, run{e, first + i})
+		}
+	}
+	results := each(runs, func(r run) Churn { return MeasureChurn(Planned, r.event, exponents[1], r.seed) })
+	for i := 0; i < len(runs); i += 3 {
+		t.add(runs[i].seed, results[i].Ratio, results[i+1].Ratio, results[i+2].Ratio)
+	}
+	return t
+}
+
 // exponents of the Zipf distribution of load over keys.
 var exponents = []float64{0, 0.8, 1}
 
