--- a/internal/fulmarcontrol/planner.go
+++ b/internal/fulmarcontrol/planner.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,7 +44,7 @@
 		Imbalance:  1.15,
 		HotKeys:    256,
 		Quarantine: 30 * time.Minute,
-		Down:       10 * time.Second,
+		Down:       3 * time.Second,
 	}
 }
 
@@ -248,7 +249,7 @@
 		c.Counter.Count("push_failed")
 		return
 	}
-	c.observe(ctx, reply, sent)
+	c.observe(reply, sent)
 }
 
 // refreshTargets reads the platform's list now and then, and asks targets
@@ -292,12 +293,7 @@
 		})
 	}
 	group.Wait()
-	slices.SortFunc(listed, func(a, b fulmarslot.Target) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(listed, func(a, b fulmarslot.Target) int { return strings.Compare(a.ID, b.ID) })
 	p.listed = listed
 }
 
