--- a/internal/fulmarexperiment/measure.go
+++ b/internal/fulmarexperiment/measure.go
@@ -1,11 +1,8 @@
 package fulmarexperiment
 
 import (
-	"fmt"
-	"io"
 	"math"
 	"slices"
-	"text/tabwriter"
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarqueue"
@@ -47,6 +44,14 @@
 // MeasureSurge returns the least shares of the entitlement that the groups
 // without a surge received.
 func MeasureSurge(d fulmarqueue.Discipline, seed uint64) Surge {
+	requests := Run(d, surge(seed))
+	return Surge{
+		First: leastShare(requests, onset, onset+settle),
+		Later: leastShare(requests, onset+settle, onset+after),
+	}
+}
+
+func surge(seed uint64) Workload {
 	w := Workload{Slots: slots, Duration: onset + after, Seed: seed}
 	for i, load := range []float64{0.7, 0.8, 1, 1.5} {
 		w.Sources = append(w.Sources, Source{
@@ -55,11 +60,23 @@
 		})
 	}
 	w.Sources[0].Factor = 20
-	requests := Run(d, w)
-	return Surge{
-		First: leastShare(requests, onset, onset+settle),
-		Later: leastShare(requests, onset+settle, onset+after),
+	return w
+}
+
+// Shares returns, for each interval of the given length in the surge of
+// MeasureSurge from a second before its onset on, the share of the target that
+// each group received.
+func Shares(d fulmarqueue.Discipline, interval time.Duration, seed uint64) [][4]float64 {
+	requests := Run(d, surge(seed))
+	var shares [][4]float64
+	for from := onset - settle; from+interval <= onset+3*settle; from += interval {
+		var s [4]float64
+		for _, r := range requests {
+			s[r.Source] += r.overlap(from, from+interval).Seconds() / (slots * interval.Seconds())
+		}
+		shares = append(shares, s)
 	}
+	return shares
 }
 
 // leastShare returns the least of received / entitled server time of the
@@ -105,11 +122,30 @@
 // Payout compares short work and a payout run side by side with each alone.
 type Payout struct {
 	Short float64 // p99 of short work beside the run / without it
+	Ideal float64 // p99 of short work on the slots that the run leaves / without the run
 	Run   float64 // time of the run beside short work / on an empty target
+
+	Beside, Left, Alone time.Duration // the three p99 of short work: beside the run, ideal, without it
+}
+
+// Within reports whether short work is served as well as the slots that the run
+// leaves permit: its ratio is at most most or, where the ideal itself exceeds
+// that, at most slack times the ideal.
+func (p Payout) Within(most, slack float64) bool {
+	if p.Ideal > most {
+		return p.Short <= slack*p.Ideal
+	}
+	return p.Short <= most
 }
 
 // MeasurePayout runs a payout run of the given width beside short work of three
 // groups that takes the given share of the target.
+//
+// The ideal serves the same arrivals of short work on a target without the width
+// slots that the run holds, and has no long work: an order of service that
+// neither cuts off a straggler nor refuses short work has no more slots for
+// short work while the run goes on. A discipline falls below the ideal only
+// where it delays the run.
 func MeasurePayout(d fulmarqueue.Discipline, load float64, width int, seed uint64) Payout {
 	run := Source{Group: "pay", Kind: "payout", Mean: straggler, Count: runLength, Width: width, Onset: onset}
 	length := straggler * time.Duration(runLength/width)
@@ -120,13 +156,19 @@
 		})
 	}
 	without := Run(d, w)
+	ideal := w
+	ideal.Slots = slots - width
+	left := Run(d, ideal)
 	w.Sources = append(w.Sources, run)
 	with := Run(d, w)
 	end := lastEnd(with, 3)
-	return Payout{
-		Short: float64(p99(with, onset, end)) / float64(p99(without, onset, end)),
-		Run:   float64(end-onset) / float64(length),
+	p := Payout{
+		Beside: p99(with, onset, end), Left: p99(left, onset, end), Alone: p99(without, onset, end),
+		Run: float64(end-onset) / float64(length),
 	}
+	p.Short = float64(p.Beside) / float64(p.Alone)
+	p.Ideal = float64(p.Left) / float64(p.Alone)
+	return p
 }
 
 // p99 returns the 99th percentile of the time from arrival to end of the short
@@ -177,40 +219,4 @@
 }
 
 // Loads are the shares of the target that short work takes beside a payout run.
-var Loads = []float64{0.1, 0.2, 0.3, 0.4, 0.5}
-
-// Print writes the figures of all disciplines side by side.
-func Print(w io.Writer, seed uint64) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	row := func(name string, figure func(d fulmarqueue.Discipline) string) {
-		fmt.Fprint(t, name)
-		for _, d := range Disciplines {
-			fmt.Fprint(t, "\t", figure(d.Discipline))
-		}
-		fmt.Fprintln(t)
-	}
-	fmt.Fprint(t, "measure")
-	for _, d := range Disciplines {
-		fmt.Fprint(t, "\t", d.Name)
-	}
-	fmt.Fprintln(t)
-	row("surge: least share, first second", func(d fulmarqueue.Discipline) string {
-		return fmt.Sprintf("%.3f", MeasureSurge(d, seed).First)
-	})
-	row("surge: least share, later", func(d fulmarqueue.Discipline) string {
-		return fmt.Sprintf("%.3f", MeasureSurge(d, seed).Later)
-	})
-	for _, width := range []int{1, 2} {
-		for _, load := range Loads {
-			name := fmt.Sprintf("payout %d wide, short load %.1f: p99 short, run time", width, load)
-			row(name, func(d fulmarqueue.Discipline) string {
-				p := MeasurePayout(d, load, width, seed)
-				return fmt.Sprintf("%.2f, %.2f", p.Short, p.Run)
-			})
-		}
-	}
-	row("tenfold demand: goodput", func(d fulmarqueue.Discipline) string {
-		return fmt.Sprintf("%.3f", MeasureRise(d, seed))
-	})
-	return t.Flush()
-}
+var Loads = []float64{0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7}
