--- a/internal/fulmaradmin/api.go
+++ b/internal/fulmaradmin/api.go
@@ -120,7 +120,7 @@
 	case errors.As(err, &large):
 		return &Error{Status: http.StatusRequestEntityTooLarge, Message: "the request is too large"}
 	case errors.Is(err, errAuth):
-		return &Error{Status: http.StatusUnauthorized, Message: strings.TrimSuffix(err.Error(), ": "+errAuth.Error())}
+		return &Error{Status: http.StatusUnauthorized, Message: "not authenticated: " + strings.TrimSuffix(err.Error(), ": "+errAuth.Error())}
 	}
 	return &Error{Status: http.StatusInternalServerError, Message: err.Error()}
 }
