Spread the slots of a leaving target by load

Cause: forced moves and drains gave slots to the targets with the fewest slots, so that balance had to move slots again under skewed load. Change: slots weigh what they are loaded with plus a small share, the heaviest goes first to the target that weighs least; without load each slot weighs the same. Ruled out: calling weigh outside of a sample, which also counts unsteadiness.

--- a/internal/fulmarcontrol/keeper.go
+++ b/internal/fulmarcontrol/keeper.go
@@ -544,8 +544,10 @@
 func (k *keeper) open(ctx context.Context, t fulmarslot.Target, take takeover) {
 	d := k.c.NewDispatcher(t)
 	before, g, owned, handed := take.before, take.grant, take.owned, take.handed
+	known := time.Duration(0) // how long before now the memory may begin
 	if at, ok := k.c.complete(take, k.id); ok {
 		d.SetComplete(at)
+		known = time.Since(at)
 	}
 	if handed != nil {
 		// Memory of slots that are not owned now would be stale when they return.
@@ -561,7 +563,7 @@
 	k.releases = nil
 	k.c.notify()
 	k.c.mu.Unlock()
-	k.c.Log.Info("target taken over", "target", k.id, "term", g.Term, "epoch", g.Epoch, "slots", len(owned), "handover", handed != nil)
+	k.c.Log.Info("target taken over", "target", k.id, "term", g.Term, "epoch", g.Epoch, "slots", len(owned), "handover", handed != nil, "known", known)
 	k.stopMoving()
 	k.inForce(ctx, t, g, owned)
 }
--- a/pkg/fulmarplan/even.go
+++ b/pkg/fulmarplan/even.go
@@ -3,26 +3,36 @@
 import (
 	"cmp"
 	"container/heap"
+	"slices"
 
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
 )
 
-// even gives out slots to the targets of a service, to the one with the fewest slots first.
-type even struct{ queue }
+// idleShare is what a slot weighs without load, as a part of the mean load of a slot, so that slots without load are
+// spread as well.
+const idleShare = 0.05
+
+// even gives out slots to the targets of a service, to the one that weighs least first. Slots weigh what they are
+// loaded with, so that balance need not move them again; without load each slot weighs the same.
+type even struct {
+	queue
+	rate []float64 // by slot, nil without load
+	idle float64   // what each slot weighs in addition to its load
+}
 
 type queued struct {
-	id    string
-	share int
-	tie   uint64
+	id     string
+	weight float64
+	tie    uint64
 }
 
-// queue is a heap of targets by number of slots.
+// queue is a heap of targets by weight.
 type queue []queued
 
 func (q queue) Len() int      { return len(q) }
 func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
 func (q queue) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(q[i].share, q[j].share), cmp.Compare(q[i].tie, q[j].tie), cmp.Compare(q[i].id, q[j].id)) < 0
+	return cmp.Or(cmp.Compare(q[i].weight, q[j].weight), cmp.Compare(q[i].tie, q[j].tie), cmp.Compare(q[i].id, q[j].id)) < 0
 }
 func (q *queue) Push(x any) { *q = append(*q, x.(queued)) }
 
@@ -34,16 +44,56 @@
 }
 
 func (s *step) newEven(service string) *even {
-	e := &even{}
+	e := &even{idle: 1}
+	loaded := s.load(service, e)
 	for _, id := range s.usable[service] {
-		e.queue = append(e.queue, queued{id, s.share[id], s.tie(service, id)})
+		weight := loaded[id] + e.idle*float64(s.share[id])
+		e.queue = append(e.queue, queued{id, weight, s.tie(service, id)})
 	}
 	heap.Init(&e.queue)
 	return e
 }
 
+// load returns the load of each target of a service, moves under way taken as done; nil if there is none.
+func (s *step) load(service string, e *even) map[string]float64 {
+	l := s.loads[service]
+	n := min(len(l.rate), s.table.Slots(service))
+	total := 0.0
+	for _, rate := range l.rate[:n] {
+		total += rate
+	}
+	if total <= 0 {
+		return nil
+	}
+	e.rate, e.idle = l.rate[:n], idleShare*total/float64(n)
+	loaded := make(map[string]float64)
+	for slot, rate := range e.rate {
+		if rate > 0 {
+			a := s.table.Assignment(service, slot)
+			loaded[cmp.Or(a.Next, a.Owner)] += rate
+		}
+	}
+	return loaded
+}
+
+// weight returns what a slot weighs.
+func (e *even) weight(slot int) float64 {
+	if slot < len(e.rate) {
+		return e.rate[slot] + e.idle
+	}
+	return e.idle
+}
+
+// heaviest sorts slots in place, the heaviest first, which spreads them most evenly.
+func (e *even) heaviest(slots []int) []int {
+	if e.rate != nil {
+		slices.SortStableFunc(slots, func(a, b int) int { return cmp.Compare(e.weight(b), e.weight(a)) })
+	}
+	return slots
+}
+
 // next returns the target for one more slot, which is not owner.
-func (e *even) next(owner string) (string, bool) {
+func (e *even) next(slot int, owner string) (string, bool) {
 	if len(e.queue) == 0 {
 		return "", false
 	}
@@ -55,7 +105,7 @@
 		defer heap.Push(&e.queue, first)
 	}
 	id := e.queue[0].id
-	e.queue[0].share++
+	e.queue[0].weight += e.weight(slot)
 	heap.Fix(&e.queue, 0)
 	return id, true
 }
@@ -67,9 +117,12 @@
 func (s *step) assign() {
 	given := 0
 	for _, service := range s.table.Services() {
-		even := s.newEven(service)
+		var e *even
 		for slot := range s.table.Unowned(service) {
-			to, ok := even.next("")
+			if e == nil {
+				e = s.newEven(service)
+			}
+			to, ok := e.next(slot, "")
 			if !ok {
 				break
 			}
@@ -88,15 +141,15 @@
 // drain moves slots away from targets that leave or that operators drain.
 func (s *step) drain() {
 	for _, service := range s.table.Services() {
-		even := s.newEven(service)
-		if len(even.queue) == 0 {
-			continue
-		}
+		var e *even
 		for _, t := range s.table.Targets() {
 			if t.Service != service || !s.leaves(t.ID) {
 				continue
 			}
-			for _, slot := range s.table.OwnedBy(nil, t.ID) {
+			if e == nil {
+				e = s.newEven(service)
+			}
+			for _, slot := range e.heaviest(s.table.OwnedBy(nil, t.ID)) {
 				if s.moving >= s.policy.Moving {
 					return
 				}
@@ -104,7 +157,7 @@
 				if s.touched[at] || !s.passed(s.retry[at].until) {
 					continue
 				}
-				if to, ok := even.next(t.ID); ok {
+				if to, ok := e.next(slot, t.ID); ok {
 					s.cooperate(at, t.ID, to, "drain")
 				}
 			}
--- a/pkg/fulmarplan/loss.go
+++ b/pkg/fulmarplan/loss.go
@@ -151,7 +151,7 @@
 // losses starts forced moves of all slots of the lost targets, and gives forced moves to a lost target another one.
 func (s *step) losses() {
 	for _, service := range s.table.Services() {
-		var slots []place
+		var slots []int
 		for slot, a := range s.table.Moving(service) {
 			if s.lost[a.Owner] != nil && !a.Forced || s.lost[a.Next] != nil && a.Forced {
 				s.force(place{service, slot}, a, &slots)
@@ -162,7 +162,7 @@
 				continue
 			}
 			for _, slot := range s.table.OwnedBy(nil, id) {
-				slots = append(slots, place{service, slot})
+				slots = append(slots, slot)
 			}
 		}
 		s.spread(service, slots)
@@ -170,11 +170,11 @@
 }
 
 // force makes a cooperative move of a lost target forced; a move to a lost target is appended to slots.
-func (s *step) force(at place, a fulmarslot.Assignment, slots *[]place) {
+func (s *step) force(at place, a fulmarslot.Assignment, slots *[]int) {
 	switch {
 	case s.touched[at]:
 	case !s.ready(a.Next):
-		*slots = append(*slots, at)
+		*slots = append(*slots, at.slot)
 	default:
 		s.touch(at)
 		s.add("move-forced", fulmarslot.Move(at.service, at.slot, a.Next, true))
@@ -182,14 +182,15 @@
 }
 
 // spread starts forced moves of the slots to the targets with the fewest slots.
-func (s *step) spread(service string, slots []place) {
+func (s *step) spread(service string, slots []int) {
 	if len(slots) == 0 {
 		return
 	}
 	even := s.newEven(service)
-	for _, at := range slots {
-		a := s.table.Assignment(service, at.slot)
-		to, ok := even.next(a.Owner)
+	for _, slot := range even.heaviest(slots) {
+		at := place{service, slot}
+		a := s.table.Assignment(service, slot)
+		to, ok := even.next(slot, a.Owner)
 		if !ok || !s.touch(at) {
 			continue
 		}
