Follow load faster when balancing

Cause: the slow average of 25 s that damps alternating reports let targets stay overloaded after the hottest keys changed. Change: the slow average takes 15% of each sample (time constant 8 s). Ruled out: dropping the slow average (30%), which passes the same tests but leaves no margin against bursts of reports; 10%, with which the median under false and lagging reports is 1.29.

--- a/pkg/fulmarplan/load.go
+++ b/pkg/fulmarplan/load.go
@@ -12,7 +12,7 @@
 const (
 	samples = 8    // load samples in Policy.Settle
 	fast    = 0.3  // weight of the newest sample in the fast average
-	slow    = 0.05 // and in the slow average
+	slow    = 0.15 // and in the slow average
 	steady  = 2    // samples in a row that must show an imbalance before slots move
 	coldAge = 16   // samples in a row after which a hot key that is no longer hot loses its slot
 	maxKeys = 1024 // candidates for hot keys of one service
