--- a/internal/fulmardispatch/dispatcher.go
+++ b/internal/fulmardispatch/dispatcher.go
@@ -78,6 +78,7 @@
 	flight    int
 	doubt     int // renewals that must succeed before work starts again
 	opened    bool
+	complete  time.Time // no order of another dispatcher started later; zero if not known
 	suspended bool
 	stopped   bool
 	closed    bool
@@ -121,9 +122,18 @@
 	d.term, d.opened, d.suspended, d.stopped, d.doubt = term, true, false, false, 0
 	d.queue.SetSlots(free)
 	d.apply(table, slots)
+	d.complete = time.Time{}
 	d.signal()
 }
 
+// SetComplete states that no order of another dispatcher started after at.
+// Memory that the next Open starts anew counts from then, instead of from Open.
+func (d *Dispatcher) SetComplete(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.complete = at
+}
+
 // Running returns the number of orders in flight.
 func (d *Dispatcher) Running() int {
 	d.mu.Lock()
@@ -345,6 +355,9 @@
 			return
 		}
 	}
+	if !d.complete.IsZero() && d.complete.Before(now) {
+		now = d.complete
+	}
 	d.memory.Open(now, n)
 }
 
--- a/pkg/fulmarplan/loss.go
+++ b/pkg/fulmarplan/loss.go
@@ -40,29 +40,47 @@
 // others reports whether another target of the service may get slots.
 func (s *step) others(id string) bool {
 	return slices.ContainsFunc(s.in.Targets, func(t fulmarslot.Target) bool {
-		return t.ID != id && t.Service == s.targets[id].Service && !t.Leaving && s.lost[t.ID] == nil && !slices.Contains(s.in.Drain, t.ID)
+		return t.ID != id && t.Service == s.targets[id].Service && !t.Leaving && s.lost[t.ID] == nil && !s.drained[t.ID]
 	})
 }
 
-// suspect decides how a loss marks the work that ran there. A suspect of an earlier loss is condemned. A planner that
-// has only just taken over does not condemn for a target without slots: that loss has been handled before.
+// suspect decides how a loss marks the work that ran there. A suspect of an earlier loss is condemned. A loss that is
+// reported again after its slots began to move marks nothing new, and a planner that has only just taken over does not
+// condemn for a target whose slots have nowhere to go, because the table may hold the marks of this very loss.
 func (s *step) suspect(l Loss) {
 	known := s.lost[l.Target]
 	if known == nil {
 		known = &loss{marks: map[uint64]bool{}}
 		s.lost[l.Target] = known
+		if s.handled(l.Target) {
+			known.done = true
+			return
+		}
 	}
-	owned, _, _ := s.table.Count(l.Target)
 	for _, f := range l.Suspects {
-		if _, ok := known.marks[f]; ok || owned == 0 && !s.sound[l.Target] {
+		if _, ok := known.marks[f]; ok || known.done && s.handled(l.Target) {
 			continue
 		}
-		known.marks[f] = s.marked(l.Target, f)
+		known.marks[f] = s.marked(l.Target, f) && (s.sound[l.Target] || s.others(l.Target))
 		known.done = false
 	}
 	delete(s.sound, l.Target)
 }
 
+// handled reports whether a target owns no slot but those of forced moves.
+func (s *step) handled(id string) bool {
+	owned, away, _ := s.table.Count(id)
+	if owned > 0 {
+		return false
+	}
+	for at, m := range s.moves {
+		if away > 0 && m.Owner == id && !m.Forced && at.service == s.targets[id].Service {
+			return false
+		}
+	}
+	return true
+}
+
 // marked reports whether the fingerprint is under suspicion already, by the table or by another loss.
 func (s *step) marked(target string, fingerprint uint64) bool {
 	for id, l := range s.lost {
@@ -133,7 +151,7 @@
 // losses starts forced moves of all slots of the lost targets, and gives forced moves to a lost target another one.
 func (s *step) losses() {
 	for _, service := range s.table.Services() {
-		var slots []place
+		var slots []int
 		for slot, a := range s.table.Moving(service) {
 			if s.lost[a.Owner] != nil && !a.Forced || s.lost[a.Next] != nil && a.Forced {
 				s.force(place{service, slot}, a, &slots)
@@ -144,7 +162,7 @@
 				continue
 			}
 			for _, slot := range s.table.OwnedBy(nil, id) {
-				slots = append(slots, place{service, slot})
+				slots = append(slots, slot)
 			}
 		}
 		s.spread(service, slots)
@@ -152,11 +170,11 @@
 }
 
 // force makes a cooperative move of a lost target forced; a move to a lost target is appended to slots.
-func (s *step) force(at place, a fulmarslot.Assignment, slots *[]place) {
+func (s *step) force(at place, a fulmarslot.Assignment, slots *[]int) {
 	switch {
 	case s.touched[at]:
 	case !s.ready(a.Next):
-		*slots = append(*slots, at)
+		*slots = append(*slots, at.slot)
 	default:
 		s.touch(at)
 		s.add("move-forced", fulmarslot.Move(at.service, at.slot, a.Next, true))
@@ -164,14 +182,15 @@
 }
 
 // spread starts forced moves of the slots to the targets with the fewest slots.
-func (s *step) spread(service string, slots []place) {
+func (s *step) spread(service string, slots []int) {
 	if len(slots) == 0 {
 		return
 	}
 	even := s.newEven(service)
-	for _, at := range slots {
-		a := s.table.Assignment(service, at.slot)
-		to, ok := even.next(a.Owner)
+	for _, slot := range even.heaviest(slots) {
+		at := place{service, slot}
+		a := s.table.Assignment(service, slot)
+		to, ok := even.next(slot, a.Owner)
 		if !ok || !s.touch(at) {
 			continue
 		}
