--- a/pkg/fulmarplan/loss.go
+++ b/pkg/fulmarplan/loss.go
@@ -161,9 +161,7 @@
 			if s.targets[id].Service != service {
 				continue
 			}
-			for _, slot := range s.table.OwnedBy(nil, id) {
-				slots = append(slots, slot)
-			}
+			slots = s.table.OwnedBy(slots, id)
 		}
 		s.spread(service, slots)
 	}
