--- a/internal/fulmarcontrol/keeper.go
+++ b/internal/fulmarcontrol/keeper.go
@@ -20,6 +20,9 @@
 	clockDrift = 0.001
 	// failuresLost is the number of failed calls in a row after which a target is lost.
 	failuresLost = 2
+	// secondLook is the wait after the first failed call to a target without a
+	// dispatcher. A refused call fails at once, and the next tick would be late.
+	secondLook = 50 * time.Millisecond
 	// rankSettle is how long another daemon must rank better before a target is handed over to it.
 	rankSettle = 5 * time.Second
 	// handoverDrain is how long a handover waits for work in flight; longer
@@ -373,6 +376,7 @@
 func (k *keeper) release(ctx context.Context, t fulmarslot.Target, epoch uint64, slots []int) {
 	k.c.mu.Lock()
 	if k.released(slots) {
+		k.refreshReleases(epoch, slots)
 		k.c.mu.Unlock()
 		return
 	}
@@ -403,6 +407,33 @@
 	return true
 }
 
+// refreshReleases brings reports on the slots up to the epoch of a grant that
+// still lacks them; mu must be held. A planner that took over, or that read the
+// table back after a lost answer, counts a move from the epoch in which it first
+// saw it, and would wait for a report from then on without end.
+func (k *keeper) refreshReleases(epoch uint64, slots []int) {
+	refreshed := false
+	for i, r := range k.releases {
+		if r.Epoch >= epoch {
+			continue
+		}
+		var still []int // the others have ended their move
+		for _, slot := range r.Slots {
+			if slices.Contains(slots, slot) {
+				still = append(still, slot)
+			}
+		}
+		if len(still) > 0 {
+			k.releases[i].Epoch, k.releases[i].Slots = epoch, still
+			refreshed = true
+		}
+	}
+	if refreshed {
+		k.c.notify()
+		k.c.kickPlanner()
+	}
+}
+
 // pruneReleases drops reports on slots that no longer move; mu must be held.
 func (k *keeper) pruneReleases() {
 	if len(k.releases) == 0 {
@@ -488,7 +519,11 @@
 
 func (k *keeper) acquireFailed(err error) {
 	k.failures++
-	if k.failures >= failuresLost && !k.lost {
+	if k.failures < failuresLost {
+		time.AfterFunc(secondLook, k.wake)
+		return
+	}
+	if !k.lost {
 		k.c.Log.Warn("target does not answer", "target", k.id, "error", err)
 		k.setLost(true, nil)
 	}
@@ -506,7 +541,10 @@
 	}
 	p, known := c.peers[id]
 	if !known || p.Incarnation != incarnation || c.view.State(now, id) == fulmarmember.Down {
-		return false
+		// To a daemon that is itself cut off from the others, silence of the
+		// holder says nothing. If it displaced holders that renew their grants,
+		// both sides would take the target from each other without end.
+		return state.Lapse > 0 && !c.hearsMajority(now)
 	}
 	c.learned[k.id] = id
 	if state.Lapse > 0 {
@@ -519,6 +557,17 @@
 	return now.Sub(k.lapsedSince) < holderPatience
 }
 
+// hearsMajority reports whether a majority of the roster, self included, is not down; mu must be held.
+func (c *Controller) hearsMajority(now time.Time) bool {
+	roster, heard := c.table.Roster(), 0
+	for _, m := range roster {
+		if m.ID == c.Self.ID || c.view.State(now, m.ID) != fulmarmember.Down {
+			heard++
+		}
+	}
+	return 2*heard > len(roster)
+}
+
 // takeover is a grant that the target accepted from its new dispatcher.
 type takeover struct {
 	before, after fulmargrant.State // of the target
--- a/internal/fulmarcontrol/mesh.go
+++ b/internal/fulmarcontrol/mesh.go
@@ -298,7 +298,7 @@
 			live = n
 			c.notify()
 			for _, k := range c.keepers {
-				k.wake()
+				k.wake() // a takeover must not wait for the next tick
 			}
 		}
 		c.followDown(now)
