Count the bytes and calls of control connections

Cause: the control cost of a daemon could only be estimated. Change: clients and servers of peers count bytes and calls in a Traffic that the daemon exposes as gauges peer_bytes_sent, peer_bytes_received, peer_calls and peer_answers. Ruled out: changing the constructors' signatures, which other work uses.

--- a/internal/fulmarcontrol/controller.go
+++ b/internal/fulmarcontrol/controller.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarpeer"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarstore"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarwire"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarconfig"
@@ -87,6 +88,7 @@
 	NewDispatcher func(fulmarslot.Target) Dispatcher
 	Guard         *fulmarguard.Guard
 	Counter       Counter
+	Traffic       *fulmarpeer.Traffic // counts control traffic; may be nil
 	Log           *slog.Logger
 }
 
--- a/internal/fulmarcontrol/mesh.go
+++ b/internal/fulmarcontrol/mesh.go
@@ -62,6 +62,8 @@
 		c.Log.Error("peer client", "peer", m.ID, "error", err)
 		return
 	}
+	beat.Count(c.Traffic)
+	bulk.Count(c.Traffic)
 	p := &peer{
 		Peer: fulmarmember.Peer{
 			ID: m.ID, Incarnation: m.Incarnation, Control: m.Control, Data: m.Data, DataCentre: m.DataCentre,
@@ -344,6 +346,7 @@
 	if err != nil {
 		return
 	}
+	client.Count(c.Traffic)
 	defer client.Close()
 	if err := c.pull(ctx, client); err != nil {
 		c.Log.Debug("seed does not answer", "address", address, "error", err)
--- a/internal/fulmarnode/node.go
+++ b/internal/fulmarnode/node.go
@@ -58,6 +58,7 @@
 	entry    *fulmarentry.Entry
 	guard    *fulmarguard.Guard
 	cost     *fulmarcost.Estimator
+	traffic  *fulmarpeer.Traffic
 }
 
 // New returns a daemon that does nothing until Run.
@@ -73,6 +74,7 @@
 		targets:  fulmartarget.New(targetConnections, s.Advertise.Source),
 		guard:    fulmarguard.New(condemnedFor, maxMarks),
 		cost:     fulmarcost.New(defaultLongRatio),
+		traffic:  new(fulmarpeer.Traffic),
 	}
 	n.control = fulmarcontrol.New(fulmarcontrol.Deps{
 		Self: fulmarslot.Member{
@@ -88,6 +90,7 @@
 		NewDispatcher: n.newDispatcher,
 		Guard:         n.guard,
 		Counter:       metrics,
+		Traffic:       n.traffic,
 		Log:           log,
 	})
 	n.entry = fulmarentry.New(fulmarentry.Deps{
@@ -150,6 +153,10 @@
 	n.metrics.Gauge("config_version", func() float64 { return float64(n.control.Versioned().Version) })
 	n.metrics.Gauge("targets_held", func() float64 { return float64(n.control.Holding()) })
 	n.metrics.Gauge("lease_held", func() float64 { return truth(n.control.Current()) })
+	n.metrics.Gauge("peer_bytes_sent", func() float64 { return float64(n.traffic.Sent()) })
+	n.metrics.Gauge("peer_bytes_received", func() float64 { return float64(n.traffic.Received()) })
+	n.metrics.Gauge("peer_calls", func() float64 { return float64(n.traffic.Calls()) })
+	n.metrics.Gauge("peer_answers", func() float64 { return float64(n.traffic.Answered()) })
 	n.metrics.Gauge("planner", func() float64 { return truth(n.control.Planning()) })
 }
 
@@ -198,6 +205,7 @@
 	if err != nil {
 		return err
 	}
+	peers.Count(n.traffic)
 	callers := server(n.entry.Callers())
 	data := server(n.entry.Peers())
 	admin := server(n.adminHandler())
--- a/internal/fulmarpeer/client.go
+++ b/internal/fulmarpeer/client.go
@@ -20,6 +20,7 @@
 	source  net.IP
 	key     []byte
 	codec   fulmarwire.Codec
+	traffic *Traffic
 
 	mu   sync.Mutex
 	conn *drpcconn.Conn
@@ -93,6 +94,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "fulmarpeer: dial")
 	}
+	raw = c.traffic.wrap(raw)
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	err = shake(raw, c.key, "client", "server")
 	if !stop() && err == nil {
@@ -115,5 +117,6 @@
 	if err := conn.Invoke(ctx, rpc, c.codec, in, out); err != nil {
 		return nil, errors.Wrap(err, "fulmarpeer: call")
 	}
+	c.traffic.called()
 	return out, nil
 }
--- a/internal/fulmarpeer/peer_test.go
+++ b/internal/fulmarpeer/peer_test.go
@@ -45,6 +45,7 @@
 		cancel  context.CancelFunc
 		address string
 		done    chan struct{}
+		traffic *fulmarpeer.Traffic
 	)
 	key := []byte(strings.Repeat("k", 32))
 	BeforeEach(func() {
@@ -54,6 +55,8 @@
 		address = listener.Addr().String()
 		server, err := fulmarpeer.New(key, &echo{}, slog.New(slog.DiscardHandler))
 		Expect(err).NotTo(HaveOccurred())
+		traffic = new(fulmarpeer.Traffic)
+		server.Count(traffic)
 		done = make(chan struct{})
 		go func() {
 			defer close(done)
@@ -82,6 +85,21 @@
 		Expect(got).To(Equal(sent))
 	})
 
+	// Guards against control traffic that is missing from the metrics.
+	It("counts bytes and calls alike at both ends", func() {
+		own := new(fulmarpeer.Traffic)
+		c := client(key).Count(own)
+		for range 3 {
+			_, err := c.Heartbeat(ctx, &fulmarwire.Status{ID: "a"})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(own.Calls()).To(BeEquivalentTo(3))
+		Expect(traffic.Answered()).To(BeEquivalentTo(3))
+		Expect(own.Received()).To(BeNumerically(">", 0))
+		Eventually(traffic.Sent, "5s").Should(Equal(own.Received()))
+		Eventually(traffic.Received, "5s").Should(Equal(own.Sent()))
+	})
+
 	// Guards against tables that do not fit into a frame.
 	It("carries a table of 1 MB", func() {
 		c := client(key)
--- a/internal/fulmarpeer/server.go
+++ b/internal/fulmarpeer/server.go
@@ -85,9 +85,10 @@
 
 // Server accepts peers' connections.
 type Server struct {
-	key    []byte
-	server *drpcserver.Server
-	log    *slog.Logger
+	key     []byte
+	server  *drpcserver.Server
+	log     *slog.Logger
+	traffic *Traffic
 }
 
 // New returns a server that answers with handler to peers that know key.
@@ -101,7 +102,9 @@
 		return nil, errors.Wrap(err, "fulmarpeer: register")
 	}
 	options := drpcserver.Options{Manager: managerOptions()}
-	return &Server{key: key, server: drpcserver.NewWithOptions(mux, options), log: log}, nil
+	s := &Server{key: key, log: log}
+	s.server = drpcserver.NewWithOptions(counting{mux, s}, options)
+	return s, nil
 }
 
 func managerOptions() drpcmanager.Options {
@@ -122,7 +125,7 @@
 		if err != nil {
 			return errors.Wrap(err, "fulmarpeer: accept")
 		}
-		group.Go(func() { s.serveConn(ctx, conn) })
+		group.Go(func() { s.serveConn(ctx, s.traffic.wrap(conn)) })
 	}
 }
 
