Measure daemons, targets and callers as processes

Cause: control cost, unavailable time and goodput were known only from the cores in virtual time. Ruled out: scraping while CPU and bytes are read, which would count as control cost; ending children with their parent thread, which ends them at random in Go. Conclusion: the measurements can be repeated with one command.

--- a/cmd/fulmarlab/main.go
+++ b/cmd/fulmarlab/main.go
@@ -35,7 +35,7 @@
 	app := &cli.Command{
 		Name:     "fulmarlab",
 		Usage:    "run stand-ins for the platform, targets and callers",
-		Commands: []*cli.Command{platformCommand(), targetCommand(), loadCommand(), demoCommand()},
+		Commands: []*cli.Command{platformCommand(), targetCommand(), loadCommand(), demoCommand(), trialCommand()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/internal/fulmartrial/loss.go
@@ -0,0 +1,228 @@
+package fulmartrial
+
+import (
+	"context"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmardemo"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarhistory"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarload"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarplatform"
+	"github.com/pkg/errors"
+)
+
+const (
+	lossDaemons = 5
+	lossLoad    = 10 * time.Second
+	lossAt      = 3 * time.Second
+	restartIn   = 3 * time.Second // time of a supervisor to start a lost daemon again
+	keys        = 30              // of each service; few, so that each is asked for often
+	keyRate     = 200.0           // requests a second of each group on each service
+	served      = "served"
+)
+
+// small returns the services of Hardanger with 9 targets.
+func small() []service {
+	return []service{
+		{name: "rota-board", targets: 4, slots: 64, idempotent: true},
+		{name: "shift-desk", targets: 3, slots: 32},
+		{name: "pay-desk", targets: 2, slots: 16},
+	}
+}
+
+// fault is a loss and how it is brought about.
+type fault struct {
+	name   string
+	timing string
+	strike func(ctx context.Context, f *fleet, source *rand.Rand) error
+}
+
+func faults() []fault {
+	return []fault{
+		{"none", "", func(context.Context, *fleet, *rand.Rand) error { return nil }},
+		{"daemon", "", func(ctx context.Context, f *fleet, source *rand.Rand) error {
+			m, err := f.worker(ctx, source)
+			if err == nil {
+				m.process.kill()
+			}
+			return err
+		}},
+		{"target", "", func(_ context.Context, f *fleet, source *rand.Rand) error {
+			f.targets[source.IntN(len(f.targets))].process.kill()
+			return nil
+		}},
+		{"daemon and a target that it holds", "", func(ctx context.Context, f *fleet, source *rand.Rand) error {
+			t := f.targets[source.IntN(len(f.targets))]
+			m, err := f.holder(ctx, t)
+			if err == nil {
+				m.process.kill()
+				t.process.kill()
+			}
+			return err
+		}},
+		{"planner and a target", "", func(ctx context.Context, f *fleet, source *rand.Rand) error {
+			m, err := f.planner(ctx)
+			if err == nil {
+				m.process.kill()
+				f.targets[source.IntN(len(f.targets))].process.kill()
+			}
+			return err
+		}},
+		{"daemon, key-value service down", "", func(ctx context.Context, f *fleet, source *rand.Rand) error {
+			m, err := f.worker(ctx, source)
+			if err != nil {
+				return err
+			}
+			if err := f.setFault(ctx, fulmarplatform.Fault{Down: "refuse"}); err != nil {
+				return err
+			}
+			err = pause(ctx, time.Second)
+			m.process.kill()
+			return err
+		}},
+		{"daemon without standby, restarted after 3 s", "down = \"60s\"", func(ctx context.Context, f *fleet, source *rand.Rand) error {
+			m, err := f.worker(ctx, source)
+			if err != nil {
+				return err
+			}
+			m.process.kill()
+			if err := pause(ctx, restartIn); err != nil {
+				return err
+			}
+			return f.restart(m)
+		}},
+	}
+}
+
+// worker returns a daemon that holds a target and does not plan.
+func (f *fleet) worker(ctx context.Context, source *rand.Rand) (*member, error) {
+	planner, err := f.planner(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, i := range source.Perm(len(f.targets)) {
+		m, err := f.holder(ctx, f.targets[i])
+		if err != nil {
+			return nil, err
+		}
+		if m != planner {
+			return m, nil
+		}
+	}
+	return nil, errors.New("fulmartrial: the planner holds every target")
+}
+
+// loss measures the longest unavailable time of a key for each fault and seed.
+func (t *Trial) loss(ctx context.Context) error {
+	table := newTable("loss", "lost", "seed", "reads: longest ms", "at most once: longest ms", "without unknown: longest ms",
+		"served again", "attempts", "not served", "unknown", "violations")
+	for _, fault := range faults() {
+		for i := range t.settings.Seeds {
+			seed := t.settings.Seed + uint64(i)
+			if err := t.lossOnce(ctx, table, fault, seed); err != nil {
+				table.add(fault.name, seed, "failed: "+err.Error())
+			}
+		}
+	}
+	return t.print(table)
+}
+
+func (t *Trial) lossOnce(ctx context.Context, table *table, fault fault, seed uint64) error {
+	p := plan{daemons: lossDaemons, services: small(), groups: []string{"ferries", "clinics"}, queue: 200, timing: fault.timing}
+	return t.fleet(ctx, p, func(f *fleet) error {
+		struck := make(chan error, 1)
+		strike := time.AfterFunc(lossAt, func() { struck <- fault.strike(ctx, f, rand.New(rand.NewPCG(seed, 0))) })
+		defer strike.Stop()
+		settings := f.load(seed, lossLoad)
+		settings.Keys, settings.Hot, settings.HotShare = keys, 0, 0
+		for _, g := range p.groups {
+			for _, s := range p.services {
+				settings.Groups = append(settings.Groups, fulmarload.Group{Name: g, Service: s.name, Once: !s.idempotent, Rate: keyRate})
+			}
+		}
+		result, err := f.run(ctx, settings)
+		if err != nil {
+			return err
+		}
+		if err := <-struck; err != nil {
+			return err
+		}
+		g := measureGaps(result.Calls)
+		violations, err := f.violations(result.Calls)
+		if err != nil {
+			return err
+		}
+		table.add(fault.name, seed, g.reads.Length, g.once.Length, g.known.Length,
+			!g.reads.Open && !g.once.Open, result.Attempts, g.notServed, g.unknown, violations)
+		return nil
+	})
+}
+
+// load returns the settings of a load on all daemons, without groups.
+func (f *fleet) load(seed uint64, duration time.Duration) fulmarload.Settings {
+	var callers []string
+	for _, m := range f.members {
+		callers = append(callers, m.callers)
+	}
+	return fulmardemo.Load(seed, duration, callers)
+}
+
+// run sends a load and keeps the calls in the fleet's folder.
+func (f *fleet) run(ctx context.Context, settings fulmarload.Settings) (fulmarload.Result, error) {
+	log, file, err := fulmarhistory.Open(filepath.Join(f.folder, "callers.jsonl"))
+	if err != nil {
+		return fulmarload.Result{}, errors.Wrap(err, "fulmartrial")
+	}
+	defer func() { _ = file.Close() }()
+	result := fulmarload.New(settings, log).Run(ctx)
+	return result, errors.Wrap(ctx.Err(), "fulmartrial: load was interrupted")
+}
+
+// violations returns the number of violated invariants of all histories.
+func (f *fleet) violations(calls []fulmarhistory.Call) (int, error) {
+	var paths []string
+	for _, t := range f.targets {
+		paths = append(paths, t.history)
+	}
+	events, err := fulmarhistory.ReadFiles[fulmarhistory.Event](paths...)
+	if err != nil {
+		return 0, errors.Wrap(err, "fulmartrial")
+	}
+	c := fulmarhistory.Check(events, calls)
+	return len(c.Owners) + len(c.Doubled) + len(c.RefusedRan) + len(c.Broken), nil
+}
+
+// gaps are the longest unavailable times of a run.
+type gaps struct {
+	reads, once fulmarhistory.Gap
+	// known leaves out attempts with the outcome unknown: a request whose id is
+	// older than the horizon stays unknown although its key is served.
+	known              fulmarhistory.Gap
+	notServed, unknown int
+}
+
+func measureGaps(calls []fulmarhistory.Call) gaps {
+	var g gaps
+	var reads, once, known []fulmarhistory.Call
+	for _, c := range calls {
+		if c.Outcome != served {
+			g.notServed++
+		}
+		if c.Outcome == "unknown" {
+			g.unknown++
+		} else {
+			known = append(known, c)
+		}
+		if c.Once {
+			once = append(once, c)
+		} else {
+			reads = append(reads, c)
+		}
+	}
+	g.reads, g.once = fulmarhistory.LongestGap(slices.Clone(reads), 1), fulmarhistory.LongestGap(slices.Clone(once), 1)
+	g.known = fulmarhistory.LongestGap(known, 1)
+	return g
+}
