--- a/internal/fulmartrial/crest.go
+++ b/internal/fulmartrial/crest.go
@@ -27,7 +27,6 @@
 	crestFlight  = 20000
 	calm, high   = 0.25, 2.5 // of the capacity
 
-	surgeGroup = 0.2 // demand of each of 4 groups, of the capacity
 	surgeTimes = 20
 
 	hotWork   = 10 * time.Millisecond
@@ -36,6 +35,10 @@
 	hotWindow = 10 * time.Second
 )
 
+// surgeDemands are demands of each of 4 groups, of the capacity; the share of a
+// group is 0.25 while all have work waiting.
+var surgeDemands = []float64{0.1, 0.2}
+
 // crest measures a tenfold demand, a surge of one group, and hot keys.
 func (t *Trial) crest(ctx context.Context) error {
 	if err := t.rise(ctx); err != nil {
@@ -207,10 +210,19 @@
 
 // surge raises the demand of one of four groups by 20 times.
 func (t *Trial) surge(ctx context.Context) error {
-	table := newTable("surge", "group", "part", "offered/s", "served/s", "served of offered %", "p99 ms", "not served, by reason")
+	table := newTable("surge", "demand of a group", "groups", "part", "offered/s", "served/s", "served of offered %", "p50 ms", "p99 ms", "not served, by reason")
+	for _, demand := range surgeDemands {
+		if err := t.surgeOnce(ctx, table, demand); err != nil {
+			return err
+		}
+	}
+	return t.print(table)
+}
+
+func (t *Trial) surgeOnce(ctx context.Context, table *table, demand float64) error {
 	groups := []string{"ferries", "clinics", "harbours", "schools"}
-	err := t.fleet(ctx, crestPlan(groups...), func(f *fleet) error {
-		rate := surgeGroup * nominal(crestWork)
+	return t.fleet(ctx, crestPlan(groups...), func(f *fleet) error {
+		rate := demand * nominal(crestWork)
 		var waves []wave
 		for i, g := range groups {
 			waves = append(waves, f.wave(t.settings.Seed+uint64(i), 0, crestLoad, rate, g))
@@ -221,28 +233,32 @@
 		if err != nil {
 			return err
 		}
-		byGroup := map[string][]fulmarhistory.Call{}
+		var surging, others []fulmarhistory.Call
 		for _, c := range calls {
-			byGroup[c.Group] = append(byGroup[c.Group], c)
+			if c.Group == groups[0] {
+				surging = append(surging, c)
+			} else {
+				others = append(others, c)
+			}
 		}
-		for _, g := range groups {
-			for _, part := range []struct {
-				name     string
-				from, to time.Duration
-			}{
-				{"first second", crestAt, crestAt + time.Second},
-				{"later", crestAt + time.Second, crestLoad},
-			} {
-				s := summarise(byGroup[g], start, part.from, part.to)
-				table.add(g, part.name, s.offered, s.served, 100*s.served/s.offered, s.p99, s.reasons)
+		for _, part := range []struct {
+			name     string
+			from, to time.Duration
+		}{
+			{"before", time.Second, crestAt},
+			{"first second", crestAt, crestAt + time.Second},
+			{"later", crestAt + time.Second, crestLoad},
+		} {
+			for _, g := range []struct {
+				name  string
+				calls []fulmarhistory.Call
+			}{{"surging", surging}, {"3 others", others}} {
+				s := summarise(g.calls, start, part.from, part.to)
+				table.add(demand, g.name, part.name, s.offered, s.served, 100*s.served/s.offered, s.p50, s.p99, s.reasons)
 			}
 		}
 		return nil
 	})
-	if err != nil {
-		return err
-	}
-	return t.print(table)
 }
 
 // hot sends half of the requests for a few keys.
--- a/internal/fulmartrial/trial.go
+++ b/internal/fulmartrial/trial.go
@@ -35,7 +35,7 @@
 func New(settings Settings, out io.Writer) *Trial { return &Trial{settings: settings, out: out} }
 
 // Parts returns the names of all parts in the order in which they should run.
-func Parts() []string { return []string{"idle", "loss", "config", "hops", "crest"} }
+func Parts() []string { return []string{"size", "idle", "loss", "config", "hops", "crest"} }
 
 // Run runs the named parts. A part that fails does not keep the others from running.
 func (t *Trial) Run(ctx context.Context, parts []string) error {
@@ -48,7 +48,7 @@
 		return errors.Wrapf(err, "fulmartrial: build the daemon: %s", out)
 	}
 	run := map[string]func(context.Context) error{
-		"idle": t.idle, "loss": t.loss, "config": t.config, "hops": t.hops, "crest": t.crest,
+		"size": t.size, "idle": t.idle, "loss": t.loss, "config": t.config, "hops": t.hops, "crest": t.crest,
 	}
 	var failed error
 	for _, name := range parts {
