Take ports outside the range of outgoing connections

Cause: in a fleet of 54 daemons 3 did not start, because an outgoing connection of another had taken the port that was free a moment before. Change: the trial's servers listen on ports from 15000 to 32000. Ruled out: a fault of the daemon; it reports the bind error and exits.

--- a/internal/fulmartrial/process.go
+++ b/internal/fulmartrial/process.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -124,13 +126,30 @@
 	return first
 }
 
+// The ports of servers are below those that Linux gives to outgoing connections,
+// one of which could otherwise take a port before its server listens.
+const firstPort, lastPort = 15000, 32000
+
+// ports counts up from a start that differs between trials that run at a time.
+var ports = func() *atomic.Int64 {
+	n := new(atomic.Int64)
+	n.Store(rand.Int64N(lastPort - firstPort))
+	return n
+}()
+
 // freeAddress returns a loopback address that was free a moment ago.
 func freeAddress(ctx context.Context) (string, error) {
 	var config net.ListenConfig
-	l, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "fulmartrial: find a free port")
+	for range lastPort - firstPort {
+		port := firstPort + ports.Add(1)%(lastPort-firstPort)
+		l, err := config.Listen(ctx, "tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			_ = l.Close()
+			return l.Addr().String(), nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", errors.New("fulmartrial: no port is free")
 }
