--- a/cmd/fulmarlab/trial.go
+++ b/cmd/fulmarlab/trial.go
@@ -21,6 +21,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1},
 			&cli.IntFlag{Name: "seeds", Value: 3, Usage: "runs of each fault"},
 			&cli.IntSliceFlag{Name: "daemons", Value: []int{3, 9, 27}, Usage: "sizes of the part idle"},
+			&cli.BoolFlag{Name: "slopes", Value: true, Usage: "vary targets and slots in the part idle"},
 			&cli.DurationFlag{Name: "span", Value: 10 * time.Second, Usage: "time of each measurement at rest"},
 			&cli.StringFlag{Name: "folder", Usage: "folder for logs and CSV files; a temporary one if empty"},
 		},
@@ -32,7 +33,7 @@
 			fmt.Println("logs and CSV files:", folder)
 			return fulmartrial.New(fulmartrial.Settings{
 				Seed: c.Uint64("seed"), Seeds: c.Int("seeds"), Daemons: c.IntSlice("daemons"),
-				Span: c.Duration("span"), Folder: folder,
+				Slopes: c.Bool("slopes"), Span: c.Duration("span"), Folder: folder,
 			}, os.Stdout).Run(ctx, c.StringSlice("part"))
 		},
 	}
--- a/internal/fulmartrial/idle.go
+++ b/internal/fulmartrial/idle.go
@@ -30,7 +30,9 @@
 	for _, n := range t.settings.Daemons {
 		cells = append(cells, cell{n, 36, 256})
 	}
-	cells = append(cells, cell{9, 12, 256}, cell{9, 72, 256}, cell{9, 36, 1024}, cell{9, 36, 4096}, cell{9, 36, 16384})
+	if t.settings.Slopes {
+		cells = append(cells, cell{9, 12, 256}, cell{9, 72, 256}, cell{9, 36, 1024}, cell{9, 36, 4096}, cell{9, 36, 16384})
+	}
 	for _, c := range cells {
 		p := plan{daemons: c.daemons, services: hardanger(c.targets, c.slots), groups: []string{"ferries", "clinics"}, queue: 200}
 		err := t.fleet(ctx, p, func(f *fleet) error {
--- a/internal/fulmartrial/trial.go
+++ b/internal/fulmartrial/trial.go
@@ -19,6 +19,7 @@
 	Seed    uint64
 	Seeds   int           // runs of each fault
 	Daemons []int         // sizes of the idle part
+	Slopes  bool          // the idle part also varies the targets and the slots
 	Span    time.Duration // of each measurement at rest
 	Folder  string        // for settings, logs, histories and CSV files
 }
@@ -52,6 +53,9 @@
 	}
 	var failed error
 	for _, name := range parts {
+		if ctx.Err() != nil {
+			return errors.Wrap(ctx.Err(), "fulmartrial")
+		}
 		part, ok := run[name]
 		if !ok {
 			return errors.Errorf("fulmartrial: no part is named %q", name)
