--- a/pkg/fulmarslot/table_test.go
+++ b/pkg/fulmarslot/table_test.go
@@ -88,6 +88,27 @@
 		Expect(t.Assignment("rota", 0).Since).To(BeZero(), "starts of old moves are kept for ever")
 	})
 
+	// Guards against a new dispatcher that trusts a target's word on its orders
+	// for keys which another target served in the meantime.
+	It("tells whether a target owned its keys all along", func() {
+		t := filled(4, 2)
+		before := t.Epoch()
+		Expect(t.Steady("t00000", before)).To(BeTrue())
+		Expect(t.Steady("t00000", before+1)).To(BeFalse(), "an epoch of the future")
+		Expect(t.Steady("none", before)).To(BeFalse())
+		moving := expectWith(t, fulmarslot.Move("rota", 0, "t00001", false))
+		back := expectWith(expectWith(expectWith(moving, fulmarslot.Commit("rota", 0)), fulmarslot.Move("rota", 0, "t00000", false)), fulmarslot.Commit("rota", 0))
+		Expect(back.Steady("t00000", before)).To(BeFalse(), "a slot was away")
+		Expect(back.Steady("t00001", before)).To(BeTrue(), "it only lost a slot")
+		Expect(back.Steady("t00000", back.Epoch())).To(BeTrue())
+		hot := expectWith(expectWith(t, fulmarslot.PutHot("rota", 0)), fulmarslot.RemoveHot("rota", 0))
+		Expect(hot.Steady("t00000", before)).To(BeFalse(), "a hot key returned")
+		for range 64 {
+			t = expectWith(t)
+		}
+		Expect(t.Steady("t00000", before)).To(BeFalse(), "an epoch beyond what the table remembers")
+	})
+
 	// Guards against a hot key that gets another owner than its plain slot without a move.
 	It("gives hot keys slots of their own", func() {
 		hash := fulmarslot.Hash("rota", "k")
@@ -161,7 +182,7 @@
 		slot, to := rapid.IntRange(0, table.Slots("rota")).Draw(t, "slot"), fmt.Sprintf("t%05d", rapid.IntRange(0, 3).Draw(t, "target"))
 		a := model[slot]
 		var change fulmarslot.Change
-		switch rapid.IntRange(0, 4).Draw(t, "kind") {
+		switch rapid.IntRange(0, 7).Draw(t, "kind") {
 		case 0:
 			change, a = fulmarslot.Move("rota", slot, to, false), fulmarslot.Assignment{Owner: a.Owner, Next: to, Since: epoch}
 		case 1:
@@ -173,13 +194,23 @@
 		case 4:
 			hash := uint64(slot) + 600*uint64(table.Slots("rota"))
 			change, a, slot = fulmarslot.PutHot("rota", hash), fulmarslot.Assignment{Owner: model[int(hash%600)].Owner}, table.Slots("rota")
+		case 5:
+			change = fulmarslot.PutTarget(fulmarslot.Target{ID: to, Service: "rota", Address: fmt.Sprint(slot)})
+		case 6:
+			change = fulmarslot.PutMember(fulmarslot.Member{ID: to, Incarnation: uint64(slot)})
+		case 7:
+			change = fulmarslot.RemoveMember(to)
 		}
 		next, err := table.With(change)
 		if dump(table) != before {
 			t.Fatal("With modified its receiver")
 		}
-		if err == nil {
-			table, model[slot] = next, a
+		if err != nil {
+			continue
+		}
+		table = next
+		if a.Owner != "" { // a change of the lists may have drawn the number past the last slot
+			model[slot] = a
 		}
 	}
 	compare(t, table, model)
