Count requests that wait as unavailable in the loss trial

Change: the unavailable time of a key is the longest time from the sending of any request to the next served answer for the key. Ruled out: the longest gap between failed and served attempts, which sees only what callers were refused.

--- a/internal/fulmartrial/loss.go
+++ b/internal/fulmartrial/loss.go
@@ -155,8 +155,7 @@
 		if err != nil {
 			return err
 		}
-		table.add(fault.name, seed, g.reads.Length, g.once.Length, g.known.Length,
-			!g.reads.Open && !g.once.Open, result.Attempts, g.notServed, g.unknown, violations)
+		table.add(fault.name, seed, g.reads, g.once, g.known, !g.open, result.Attempts, g.notServed, g.unknown, violations)
 		return nil
 	})
 }
@@ -197,10 +196,11 @@
 
 // gaps are the longest unavailable times of a run.
 type gaps struct {
-	reads, once fulmarhistory.Gap
-	// known leaves out attempts with the outcome unknown: a request whose id is
-	// older than the horizon stays unknown although its key is served.
-	known              fulmarhistory.Gap
+	reads, once time.Duration
+	// known leaves out requests with the outcome unknown: one whose id is older
+	// than the horizon stays unknown although its key is served.
+	known              time.Duration
+	open               bool // a key was not served again
 	notServed, unknown int
 }
 
@@ -222,7 +222,40 @@
 			reads = append(reads, c)
 		}
 	}
-	g.reads, g.once = fulmarhistory.LongestGap(slices.Clone(reads), 1), fulmarhistory.LongestGap(slices.Clone(once), 1)
-	g.known = fulmarhistory.LongestGap(known, 1)
+	var openReads, openOnce bool
+	g.reads, openReads = unavailable(reads)
+	g.once, openOnce = unavailable(once)
+	g.known, _ = unavailable(known)
+	g.open = openReads || openOnce
 	return g
 }
+
+// unavailable returns the longest time from the sending of a request, whatever
+// its outcome, to the next served answer for its key. A request that waits in a
+// daemon while nobody serves its key counts as much as one that is refused. open
+// reports whether a key was not served again before the end of the calls.
+func unavailable(calls []fulmarhistory.Call) (longest time.Duration, open bool) {
+	type key struct{ service, name string }
+	ends := map[key][]int64{}
+	var last int64
+	for _, c := range calls {
+		last = max(last, c.End)
+		if c.Outcome == served {
+			k := key{c.Service, c.Key}
+			ends[k] = append(ends[k], c.End)
+		}
+	}
+	for _, list := range ends {
+		slices.Sort(list)
+	}
+	for _, c := range calls {
+		list := ends[key{c.Service, c.Key}]
+		i, _ := slices.BinarySearch(list, c.Start)
+		if i == len(list) {
+			longest, open = max(longest, time.Duration(last-c.Start)), true
+			continue
+		}
+		longest = max(longest, time.Duration(list[i]-c.Start))
+	}
+	return longest, open
+}
--- a/internal/fulmartrial/trial_test.go
+++ b/internal/fulmartrial/trial_test.go
@@ -48,13 +48,30 @@
 			call("a", "served", false, 0, 10), call("a", "not-run", false, 100, 110), call("a", "served", false, 180, 200),
 			call("b", "served", true, 0, 10), call("b", "unknown", true, 100, 110), call("b", "served", true, 380, 400),
 		})
-		Expect(g.reads.Length).To(Equal(100 * time.Millisecond))
-		Expect(g.once.Length).To(Equal(300 * time.Millisecond))
-		Expect(g.known.Length).To(Equal(100 * time.Millisecond))
+		Expect(g.reads).To(Equal(100 * time.Millisecond))
+		Expect(g.once).To(Equal(300 * time.Millisecond))
+		Expect(g.known).To(Equal(100 * time.Millisecond))
+		Expect(g.open).To(BeFalse())
 		Expect(g.notServed).To(Equal(2))
 		Expect(g.unknown).To(Equal(1))
 	})
 
+	// Guards against outages that are hidden because requests wait in a daemon
+	// until their key is served again, and against keys that stay lost.
+	It("counts waiting requests and keys that are not served again", func() {
+		longest, open := unavailable([]fulmarhistory.Call{
+			call("a", "served", false, 0, 10), call("a", "served", false, 100, 900), call("a", "served", false, 500, 900),
+			call("b", "served", false, 0, 1000), call("b", "served", false, 200, 210),
+		})
+		Expect(longest).To(Equal(800 * time.Millisecond))
+		Expect(open).To(BeFalse())
+		longest, open = unavailable([]fulmarhistory.Call{
+			call("a", "served", false, 0, 10), call("a", "not-run", false, 100, 110), call("b", "served", false, 0, 400),
+		})
+		Expect(longest).To(Equal(400 * time.Millisecond))
+		Expect(open).To(BeTrue())
+	})
+
 	// Guards against answers and refusals of another window in a summary.
 	It("summarises a window", func() {
 		s := summarise([]fulmarhistory.Call{
