Divide each daemon's traffic by the time between its own scrapes

Cause: at 54 daemons on a busy machine peers' bytes exceeded all bytes, since the scrapes took longer than the span that the counters were divided by. Change: each daemon's counters are divided by the time between its two scrapes.

--- a/internal/fulmartrial/idle.go
+++ b/internal/fulmartrial/idle.go
@@ -66,6 +66,7 @@
 type reading struct {
 	at      time.Time
 	metrics []map[string]float64
+	scraped []time.Time // when each daemon's metrics were read
 	usages  []usage
 	store   fulmarplatform.Counts
 }
@@ -81,7 +82,7 @@
 				if err != nil {
 					return err
 				}
-				r.metrics = append(r.metrics, got)
+				r.metrics, r.scraped = append(r.metrics, got), append(r.scraped, time.Now())
 			}
 			return nil
 		},
@@ -138,7 +139,9 @@
 		r.cpu, r.mostCPU = r.cpu+cpu/n, max(r.mostCPU, cpu)
 		r.memory, r.mostMemory = r.memory+memory/n, max(r.mostMemory, memory)
 		r.allBytes += float64(b.usages[i].read+b.usages[i].written-a.usages[i].read-a.usages[i].written) / n / seconds
-		grown := func(name string) float64 { return (b.metrics[i][name] - a.metrics[i][name]) / n / seconds }
+		// Scrapes of many daemons take a while, so that each has its own span.
+		span := b.scraped[i].Sub(a.scraped[i]).Seconds()
+		grown := func(name string) float64 { return (b.metrics[i][name] - a.metrics[i][name]) / n / span }
 		r.peerBytes += grown("fulmarbend_peer_bytes_sent") + grown("fulmarbend_peer_bytes_received")
 		// Each call is a message in each direction.
 		r.messages += 2 * (grown("fulmarbend_peer_calls") + grown("fulmarbend_peer_answers"))
