Tell the fleet when a suspect completed

Change: the dispatcher reports completed suspects, and the planner lifts the mark. Ruled out: calling the controller under the dispatcher's lock, which the controller may wait for. Conclusion: an innocent request is under suspicion until its next success.

--- a/internal/fulmarcontrol/router.go
+++ b/internal/fulmarcontrol/router.go
@@ -168,6 +168,21 @@
 	c.notify()
 }
 
+// Cleared asks the planner to end the suspicion of work that completed. Without
+// it a later loss, which the work has not caused, would condemn it.
+func (c *Controller) Cleared(fingerprint uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, q := range c.table.Quarantined() {
+		if q.Fingerprint == fingerprint && !q.Condemned {
+			c.lift[fingerprint] = time.Now()
+			c.notify()
+			c.kickPlanner()
+			return
+		}
+	}
+}
+
 // Lift asks the planner to end the quarantine of a fingerprint.
 func (c *Controller) Lift(fingerprint uint64) {
 	c.Guard.Lift(fingerprint)
--- a/internal/fulmardispatch/deps.go
+++ b/internal/fulmardispatch/deps.go
@@ -32,7 +32,7 @@
 	CountReplay    = "dispatch.replay"    // duplicates answered from the request memory
 )
 
-// Deps are what a dispatcher works with; all fields but Current, Fenced and Discipline are required.
+// Deps are what a dispatcher works with; all fields but Current, Cleared, Fenced and Discipline are required.
 type Deps struct {
 	Self       string // id of the own instance, named to targets
 	Client     Client
@@ -47,5 +47,6 @@
 	Order      time.Duration // longest deadline of an order to a target that checks no fence
 	Current    func() bool   // whether this daemon may send orders to a target that checks no fence; called with the lock held
 	Discipline fulmarqueue.Discipline
-	Fenced     func(target string) // a target refused an order by its fence; called without a lock
+	Cleared    func(fingerprint uint64) // a suspect completed; called without a lock
+	Fenced     func(target string)      // a target refused an order by its fence; called without a lock
 }
--- a/internal/fulmardispatch/dispatcher_test.go
+++ b/internal/fulmardispatch/dispatcher_test.go
@@ -324,6 +324,7 @@
 		expectServed(<-other, "done")
 		expectServed(<-suspect, "done")
 		Expect(r.guard.Marks(time.Now())).To(BeEmpty(), "completed work is cleared")
+		Eventually(r.cleared.Load).Should(Equal(marks[0]), "the fleet does not learn of it")
 		r.guard.Lost(time.Now(), marks)
 		r.guard.Lost(time.Now(), marks)
 		expectRefused(r.do(background, call{path: "bad"}), notRun, fulmaroutcome.Condemned)
--- a/internal/fulmardispatch/harness_test.go
+++ b/internal/fulmardispatch/harness_test.go
@@ -47,6 +47,7 @@
 	table      atomic.Pointer[fulmarslot.Table]
 	offset     atomic.Int64 // of the dispatcher's clock
 	idempotent bool
+	cleared    atomic.Uint64 // fingerprint of the suspect that completed last
 
 	mu   sync.Mutex
 	runs map[string]int // executions by request id
@@ -97,6 +98,7 @@
 				return fulmarconfig.Limits{Weight: 1, Queue: 1000}, true
 			},
 			Idempotent: func(string) bool { return r.idempotent },
+			Cleared:    r.cleared.Store,
 			Table:      func() fulmarslot.Table { return *r.table.Load() },
 			Now:        func() time.Time { return time.Now().Add(time.Duration(r.offset.Load())) },
 		}), guard
--- a/internal/fulmardispatch/order.go
+++ b/internal/fulmardispatch/order.go
@@ -287,6 +287,9 @@
 		d.deps.Cost.Observe(d.target.Service, j.kind, used)
 		if j.isolated {
 			d.deps.Guard.Clear(j.fingerprint)
+			if d.deps.Cleared != nil {
+				go d.deps.Cleared(j.fingerprint) // its owner may hold a lock that calls this dispatcher
+			}
 		}
 	}
 	d.signal()
--- a/internal/fulmarnode/node.go
+++ b/internal/fulmarnode/node.go
@@ -144,6 +144,7 @@
 		Now:     time.Now,
 		Order:   n.settings.Timing.Order,
 		Current: n.control.Current,
+		Cleared: n.control.Cleared,
 		Fenced:  n.control.Fenced,
 	})
 }
--- a/internal/fulmarproof/suite_test.go
+++ b/internal/fulmarproof/suite_test.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	var names []string
 	lines := bufio.NewScanner(file)
 	for lines.Scan() {
