Count dial as a reason of refusals

Cause: a target that can't be connected is passed on as not run with the reason dial, which the metrics counted as an invalid reason. Change: dial is listed among the reasons of refusals and documented. Ruled out: another reason for callers, which would hide the cause.

--- a/internal/fulmarmetric/metrics.go
+++ b/internal/fulmarmetric/metrics.go
@@ -29,7 +29,7 @@
 		fulmaroutcome.Malformed, fulmaroutcome.TooLarge, fulmaroutcome.UnknownService, fulmaroutcome.UnknownGroup,
 		fulmaroutcome.QueueFull, fulmaroutcome.Deadline, fulmaroutcome.Moving, fulmaroutcome.NotHolder,
 		fulmaroutcome.NoOwner, fulmaroutcome.NoDispatcher, fulmaroutcome.Stale, fulmaroutcome.Draining,
-		fulmaroutcome.Shed, fulmaroutcome.Fenced, fulmaroutcome.Condemned, fulmaroutcome.IDMissing,
+		fulmaroutcome.Shed, fulmaroutcome.Fenced, fulmaroutcome.Condemned, fulmaroutcome.IDMissing, fulmaroutcome.Dial,
 		fulmaroutcome.IDAhead, fulmaroutcome.Budget,
 	),
 	fulmaroutcome.Unknown: set(
--- a/pkg/fulmaroutcome/outcome.go
+++ b/pkg/fulmaroutcome/outcome.go
@@ -33,6 +33,7 @@
 	IDMissing      Reason = "id-missing"
 	IDAhead        Reason = "id-ahead"
 	Budget         Reason = "budget"
+	Dial           Reason = "dial" // the connection to the dispatcher or the target could not be opened
 )
 
 // Reasons for Unknown.
@@ -45,9 +46,6 @@
 	BodyBroken     Reason = "body-broken"
 )
 
-// Dial is the retry reason for a connection that could not be opened.
-const Dial Reason = "dial"
-
 // HTTP headers between callers and daemons.
 const (
 	HeaderKey       = "Fulmarbend-Key"
