Name the planner's duties by usual terms

Cause: even, heat, cool, relieve, weigh and touch needed explaining. Change: spreader, addHotKeys, removeColdKeys, unload, sumLoads, claim and others; no behaviour changes. Ruled out: nothing. Figures: the package's tests pass unchanged. Conclusion: a newcomer finds the duty by its name.

--- a/pkg/fulmarplan/balance.go
+++ b/pkg/fulmarplan/balance.go
@@ -22,16 +22,16 @@
 	count   int
 }
 
-// holds reports whether a slot may not move to a target for balance yet.
-func (s *step) holds(at place, to string) bool {
+// onHold reports whether a slot may not move to a target for balance yet.
+func (s *step) onHold(at place, to string) bool {
 	h, ok := s.held[at]
 	return ok && (s.now.Before(h.until) || s.now.Before(h.expires) && h.from == to)
 }
 
-// shift moves a slot for balance. Each move multiplies the time until the slot's next one by 4, so that alternating
+// moveForBalance moves a slot for balance. Each move multiplies the time until the slot's next one by 4, so that alternating
 // reports do not move a key back and forth.
-func (s *step) shift(at place, from, to, reason string) bool {
-	if s.holds(at, to) || !s.cooperate(at, from, to, reason) {
+func (s *step) moveForBalance(at place, from, to, reason string) bool {
+	if s.onHold(at, to) || !s.startMove(at, from, to, reason) {
 		return false
 	}
 	h := s.held[at]
@@ -54,15 +54,15 @@
 		if !l.fresh {
 			continue
 		}
-		s.weigh(service, l)
-		s.cool(service, l)
+		s.sumLoads(service, l)
+		s.removeColdKeys(service, l)
 		if l.unsteady < steady || len(l.target) < 2 || !s.passed(s.began.Add(s.policy.Settle)) {
 			continue
 		}
-		heated := s.heat(service, l)
+		split := s.addHotKeys(service, l)
 		for _, id := range s.byLoad(service, l) {
-			if !heated[id] {
-				s.relieve(service, id, l)
+			if !split[id] {
+				s.unload(service, id, l)
 			}
 		}
 	}
@@ -83,37 +83,37 @@
 	}
 }
 
-// relieve moves slots away from a target until its load is calm. A slot moves only if that lowers the higher load of
+// unload moves slots away from a target until its load is calm. A slot moves only if that lowers the higher load of
 // the two targets.
-func (s *step) relieve(service, id string, l *loads) {
+func (s *step) unload(service, id string, l *loads) {
 	goal := l.mean * (1 + (s.policy.Imbalance-1)/2)
 	if l.target[id] <= goal {
 		return
 	}
 	slots := s.table.OwnedBy(nil, id)
 	slices.SortStableFunc(slots, func(a, b int) int { return cmp.Compare(l.rate[b], l.rate[a]) })
-	to := s.lightest(service, l)
+	to := s.leastLoaded(service, l)
 	for _, slot := range slots {
 		if l.target[id] <= goal || s.moving >= s.policy.Moving || l.rate[slot] <= 0 {
 			return
 		}
-		if l.rate[slot] > (l.target[id]-l.target[to])/2 || !s.shift(place{service, slot}, id, to, "balance") {
+		if l.rate[slot] > (l.target[id]-l.target[to])/2 || !s.moveForBalance(place{service, slot}, id, to, "balance") {
 			continue
 		}
 		l.target[id] -= l.rate[slot]
 		l.target[to] += l.rate[slot]
-		to = s.lightest(service, l)
+		to = s.leastLoaded(service, l)
 	}
 }
 
-// lightest returns the least loaded usable target of a service.
-func (s *step) lightest(service string, l *loads) string {
+// leastLoaded returns the least loaded usable target of a service.
+func (s *step) leastLoaded(service string, l *loads) string {
 	return slices.MinFunc(s.usable[service], func(a, b string) int { return cmp.Compare(l.target[a], l.target[b]) })
 }
 
-// heat gives hot keys of overloaded targets slots of their own and returns these targets.
-func (s *step) heat(service string, l *loads) map[string]bool {
-	heated := map[string]bool{}
+// addHotKeys gives hot keys of overloaded targets slots of their own and returns these targets.
+func (s *step) addHotKeys(service string, l *loads) map[string]bool {
+	split := map[string]bool{}
 	count := 0
 	for _, name := range s.table.Services() {
 		for range s.table.HotKeys(name) {
@@ -129,18 +129,18 @@
 			continue
 		}
 		a := s.table.Assignment(service, at.slot)
-		if a.Next != "" || l.target[a.Owner] <= s.policy.Imbalance*l.mean || !s.touch(at) {
+		if a.Next != "" || l.target[a.Owner] <= s.policy.Imbalance*l.mean || !s.claim(at) {
 			continue
 		}
 		count++
-		heated[a.Owner] = true
+		split[a.Owner] = true
 		s.add("hot-add", fulmarslot.PutHot(service, hash))
 	}
-	return heated
+	return split
 }
 
-// cool removes the slots of keys that are no longer hot, and moves them back to their plain slots' owners first.
-func (s *step) cool(service string, l *loads) {
+// removeColdKeys removes the slots of keys that are no longer hot, and moves them back to their plain slots' owners first.
+func (s *step) removeColdKeys(service string, l *loads) {
 	for slot, hash := range s.table.HotKeys(service) {
 		if l.rate[slot]*coldShare >= l.mean {
 			l.cold[slot] = 0
@@ -153,13 +153,13 @@
 		at, parent := place{service, slot}, place{service, int(hash % uint64(s.table.Plain(service)))}
 		a, b := s.table.Assignment(service, at.slot), s.table.Assignment(service, parent.slot)
 		switch {
-		case a.Next != "" || b.Next != "" || s.touched[at] || s.touched[parent]:
+		case a.Next != "" || b.Next != "" || s.claimed[at] || s.claimed[parent]:
 		case a.Owner == b.Owner:
-			s.touch(at)
-			s.touch(parent)
+			s.claim(at)
+			s.claim(parent)
 			s.add("hot-remove", fulmarslot.RemoveHot(service, hash))
 		case s.ready(b.Owner):
-			s.cooperate(at, a.Owner, b.Owner, "hot-return")
+			s.startMove(at, a.Owner, b.Owner, "hot-return")
 		}
 	}
 }
--- a/pkg/fulmarplan/fill.go
+++ b/pkg/fulmarplan/fill.go
@@ -57,7 +57,7 @@
 				break
 			}
 			rate := l.rate[slot]
-			if l.mean > 0 && l.target[id]+rate > l.mean || !s.shift(place{service, slot}, donor, id, "fill") {
+			if l.mean > 0 && l.target[id]+rate > l.mean || !s.moveForBalance(place{service, slot}, donor, id, "fill") {
 				continue
 			}
 			l.target[id] += rate
--- a/pkg/fulmarplan/load.go
+++ b/pkg/fulmarplan/load.go
@@ -139,8 +139,8 @@
 	l.sampled, l.fresh = now, true
 }
 
-// weigh computes the load of the usable targets, moves under way taken as done.
-func (s *step) weigh(service string, l *loads) {
+// sumLoads computes the load of the usable targets, moves under way taken as done.
+func (s *step) sumLoads(service string, l *loads) {
 	clear(l.target)
 	for _, id := range s.usable[service] {
 		l.target[id] = 0
--- a/pkg/fulmarplan/loss.go
+++ b/pkg/fulmarplan/loss.go
@@ -33,7 +33,7 @@
 			continue // the table has not shown its marks
 		}
 		delete(s.lost, t.ID)
-		s.sound[t.ID] = true
+		s.healthy[t.ID] = true
 	}
 }
 
@@ -61,10 +61,10 @@
 		if _, ok := known.marks[f]; ok || known.done && s.handled(l.Target) {
 			continue
 		}
-		known.marks[f] = s.marked(l.Target, f) && (s.sound[l.Target] || s.others(l.Target))
+		known.marks[f] = s.marked(l.Target, f) && (s.healthy[l.Target] || s.others(l.Target))
 		known.done = false
 	}
-	delete(s.sound, l.Target)
+	delete(s.healthy, l.Target)
 }
 
 // handled reports whether a target owns no slot but those of forced moves.
@@ -170,11 +170,11 @@
 // force makes a cooperative move of a lost target forced; a move to a lost target is appended to slots.
 func (s *step) force(at place, a fulmarslot.Assignment, slots *[]int) {
 	switch {
-	case s.touched[at]:
+	case s.claimed[at]:
 	case !s.ready(a.Next):
 		*slots = append(*slots, at.slot)
 	default:
-		s.touch(at)
+		s.claim(at)
 		s.add("move-forced", fulmarslot.Move(at.service, at.slot, a.Next, true))
 	}
 }
@@ -184,12 +184,12 @@
 	if len(slots) == 0 {
 		return
 	}
-	even := s.newEven(service)
-	for _, slot := range even.heaviest(slots) {
+	spreader := s.newSpreader(service)
+	for _, slot := range spreader.heaviest(slots) {
 		at := place{service, slot}
 		a := s.table.Assignment(service, slot)
-		to, ok := even.next(slot, a.Owner)
-		if !ok || !s.touch(at) {
+		to, ok := spreader.next(slot, a.Owner)
+		if !ok || !s.claim(at) {
 			continue
 		}
 		s.share[to]++
--- a/pkg/fulmarplan/move.go
+++ b/pkg/fulmarplan/move.go
@@ -68,12 +68,12 @@
 	}
 }
 
-// touch reports whether the slot has no change in this step yet, and marks it.
-func (s *step) touch(at place) bool {
-	if s.touched[at] {
+// claim reports whether the slot has no change in this step yet, and marks it.
+func (s *step) claim(at place) bool {
+	if s.claimed[at] {
 		return false
 	}
-	s.touched[at] = true
+	s.claimed[at] = true
 	return true
 }
 
@@ -83,7 +83,7 @@
 		for _, slot := range r.Slots {
 			at := place{r.Service, slot}
 			m, ok := s.moves[at]
-			if ok && r.Target == m.Owner && r.Epoch >= m.epoch && s.byRelease(m) {
+			if ok && r.Target == m.Owner && r.Epoch >= m.epoch && s.endsByRelease(m) {
 				s.commit(at, m, "release")
 			}
 		}
@@ -100,7 +100,7 @@
 			k := key{m.Owner, m.epoch}
 			done, ok := over[k]
 			if !ok && a.Forced {
-				done = s.over(m)
+				done = s.ownerExpired(m)
 				over[k] = done
 			}
 			if done && a.Forced {
@@ -110,15 +110,15 @@
 	}
 }
 
-// byRelease reports whether a release ends the move: each cooperative one, and the forced ones of targets that
+// endsByRelease reports whether a release ends the move: each cooperative one, and the forced ones of targets that
 // check no fence, where only the dispatcher knows that no order runs.
-func (s *step) byRelease(m move) bool {
+func (s *step) endsByRelease(m move) bool {
 	t, _ := s.table.Target(m.Owner)
 	return !m.Forced || !t.Fenced
 }
 
-// over reports whether no grant or order of the owner of a forced move can be in force.
-func (s *step) over(m move) bool {
+// ownerExpired reports whether no grant or order of the owner of a forced move can be in force.
+func (s *step) ownerExpired(m move) bool {
 	t, _ := s.table.Target(m.Owner)
 	if !t.Fenced {
 		return !s.serves(t.Dispatcher) && s.expired(m.epoch, s.policy.Order)
@@ -131,7 +131,7 @@
 
 // commit ends a move unless its next target is lost.
 func (s *step) commit(at place, m move, how string) {
-	if s.lost[m.Next] == nil && s.touch(at) {
+	if s.lost[m.Next] == nil && s.claim(at) {
 		delete(s.retry, at)
 		s.add("commit-"+how, fulmarslot.Commit(at.service, at.slot))
 	}
@@ -142,7 +142,7 @@
 func (s *step) cancels() {
 	for _, service := range s.table.Services() {
 		for slot, a := range s.table.Moving(service) {
-			if at := (place{service, slot}); !a.Forced && !s.touched[at] {
+			if at := (place{service, slot}); !a.Forced && !s.claimed[at] {
 				s.cancel(at, s.moves[at])
 			}
 		}
@@ -158,7 +158,7 @@
 		reason = "cancel-stuck"
 		s.postpone(at)
 	}
-	s.touch(at)
+	s.claim(at)
 	s.share[m.Next]--
 	s.share[m.Owner]++
 	s.add(reason, fulmarslot.Cancel(at.service, at.slot))
@@ -182,9 +182,9 @@
 	s.retry[at] = b
 }
 
-// cooperate starts a cooperative move if the bound allows it and the slot has no change yet.
-func (s *step) cooperate(at place, from, to, reason string) bool {
-	if s.moving >= s.policy.Moving || s.now.Before(s.retry[at].until) || !s.touch(at) {
+// startMove starts a cooperative move if the bound allows it and the slot has no change yet.
+func (s *step) startMove(at place, from, to, reason string) bool {
+	if s.moving >= s.policy.Moving || s.now.Before(s.retry[at].until) || !s.claim(at) {
 		return false
 	}
 	s.moving++
--- a/pkg/fulmarplan/plan.go
+++ b/pkg/fulmarplan/plan.go
@@ -84,7 +84,7 @@
 	moves   map[place]move
 	cleared map[string]uint64 // for each target without a dispatcher: the epoch since which it has none
 	lost    map[string]*loss
-	sound   map[string]bool // targets that this planner saw in use
+	healthy map[string]bool // targets that this planner saw in use
 	retry   map[place]backoff
 	loads   map[string]*loads
 	held    map[place]hold
@@ -103,7 +103,7 @@
 func New(policy Policy, seed uint64) *Planner {
 	return &Planner{
 		policy: policy, seed: seed, roster: roster{heard: map[string]time.Time{}}, cleared: map[string]uint64{},
-		lost: map[string]*loss{}, sound: map[string]bool{}, retry: map[place]backoff{}, loads: map[string]*loads{},
+		lost: map[string]*loss{}, healthy: map[string]bool{}, retry: map[place]backoff{}, loads: map[string]*loads{},
 		held: map[place]hold{}, absent: map[string]time.Time{}, filling: map[string]bool{},
 	}
 }
@@ -122,7 +122,7 @@
 	targets  map[string]fulmarslot.Target // after the changes of this step
 	usable   map[string][]string          // by service: targets that may get slots, in order of id
 	share    map[string]int               // by target: slots that it owns or will own
-	touched  map[place]bool               // slots with a change in this step
+	claimed  map[place]bool               // slots with a change in this step
 	moving   int                          // cooperative moves under way
 }
 
@@ -151,7 +151,7 @@
 func (p *Planner) begin(now time.Time, in *Input) *step {
 	s := &step{
 		Planner: p, now: now, in: in, table: in.Table, live: map[string]fulmarslot.Member{}, confirm: map[string]bool{}, reported: map[string]bool{}, drained: map[string]bool{},
-		targets: map[string]fulmarslot.Target{}, usable: map[string][]string{}, share: map[string]int{}, touched: map[place]bool{},
+		targets: map[string]fulmarslot.Target{}, usable: map[string][]string{}, share: map[string]int{}, claimed: map[place]bool{},
 	}
 	for _, m := range in.Members {
 		if have, ok := s.live[m.ID]; !ok || m.Incarnation > have.Incarnation {
--- a/pkg/fulmarplan/even.go
+++ b/pkg/fulmarplan/spread.go
@@ -12,9 +12,9 @@
 // spread as well.
 const idleShare = 0.05
 
-// even gives out slots to the targets of a service, to the one that weighs least first. Slots weigh what they are
+// spreader gives out slots to the targets of a service, to the one that weighs least first. Slots weigh what they are
 // loaded with, so that balance need not move them again; without load each slot weighs the same.
-type even struct {
+type spreader struct {
 	queue
 	rate []float64 // by slot, nil without load
 	idle float64   // what each slot weighs in addition to its load
@@ -43,9 +43,9 @@
 	return last
 }
 
-func (s *step) newEven(service string) *even {
-	e := &even{idle: 1}
-	loaded := s.load(service, e)
+func (s *step) newSpreader(service string) *spreader {
+	e := &spreader{idle: 1}
+	loaded := s.targetLoads(service, e)
 	for _, id := range s.usable[service] {
 		weight := loaded[id] + e.idle*float64(s.share[id])
 		e.queue = append(e.queue, queued{id, weight, s.tie(service, id)})
@@ -54,8 +54,8 @@
 	return e
 }
 
-// load returns the load of each target of a service, moves under way taken as done; nil if there is none.
-func (s *step) load(service string, e *even) map[string]float64 {
+// targetLoads returns the load of each target of a service, moves under way taken as done; nil if there is none.
+func (s *step) targetLoads(service string, e *spreader) map[string]float64 {
 	l := s.loads[service]
 	n := min(len(l.rate), s.table.Slots(service))
 	total := 0.0
@@ -77,7 +77,7 @@
 }
 
 // weight returns what a slot weighs.
-func (e *even) weight(slot int) float64 {
+func (e *spreader) weight(slot int) float64 {
 	if slot < len(e.rate) {
 		return e.rate[slot] + e.idle
 	}
@@ -85,7 +85,7 @@
 }
 
 // heaviest sorts slots in place, the heaviest first, which spreads them most evenly.
-func (e *even) heaviest(slots []int) []int {
+func (e *spreader) heaviest(slots []int) []int {
 	if e.rate != nil {
 		slices.SortStableFunc(slots, func(a, b int) int { return cmp.Compare(e.weight(b), e.weight(a)) })
 	}
@@ -93,7 +93,7 @@
 }
 
 // next returns the target for one more slot, which is not owner.
-func (e *even) next(slot int, owner string) (string, bool) {
+func (e *spreader) next(slot int, owner string) (string, bool) {
 	if len(e.queue) == 0 {
 		return "", false
 	}
@@ -117,10 +117,10 @@
 func (s *step) assign() {
 	given := 0
 	for _, service := range s.table.Services() {
-		var e *even
+		var e *spreader
 		for slot := range s.table.Unowned(service) {
 			if e == nil {
-				e = s.newEven(service)
+				e = s.newSpreader(service)
 			}
 			to, ok := e.next(slot, "")
 			if !ok {
@@ -132,7 +132,7 @@
 			}
 			given++
 			s.share[to]++
-			s.touch(place{service, slot})
+			s.claim(place{service, slot})
 			s.add("assign", fulmarslot.Assign(service, slot, to))
 		}
 	}
@@ -141,24 +141,24 @@
 // drain moves slots away from targets that leave or that operators drain.
 func (s *step) drain() {
 	for _, service := range s.table.Services() {
-		var e *even
+		var e *spreader
 		for _, t := range s.table.Targets() {
 			if t.Service != service || !s.leaves(t.ID) {
 				continue
 			}
 			if e == nil {
-				e = s.newEven(service)
+				e = s.newSpreader(service)
 			}
 			for _, slot := range e.heaviest(s.table.OwnedBy(nil, t.ID)) {
 				if s.moving >= s.policy.Moving {
 					return
 				}
 				at := place{service, slot}
-				if s.touched[at] || !s.passed(s.retry[at].until) {
+				if s.claimed[at] || !s.passed(s.retry[at].until) {
 					continue
 				}
 				if to, ok := e.next(slot, t.ID); ok {
-					s.cooperate(at, t.ID, to, "drain")
+					s.startMove(at, t.ID, to, "drain")
 				}
 			}
 		}
