Admit requests to peers without a queue of their own

Cause: the entry opened at most 64 connections to a peer, so further requests waited for one in order of arrival, ahead of the dispatchers' fair queues: a 20-fold surge left groups that asked for a tenth of the capacity 81% of it. Dispatchers' own refusals at the deadline came up to 20 ms before it, which a loaded machine exceeded, and were passed on as unknown. Ruled out: sharing inside the connection pool, a second fair queue. Conclusion: shares are decided in one place only.

--- a/internal/fulmarentry/query.go
+++ b/internal/fulmarentry/query.go
@@ -17,7 +17,7 @@
 const (
 	maxKey     = 256         // bytes
 	writeGrace = time.Second // for the answer that states that the deadline has passed
-	maxMargin  = 20 * time.Millisecond
+	maxMargin  = 100 * time.Millisecond
 	marginPart = 10 // the margin is at most this part of the remaining time
 )
 
--- a/internal/fulmarnode/node.go
+++ b/internal/fulmarnode/node.go
@@ -35,7 +35,10 @@
 	maxMarks        = 128
 	retryRatio      = 0.1 // retries for each request
 	retryRate       = 1.0 // retries a second in addition
-	peerConnections = 64
+	// peerConnections to one peer are many because a request waits for its turn
+	// on its connection. A limit below what may wait at the peer's dispatchers
+	// is a queue without shares ahead of the fair ones.
+	peerConnections = 4096
 	// targetConnections to one target are few because a target runs 3 requests
 	// at once; the rest are for grants and for answers that are still read.
 	targetConnections = 8
