Hand over request memory when a target is lost

Cause: after the loss of a target, the next owner's dispatcher began an empty memory, so ids minted before the end of the move were unknown although the lost target's dispatcher knew that they had not run. Change: that dispatcher sends its memory as in a cooperative move; the planner lets it count only if every roster member acknowledged the move and one alone has sent grants to the target lately, and otherwise commits afresh. Ruled out: using the memory always: a daemon that took the target over in between may have run requests which that memory lacks. Conclusion: a loss of a target alone costs its work in flight, not its keys' requests of the whole window.

--- a/internal/fulmarcontrol/handover.go
+++ b/internal/fulmarcontrol/handover.go
@@ -114,6 +114,7 @@
 		k.dispatcher.Open(k.term, state.Slots, owned)
 		k.dispatcher.Resume(nil)
 		clear(k.stopping)
+		clear(k.transferred)
 		k.inForce(ctx, t, g, owned)
 	}
 }
--- a/internal/fulmarcontrol/keeper.go
+++ b/internal/fulmarcontrol/keeper.go
@@ -56,6 +56,7 @@
 	stampAt     time.Time
 	failures    int
 	stopping    map[int]<-chan struct{}
+	transferred map[int]uint64 // by slot: the start of the forced move for which its memory was sent
 	admitted    []int
 	contested   bool // a handover failed with open outcome
 	betterSince time.Time
@@ -77,7 +78,7 @@
 		k := &keeper{
 			c: c, id: t.ID,
 			kick: make(chan struct{}, 1), offers: make(chan offer),
-			stopping: make(map[int]<-chan struct{}),
+			stopping: make(map[int]<-chan struct{}), transferred: make(map[int]uint64),
 		}
 		var keeperCtx context.Context
 		keeperCtx, k.cancel = context.WithCancel(ctx)
@@ -206,6 +207,7 @@
 func (k *keeper) renew(ctx context.Context, t fulmarslot.Target) {
 	k.stopMoving()
 	if k.lost {
+		k.transferLost(ctx, t)
 		k.probeLost(ctx, t)
 		return
 	}
@@ -397,6 +399,32 @@
 	k.c.kickPlanner()
 }
 
+// transferLost hands over the memory of slots that were forced away from a
+// lost target, once work in flight has ended as unknown. The planner decides at
+// the end of the move whether this daemon alone dispatched there, and so whether
+// the memory counts.
+func (k *keeper) transferLost(ctx context.Context, t fulmarslot.Target) {
+	byNext := make(map[string][]int)
+	k.c.mu.Lock()
+	for slot, idle := range k.stopping {
+		a := k.c.table.Assignment(t.Service, slot)
+		if a.Owner != k.id || !a.Forced || k.transferred[slot] == a.Since {
+			continue
+		}
+		select {
+		case <-idle:
+			byNext[a.Next] = append(byNext[a.Next], slot)
+			k.transferred[slot] = a.Since
+		default:
+		}
+	}
+	k.c.mu.Unlock()
+	for next, slots := range byNext {
+		slices.Sort(slots)
+		k.transfer(ctx, t.Service, next, slots)
+	}
+}
+
 // released reports whether all slots are in a release already; mu must be held.
 func (k *keeper) released(slots []int) bool {
 	for _, slot := range slots {
@@ -609,6 +637,7 @@
 	k.dispatcher, k.holding = d, true
 	k.admitted, k.betterSince, k.lapsedSince = owned, time.Time{}, time.Time{}
 	clear(k.stopping)
+	clear(k.transferred)
 	k.releases = nil
 	k.c.notify()
 	k.c.mu.Unlock()
@@ -626,6 +655,7 @@
 	k.c.notify()
 	k.c.mu.Unlock()
 	clear(k.stopping)
+	clear(k.transferred)
 	k.admitted, k.failures, k.contested = nil, 0, false
 	if d != nil {
 		d.Close(reason)
--- a/internal/fulmarcontrol/lapse.go
+++ b/internal/fulmarcontrol/lapse.go
@@ -8,6 +8,17 @@
 // lapseLog remembers until when grants that were sent to one target may last.
 type lapseLog struct {
 	entries []lapseEntry
+	last    time.Time // when the last grant was decided on
+}
+
+// sentWithin is how long after its last grant a daemon counts as having sent
+// grants to a target. It exceeds the time from a target's last renewal to the
+// end of a forced move by far.
+const sentWithin = 30 * time.Second
+
+// sent reports whether a grant was sent lately.
+func (l *lapseLog) sent(now time.Time) bool {
+	return !l.last.IsZero() && now.Sub(l.last) < sentWithin
 }
 
 type lapseEntry struct {
@@ -18,6 +29,7 @@
 // record notes a grant for slots that lapses no later than until. It keeps
 // one entry for each run of equal slot sets and drops entries that have ended.
 func (l *lapseLog) record(now time.Time, slots []int, until time.Time) {
+	l.last = now
 	l.entries = slices.DeleteFunc(l.entries, func(e lapseEntry) bool { return !e.until.After(now) })
 	if n := len(l.entries); n > 0 && slices.Equal(l.entries[n-1].slots, slots) {
 		if until.After(l.entries[n-1].until) {
--- a/internal/fulmarcontrol/mesh.go
+++ b/internal/fulmarcontrol/mesh.go
@@ -246,6 +246,7 @@
 	for id, until := range c.movingLapses() {
 		s.Lapses[id] = until.Sub(now)
 	}
+	s.Sent = c.movingSent(now)
 	for _, k := range c.keepers {
 		if k.lost {
 			s.Losses = append(s.Losses, fulmarwire.Loss{Target: k.id, Suspects: k.suspects})
@@ -276,6 +277,19 @@
 	return out
 }
 
+// movingSent returns the targets with slots that move away to which this
+// daemon has sent a grant lately; mu must be held.
+func (c *Controller) movingSent(now time.Time) []string {
+	var out []string
+	for id, log := range c.lapses {
+		if _, away, _ := c.table.Count(id); away > 0 && log.sent(now) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // runMonitor watches for changes that only time brings: peers that fall
 // silent, and a pause of this process itself.
 func (c *Controller) runMonitor(ctx context.Context) {
--- a/internal/fulmarcontrol/planner.go
+++ b/internal/fulmarcontrol/planner.go
@@ -370,11 +370,23 @@
 }
 
 func (c *Controller) ownAck() fulmarplan.Ack {
-	return fulmarplan.Ack{Epoch: c.table.Epoch(), Incarnation: c.Self.Incarnation, Lapse: c.movingLapses()}
+	return fulmarplan.Ack{
+		Epoch: c.table.Epoch(), Incarnation: c.Self.Incarnation, Lapse: c.movingLapses(), Sent: set(c.movingSent(time.Now())),
+	}
+}
+
+func set(names []string) map[string]bool {
+	out := make(map[string]bool, len(names))
+	for _, name := range names {
+		out[name] = true
+	}
+	return out
 }
 
 func peerAck(p *peer) fulmarplan.Ack {
-	ack := fulmarplan.Ack{Epoch: p.status.Epoch, Incarnation: p.status.Incarnation, Lapse: make(map[string]time.Time)}
+	ack := fulmarplan.Ack{
+		Epoch: p.status.Epoch, Incarnation: p.status.Incarnation, Lapse: make(map[string]time.Time), Sent: set(p.status.Sent),
+	}
 	for target, remaining := range p.status.Lapses {
 		ack.Lapse[target] = p.heard.Add(remaining)
 	}
--- a/internal/fulmarnode/node.go
+++ b/internal/fulmarnode/node.go
@@ -29,12 +29,12 @@
 )
 
 const (
-	memorySpan      = 10 * time.Minute
-	memoryBody      = 64 << 10
-	condemnedFor    = 30 * time.Minute
-	maxMarks        = 128
-	retryRatio      = 0.1 // retries for each request
-	retryRate       = 1.0 // retries a second in addition
+	memorySpan   = 10 * time.Minute
+	memoryBody   = 64 << 10
+	condemnedFor = 30 * time.Minute
+	maxMarks     = 128
+	retryRatio   = 0.1 // retries for each request
+	retryRate    = 1.0 // retries a second in addition
 	// peerConnections to one peer are many because a request waits for its turn
 	// on its connection. A limit below what may wait at the peer's dispatchers
 	// is a queue without shares ahead of the fair ones.
--- a/internal/fulmarwire/message.go
+++ b/internal/fulmarwire/message.go
@@ -40,6 +40,7 @@
 	Held        []string `cbor:"held,omitempty"`
 
 	Lapses   map[string]time.Duration `cbor:"lapses,omitempty"` // longest remaining life of a grant for slots that move, by target
+	Sent     []string                 `cbor:"sent,omitempty"`   // targets with slots that move to which a grant was sent lately
 	Losses   []Loss                   `cbor:"losses,omitempty"`
 	Releases []Release                `cbor:"releases,omitempty"`
 	Loads    []Load                   `cbor:"loads,omitempty"`
--- a/pkg/fulmarplan/move.go
+++ b/pkg/fulmarplan/move.go
@@ -84,7 +84,7 @@
 			at := place{r.Service, slot}
 			m, ok := s.moves[at]
 			if ok && r.Target == m.Owner && r.Epoch >= m.epoch && s.endsByRelease(m) {
-				s.commit(at, m, "release")
+				s.commit(at, m, "release", fulmarslot.Commit)
 			}
 		}
 	}
@@ -103,8 +103,13 @@
 				done = s.ownerExpired(m)
 				over[k] = done
 			}
-			if done && a.Forced {
-				s.commit(at, m, "forced")
+			if !done || !a.Forced {
+				continue
+			}
+			if s.sole(m.epoch, m.Owner) {
+				s.commit(at, m, "forced", fulmarslot.Commit)
+			} else {
+				s.commit(at, m, "forced", fulmarslot.CommitAfresh)
 			}
 		}
 	}
@@ -130,10 +135,10 @@
 }
 
 // commit ends a move unless its next target is lost.
-func (s *step) commit(at place, m move, how string) {
+func (s *step) commit(at place, m move, how string, change func(service string, slot int) fulmarslot.Change) {
 	if s.lost[m.Next] == nil && s.claim(at) {
 		delete(s.retry, at)
-		s.add("commit-"+how, fulmarslot.Commit(at.service, at.slot))
+		s.add("commit-"+how, change(at.service, at.slot))
 	}
 }
 
--- a/pkg/fulmarplan/plan.go
+++ b/pkg/fulmarplan/plan.go
@@ -27,6 +27,7 @@
 	Epoch       uint64
 	Incarnation uint64
 	Lapse       map[string]time.Time // for each target: until when a grant of this member may last
+	Sent        map[string]bool      // targets to which this member has sent a grant lately
 }
 
 // Loss reports that the dispatcher of a target lost it and has stopped renewing its grant.
--- a/pkg/fulmarplan/plan_test.go
+++ b/pkg/fulmarplan/plan_test.go
@@ -39,7 +39,7 @@
 func (b *bench) ack() {
 	for _, m := range b.in.Members {
 		if !b.silent[m.ID] {
-			b.in.Acks[m.ID] = fulmarplan.Ack{Epoch: b.in.Table.Epoch(), Incarnation: m.Incarnation, Lapse: b.in.Acks[m.ID].Lapse}
+			b.in.Acks[m.ID] = fulmarplan.Ack{Epoch: b.in.Table.Epoch(), Incarnation: m.Incarnation, Lapse: b.in.Acks[m.ID].Lapse, Sent: b.in.Acks[m.ID].Sent}
 		}
 	}
 }
@@ -118,6 +118,30 @@
 		b.expectShares(0, 10)
 	})
 
+	// Guards against request memory that is used for a forced move although another daemon may have run requests at the
+	// lost target, and against one that is not used although none can have.
+	DescribeTable("keeps the start of a forced move only for the memory of a sole dispatcher",
+		func(senders []string, silent string, kept bool) {
+			b := newBench(3, 2, 4)
+			b.run(3 * time.Second)
+			for _, id := range senders {
+				b.in.Acks[id] = fulmarplan.Ack{Epoch: b.in.Table.Epoch(), Incarnation: 1, Sent: map[string]bool{"t0000": true}}
+			}
+			b.silent[silent] = true
+			b.in.Losses = []fulmarplan.Loss{{Target: "t0000"}}
+			b.step()
+			slot := b.in.Table.MovingFrom(nil, "t0000")[0]
+			started := b.in.Table.Assignment("rota", slot).Since
+			b.run(2 * time.Second)
+			b.expectShares(0, 4)
+			Expect(b.in.Table.Assignment("rota", slot).Since == started).To(Equal(kept))
+		},
+		Entry("one sender", []string{"m01"}, "", true),
+		Entry("two senders", []string{"m01", "m02"}, "", false),
+		Entry("no sender", nil, "", false),
+		Entry("one sender, and a member that did not acknowledge", []string{"m01"}, "m02", false),
+	)
+
 	// Guards against a forced move that ends while a silent daemon may be current.
 	It("ends a forced move a window and a ttl after a majority acknowledged", func() {
 		b := newBench(3, 2, 10)
--- a/pkg/fulmarslot/change.go
+++ b/pkg/fulmarslot/change.go
@@ -131,6 +131,21 @@
 	})
 }
 
+// CommitAfresh is Commit for a move whose former owner may have run requests that
+// no memory covers: it counts as started in this epoch, so that request memory
+// which was sent for the move is not used.
+func CommitAfresh(service string, slot int) Change {
+	return slotChange("commitafresh", service, slot, "", func(t *Table, _ *space, e entry) error {
+		if e.next == 0 {
+			return ErrNotMoving
+		}
+		s := t.writable(service)
+		s.set(slot, entry{owner: e.next})
+		s.started(slot, t.epoch)
+		return nil
+	})
+}
+
 // Cancel ends the move of a slot with its owner unchanged.
 func Cancel(service string, slot int) Change {
 	return slotChange("cancel", service, slot, "", func(t *Table, _ *space, e entry) error {
