Offer request memory again to a dispatcher that is not there yet

Cause: a move to a target that has just joined sent its memory before that target had a dispatcher, so it was lost and ids became unknown. Change: a release waits for up to 5 renewals until the memory is accepted. Ruled out: waiting without a bound, which would block the slot's keys. Conclusion: moves to new targets keep their memory.

--- a/internal/fulmarcontrol/keeper.go
+++ b/internal/fulmarcontrol/keeper.go
@@ -30,6 +30,9 @@
 	handoverDrain   = 300 * time.Millisecond
 	handoverTimeout = time.Second
 	transferTimeout = 300 * time.Millisecond
+	// maxTransfers is how often request memory is offered, once for each
+	// renewal: a target that has just joined gets its dispatcher within that time.
+	maxTransfers = 5
 	// holderPatience is how long a lapsed grant of a live holder is left to it.
 	holderPatience = time.Second
 )
@@ -56,6 +59,7 @@
 	stampAt     time.Time
 	failures    int
 	stopping    map[int]<-chan struct{}
+	transfers   int            // offers of the memory of slots that were stopped last
 	transferred map[int]uint64 // by slot: the start of the forced move for which its memory was sent
 	admitted    []int
 	contested   bool // a handover failed with open outcome
@@ -387,11 +391,20 @@
 		byNext[k.c.table.Assignment(t.Service, slot).Next] = append(byNext[k.c.table.Assignment(t.Service, slot).Next], slot)
 	}
 	k.c.mu.Unlock()
+	accepted := true
 	for next, moved := range byNext {
-		if next != "" {
-			k.transfer(ctx, t.Service, next, moved)
+		if next != "" && !k.transfer(ctx, t.Service, next, moved) {
+			accepted = false
 		}
 	}
+	if k.transfers++; !accepted && k.transfers < maxTransfers {
+		return
+	}
+	if !accepted {
+		k.c.Counter.Count("memory_not_transferred")
+		k.c.Log.Warn("request memory not transferred", "target", k.id, "slots", len(slots))
+	}
+	k.transfers = 0
 	k.c.mu.Lock()
 	defer k.c.mu.Unlock()
 	k.releases = append(k.releases, fulmarwire.Release{Target: k.id, Service: t.Service, Slots: slots, Epoch: epoch})
@@ -421,7 +434,10 @@
 	k.c.mu.Unlock()
 	for next, slots := range byNext {
 		slices.Sort(slots)
-		k.transfer(ctx, t.Service, next, slots)
+		if !k.transfer(ctx, t.Service, next, slots) {
+			k.c.Counter.Count("memory_not_transferred")
+			k.c.Log.Warn("request memory not transferred", "target", k.id, "slots", len(slots))
+		}
 	}
 }
 
@@ -473,9 +489,10 @@
 	})
 }
 
-// transfer sends request memory to the dispatcher of the next owner. Without
-// it that dispatcher starts with an empty memory and a later horizon.
-func (k *keeper) transfer(ctx context.Context, service, next string, slots []int) {
+// transfer sends request memory to the dispatcher of the next owner and reports
+// whether it was accepted. Without it that dispatcher starts with an empty
+// memory and a later horizon.
+func (k *keeper) transfer(ctx context.Context, service, next string, slots []int) bool {
 	c := k.c
 	message := &fulmarwire.Transfer{Target: next, Since: make(map[int]uint64), Snapshot: k.dispatcher.Export(slots)}
 	c.mu.Lock()
@@ -487,19 +504,15 @@
 	c.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	accepted := false
 	switch {
 	case ok && holder.ID == c.Self.ID:
 		reply, _ := c.Calls(ctx).Transfer(callCtx, message)
-		accepted = reply.Accepted
+		return reply.Accepted
 	case ok && p != nil:
 		reply, err := p.bulk.Transfer(callCtx, message)
-		accepted = err == nil && reply.Accepted
-	}
-	if !accepted {
-		c.Counter.Count("memory_not_transferred")
-		c.Log.Warn("request memory not transferred", "target", next, "slots", len(slots))
+		return err == nil && reply.Accepted
 	}
+	return false
 }
 
 // acquire takes over the target unless a live daemon holds it. handed is the
