--- a/internal/fulmarcontrol/store.go
+++ b/internal/fulmarcontrol/store.go
@@ -23,9 +23,11 @@
 	// callersOfStore is how many daemons watch the configuration, and how many
 	// stand for election; the others learn from them.
 	callersOfStore = 3
-	watchWait      = 30 * time.Second
-	storeBackoff   = 2 * time.Second // longest random wait after a failed call
-	loadInterval   = time.Second
+	// watchWait is short because a daemon that is no longer among the chosen
+	// ones notices that only when its watch ends.
+	watchWait    = 10 * time.Second
+	storeBackoff = 2 * time.Second // longest random wait after a failed call
+	loadInterval = time.Second
 )
 
 // noteStore records whether the key-value service answers.
