Name steps of the dispatcher and the entry by usual terms

Cause: glance, consult, depart, doubt, unheat, rehome, note and again needed explaining. Change: precheck, resolve, stopWaiting, renewalsDue, mergeHotSlot, moveInFlight, record and shouldRetry; no behaviour changes. Ruled out: nothing. Conclusion: a newcomer finds the step by its name.

--- a/internal/fulmardispatch/dispatcher.go
+++ b/internal/fulmardispatch/dispatcher.go
@@ -16,11 +16,11 @@
 const (
 	sweep  = 10 * time.Second // period of dropping old request ids
 	linger = time.Minute      // how long the memory of a slot is kept for export after it left the grant
-	// proofs is how many renewals show that a target lives whose suspect broke
+	// renewalsAfterBreak is how many renewals show that a target lives whose suspect broke
 	// off. One may have been answered before the target crashed.
-	proofs     = 2
-	suspicion  = 5 * time.Second // how long a broken order counts as in flight when the target is lost
-	orderGrace = 5 * time.Second // time after its deadline when an at-most-once order is given up
+	renewalsAfterBreak = 2
+	suspicion          = 5 * time.Second // how long a broken order counts as in flight when the target is lost
+	orderGrace         = 5 * time.Second // time after its deadline when an at-most-once order is given up
 )
 
 // errLost is the cause of ending the orders of a lost target.
@@ -61,27 +61,27 @@
 	quit   chan struct{}
 	done   chan struct{}
 
-	mu        sync.Mutex
-	queue     *fulmarqueue.Queue[*job]
-	limits    map[string]fulmarqueue.Limits
-	slots     map[int]*slot
-	hot       map[uint64]int // slot of each hot key
-	held      map[*job]int   // handlers and orders of each job in flight
-	waiting   map[*job]struct{}
-	running   map[*job]struct{}
-	jobs      map[*fulmardedup.Entry]*job
-	drains    []drain
-	broken    []broken
-	loads     loads
-	term      uint64
-	epoch     uint64
-	flight    int
-	doubt     int // renewals that must succeed before work starts again
-	opened    bool
-	complete  time.Time // no order of another dispatcher started later; zero if not known
-	suspended bool
-	stopped   bool
-	closed    bool
+	mu          sync.Mutex
+	queue       *fulmarqueue.Queue[*job]
+	limits      map[string]fulmarqueue.Limits
+	slots       map[int]*slot
+	hot         map[uint64]int // slot of each hot key
+	held        map[*job]int   // handlers and orders of each job in flight
+	waiting     map[*job]struct{}
+	running     map[*job]struct{}
+	jobs        map[*fulmardedup.Entry]*job
+	drains      []drain
+	broken      []broken
+	loads       loads
+	term        uint64
+	epoch       uint64
+	flight      int
+	renewalsDue int // renewals that must succeed before work starts again
+	opened      bool
+	complete    time.Time // no order of another dispatcher started later; zero if not known
+	suspended   bool
+	stopped     bool
+	closed      bool
 }
 
 // New returns a dispatcher that admits nothing before Open; Close ends its goroutine.
@@ -119,7 +119,7 @@
 			}
 		}
 	}
-	d.term, d.opened, d.suspended, d.stopped, d.doubt = term, true, false, false, 0
+	d.term, d.opened, d.suspended, d.stopped, d.renewalsDue = term, true, false, false, 0
 	d.queue.SetSlots(free)
 	d.apply(table, slots)
 	d.complete = time.Time{}
@@ -161,7 +161,7 @@
 	table := d.deps.Table()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.epoch, d.suspended, d.doubt = max(d.epoch, epoch), false, max(d.doubt-1, 0)
+	d.epoch, d.suspended, d.renewalsDue = max(d.epoch, epoch), false, max(d.renewalsDue-1, 0)
 	d.apply(table, slots)
 	d.signal()
 }
@@ -304,7 +304,7 @@
 		if parent, hash, ok := table.Parent(d.target.Service, n); ok {
 			s := d.slot(n)
 			if s.hot && (s.parent != parent || s.hash != hash) {
-				d.unheat(now, table, n, s) // the slot number serves another key now
+				d.mergeHotSlot(now, table, n, s) // the slot number serves another key now
 				s.granted = false
 			}
 			s.hot, s.parent, s.hash = true, parent, hash
@@ -319,7 +319,7 @@
 	}
 	for n, s := range d.slots {
 		if s.hot && !granted[n] {
-			d.unheat(now, table, n, s)
+			d.mergeHotSlot(now, table, n, s)
 		}
 		if s.granted && !granted[n] {
 			s.busy = s.stopped && s.flight > 0
@@ -351,7 +351,7 @@
 	if s.hot {
 		if p := d.slot(s.parent); p.granted && p.open {
 			d.memory.Split(s.parent, n, s.hash)
-			d.rehome(s.parent, n, s.hash)
+			d.moveInFlight(s.parent, n, s.hash)
 			return
 		}
 	}
@@ -366,15 +366,15 @@
 	return n < table.Slots(d.target.Service) && table.Assignment(d.target.Service, n).Owner == d.target.ID
 }
 
-// unheat handles a hot key that returned to its plain slot; with the lock held.
-func (d *Dispatcher) unheat(now time.Time, table fulmarslot.Table, n int, s *slot) {
+// mergeHotSlot handles a hot key that returned to its plain slot; with the lock held.
+func (d *Dispatcher) mergeHotSlot(now time.Time, table fulmarslot.Table, n int, s *slot) {
 	if _, hash, ok := table.Parent(d.target.Service, n); ok && hash == s.hash {
 		return // moved to another target
 	}
 	if p := d.slot(s.parent); p.granted && p.open {
 		if s.granted && s.open {
 			d.memory.Join(s.parent, n)
-			d.rehome(n, s.parent, s.hash)
+			d.moveInFlight(n, s.parent, s.hash)
 		} else {
 			// The key's requests ran elsewhere, and their ids were not handed over.
 			d.memory.Close(s.parent)
@@ -386,8 +386,8 @@
 	s.hot = false
 }
 
-// rehome counts the work in flight of a key under another slot, with the lock held.
-func (d *Dispatcher) rehome(from, to int, hash uint64) {
+// moveInFlight counts the work in flight of a key under another slot, with the lock held.
+func (d *Dispatcher) moveInFlight(from, to int, hash uint64) {
 	for j, count := range d.held {
 		if j.slot == from && j.hash == hash {
 			d.slot(from).flight -= count
--- a/internal/fulmardispatch/order.go
+++ b/internal/fulmardispatch/order.go
@@ -37,7 +37,7 @@
 func (d *Dispatcher) start() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for !d.suspended && !d.closed && d.doubt == 0 {
+	for !d.suspended && !d.closed && d.renewalsDue == 0 {
 		now := d.deps.Now()
 		ticket, item, ok := d.queue.Pop(now)
 		if !ok {
@@ -170,7 +170,7 @@
 	if j.isolated {
 		// The target has probably crashed. The next suspect would break off, too,
 		// and be condemned for it.
-		d.doubt = proofs
+		d.renewalsDue = renewalsAfterBreak
 	}
 	d.trimBroken(suspicion)
 	d.broken = append(d.broken, broken{fingerprint: j.fingerprint, at: d.deps.Now()})
--- a/internal/fulmardispatch/serve.go
+++ b/internal/fulmardispatch/serve.go
@@ -22,14 +22,14 @@
 		fulmarreply.Refuse(w, fulmaroutcome.NotRun, fulmaroutcome.Malformed, detail)
 		return
 	}
-	if reason := d.glance(j); reason != "" {
+	if reason := d.precheck(j); reason != "" {
 		fulmarreply.Refuse(w, fulmaroutcome.NotRun, reason, "")
 		return
 	}
 	if !d.read(w, r, j) {
 		return
 	}
-	d.consult(j)
+	d.resolve(j)
 	if d.deps.Idempotent(d.target.Service) {
 		d.serveIdempotent(w, r, j)
 		return
@@ -37,17 +37,17 @@
 	d.serveOnce(w, r, j)
 }
 
-// glance refuses a request before its body is read; the binding check follows with the lock held.
-func (d *Dispatcher) glance(j *job) fulmaroutcome.Reason {
-	d.consult(j)
+// precheck refuses a request before its body is read; the binding check follows with the lock held.
+func (d *Dispatcher) precheck(j *job) fulmaroutcome.Reason {
+	d.resolve(j)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.check(j)
 }
 
-// consult reads the table and the limits. It runs without the lock, because their owner may call the
+// resolve reads the table and the limits. It runs without the lock, because their owner may call the
 // dispatcher while it holds its own lock.
-func (d *Dispatcher) consult(j *job) {
+func (d *Dispatcher) resolve(j *job) {
 	slot, ok := d.deps.Table().Slot(d.target.Service, j.key)
 	j.routed = ok && slot == j.slot
 	limits, ok := d.deps.Limits(d.target.Service, j.group)
@@ -230,9 +230,9 @@
 		}
 		return
 	case <-r.Context().Done():
-		d.depart(owner, owner == j)
+		d.stopWaiting(owner, owner == j)
 	case <-timer.C:
-		d.depart(owner, owner == j)
+		d.stopWaiting(owner, owner == j)
 	}
 	select {
 	case <-entry.Done():
@@ -287,8 +287,8 @@
 	return entry, j, fulmardedup.Answer{}
 }
 
-// depart ends the wait of a handler; a job that nobody waits for, or whose body leaves, is refused if it has not started.
-func (d *Dispatcher) depart(owner *job, first bool) {
+// stopWaiting ends the wait of a handler; a job that nobody waits for, or whose body leaves, is refused if it has not started.
+func (d *Dispatcher) stopWaiting(owner *job, first bool) {
 	if owner == nil {
 		return
 	}
--- a/internal/fulmarentry/route.go
+++ b/internal/fulmarentry/route.go
@@ -49,8 +49,8 @@
 			e.deps.Metrics.Served(q.service, q.group, e.deps.Now().Sub(q.began))
 			return
 		}
-		q.note(res)
-		wait, ok := e.again(q, &res)
+		q.record(res)
+		wait, ok := e.shouldRetry(q, &res)
 		if !ok || !sleep(ctx, wait) {
 			e.finish(w, q, res)
 			return
@@ -59,8 +59,8 @@
 	}
 }
 
-// note records what the attempt says of the request.
-func (q *query) note(res result) {
+// record notes what the attempt says of the request.
+func (q *query) record(res result) {
 	if res.outcome == fulmaroutcome.Unknown {
 		q.maybe = res.reason
 	}
@@ -72,8 +72,8 @@
 	}
 }
 
-// again reports whether to retry and after what wait; it may replace the reason of res.
-func (e *Entry) again(q *query, res *result) (time.Duration, bool) {
+// shouldRetry reports whether to retry and after what wait; it may replace the reason of res.
+func (e *Entry) shouldRetry(q *query, res *result) (time.Duration, bool) {
 	label, paid, ok := retryable(q, *res)
 	if !ok || !q.body.Fresh() {
 		return 0, false
@@ -223,7 +223,7 @@
 		return result{outcome: fulmaroutcome.Unknown, reason: fulmaroutcome.DispatcherLost}
 	}
 	defer resp.Body.Close()
-	return pass(ctx, w, resp)
+	return relayAnswer(ctx, w, resp)
 }
 
 // errDown is the cause of giving up a hop to a peer that was found down.
@@ -268,8 +268,8 @@
 	return b.ReadCloser.Close()
 }
 
-// pass passes on a served answer, or returns what the peer's dispatcher says.
-func pass(ctx context.Context, w http.ResponseWriter, resp *http.Response) result {
+// relayAnswer passes on a served answer, or returns what the peer's dispatcher says.
+func relayAnswer(ctx context.Context, w http.ResponseWriter, resp *http.Response) result {
 	res := result{
 		outcome: fulmaroutcome.Outcome(resp.Header.Get(fulmaroutcome.HeaderOutcome)),
 		reason:  fulmaroutcome.Reason(resp.Header.Get(fulmaroutcome.HeaderReason)),
