--- a/internal/fulmarcontrol/mesh.go
+++ b/internal/fulmarcontrol/mesh.go
@@ -63,6 +63,8 @@
 		c.Log.Error("peer client", "peer", m.ID, "error", err)
 		return
 	}
+	beat.Count(c.Traffic)
+	bulk.Count(c.Traffic)
 	p := &peer{
 		Peer: fulmarmember.Peer{
 			ID: m.ID, Incarnation: m.Incarnation, Control: m.Control, Data: m.Data, DataCentre: m.DataCentre,
@@ -244,6 +246,7 @@
 	for id, until := range c.movingLapses() {
 		s.Lapses[id] = until.Sub(now)
 	}
+	s.Sent = c.movingSent(now)
 	for _, k := range c.keepers {
 		if k.lost {
 			s.Losses = append(s.Losses, fulmarwire.Loss{Target: k.id, Suspects: k.suspects})
@@ -274,6 +277,19 @@
 	return out
 }
 
+// movingSent returns the targets with slots that move away to which this
+// daemon has sent a grant lately; mu must be held.
+func (c *Controller) movingSent(now time.Time) []string {
+	var out []string
+	for id, log := range c.lapses {
+		if _, away, _ := c.table.Count(id); away > 0 && log.sent(now) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // runMonitor watches for changes that only time brings: peers that fall
 // silent, and a pause of this process itself.
 func (c *Controller) runMonitor(ctx context.Context) {
@@ -372,6 +388,7 @@
 	if err != nil {
 		return
 	}
+	client.Count(c.Traffic)
 	defer client.Close()
 	if err := c.pull(ctx, client); err != nil {
 		c.Log.Debug("seed does not answer", "address", address, "error", err)
--- a/internal/fulmarnode/node.go
+++ b/internal/fulmarnode/node.go
@@ -29,13 +29,16 @@
 )
 
 const (
-	memorySpan      = 10 * time.Minute
-	memoryBody      = 64 << 10
-	condemnedFor    = 30 * time.Minute
-	maxMarks        = 128
-	retryRatio      = 0.1 // retries for each request
-	retryRate       = 1.0 // retries a second in addition
-	peerConnections = 64
+	memorySpan   = 10 * time.Minute
+	memoryBody   = 64 << 10
+	condemnedFor = 30 * time.Minute
+	maxMarks     = 128
+	retryRatio   = 0.1 // retries for each request
+	retryRate    = 1.0 // retries a second in addition
+	// peerConnections to one peer are many because a request waits for its turn
+	// on its connection. A limit below what may wait at the peer's dispatchers
+	// is a queue without shares ahead of the fair ones.
+	peerConnections = 4096
 	// targetConnections to one target are few because a target runs 3 requests
 	// at once; the rest are for grants and for answers that are still read.
 	targetConnections = 8
@@ -58,6 +61,7 @@
 	entry    *fulmarentry.Entry
 	guard    *fulmarguard.Guard
 	cost     *fulmarcost.Estimator
+	traffic  *fulmarpeer.Traffic
 }
 
 // New returns a daemon that does nothing until Run.
@@ -73,6 +77,7 @@
 		targets:  fulmartarget.New(targetConnections, s.Advertise.Source),
 		guard:    fulmarguard.New(condemnedFor, maxMarks),
 		cost:     fulmarcost.New(defaultLongRatio),
+		traffic:  new(fulmarpeer.Traffic),
 	}
 	n.control = fulmarcontrol.New(fulmarcontrol.Deps{
 		Self: fulmarslot.Member{
@@ -88,6 +93,7 @@
 		NewDispatcher: n.newDispatcher,
 		Guard:         n.guard,
 		Counter:       metrics,
+		Traffic:       n.traffic,
 		Log:           log,
 	})
 	n.entry = fulmarentry.New(fulmarentry.Deps{
@@ -141,6 +147,7 @@
 		Now:     time.Now,
 		Order:   n.settings.Timing.Order,
 		Current: n.control.Current,
+		Cleared: n.control.Cleared,
 		Fenced:  n.control.Fenced,
 	})
 }
@@ -150,6 +157,10 @@
 	n.metrics.Gauge("config_version", func() float64 { return float64(n.control.Versioned().Version) })
 	n.metrics.Gauge("targets_held", func() float64 { return float64(n.control.Holding()) })
 	n.metrics.Gauge("lease_held", func() float64 { return truth(n.control.Current()) })
+	n.metrics.Gauge("peer_bytes_sent", func() float64 { return float64(n.traffic.Sent()) })
+	n.metrics.Gauge("peer_bytes_received", func() float64 { return float64(n.traffic.Received()) })
+	n.metrics.Gauge("peer_calls", func() float64 { return float64(n.traffic.Calls()) })
+	n.metrics.Gauge("peer_answers", func() float64 { return float64(n.traffic.Answered()) })
 	n.metrics.Gauge("planner", func() float64 { return truth(n.control.Planning()) })
 }
 
@@ -198,6 +209,7 @@
 	if err != nil {
 		return err
 	}
+	peers.Count(n.traffic)
 	callers := server(n.entry.Callers())
 	data := server(n.entry.Peers())
 	admin := server(n.adminHandler())
