Pass load reports to the planner through a bounded ring

Cause: reports were kept in a slice under the controller's lock, which peers' heartbeats and dispatchers share. Change: a ring of the same bound; what does not fit is counted and dropped. Ruled out: blocking the sender, since loads are hints. Conclusion: the duties that produce loads no longer wait for the lock.

--- a/internal/fulmarcontrol/controller.go
+++ b/internal/fulmarcontrol/controller.go
@@ -20,6 +20,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarmember"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmaroutcome"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarplan"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarring"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
 )
 
@@ -97,8 +98,9 @@
 type Controller struct {
 	Deps
 	group sync.WaitGroup
-	kick  chan struct{}             // wakes the planner loop
-	until atomic.Pointer[time.Time] // end of the quorum lease, readable without the lock
+	kick  chan struct{}                     // wakes the planner loop
+	loads *fulmarring.Ring[fulmarwire.Load] // from the dispatchers and peers to the planner
+	until atomic.Pointer[time.Time]         // end of the quorum lease, readable without the lock
 
 	mu        sync.Mutex
 	table     fulmarslot.Table
@@ -114,7 +116,6 @@
 	lapses    map[string]*lapseLog
 	imports   map[string]map[int]pendingImport
 	learned   map[string]string // holder of a target by a not-holder answer
-	loads     []fulmarwire.Load // not yet sent to the planner
 	confirm   map[string]time.Time
 	lift      map[uint64]time.Time
 	plannerTo time.Time // end of the own planner lease
@@ -134,6 +135,7 @@
 	return &Controller{
 		Deps:    deps,
 		kick:    make(chan struct{}, 1),
+		loads:   fulmarring.New[fulmarwire.Load](maxLoads),
 		view:    fulmarmember.New(deps.Timing.Down),
 		lease:   fulmarlease.New(deps.Self.ID, deps.Timing.Window),
 		peers:   make(map[string]*peer),
--- a/internal/fulmarcontrol/mesh.go
+++ b/internal/fulmarcontrol/mesh.go
@@ -253,7 +253,7 @@
 		}
 		s.Releases = append(s.Releases, k.releases...)
 	}
-	s.Loads, c.loads = c.loads, nil
+	s.Loads = c.drainLoads()
 	for id := range c.confirm {
 		s.Confirm = append(s.Confirm, id)
 	}
--- a/internal/fulmarcontrol/planner.go
+++ b/internal/fulmarcontrol/planner.go
@@ -348,10 +348,9 @@
 	for fingerprint := range c.lift {
 		in.Lift = append(in.Lift, fingerprint)
 	}
-	for _, l := range c.loads {
+	for _, l := range c.drainLoads() {
 		in.Loads = append(in.Loads, fulmarplan.Load(l))
 	}
-	c.loads = nil
 	return in
 }
 
--- a/internal/fulmarcontrol/router.go
+++ b/internal/fulmarcontrol/router.go
@@ -238,20 +238,32 @@
 		}
 		c.mu.Unlock()
 		for _, d := range dispatchers {
-			loads := d.Loads()
-			c.mu.Lock()
-			for _, l := range loads {
+			for _, l := range d.Loads() {
 				c.takeLoad(fulmarwire.Load(l))
 			}
-			c.mu.Unlock()
 		}
 	}
 }
 
-// takeLoad keeps a load report for the planner; mu must be held.
+// takeLoad keeps a load report for the planner. A report that does not fit is
+// dropped: loads are hints, and the next ones follow within a second.
 func (c *Controller) takeLoad(l fulmarwire.Load) {
-	if len(c.loads) < maxLoads {
-		c.loads = append(c.loads, l)
+	if !c.loads.TryPut(l) {
+		c.Counter.Count("load_dropped")
+	}
+}
+
+// drainLoads returns the load reports that wait for the planner.
+func (c *Controller) drainLoads() []fulmarwire.Load {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // Get returns what is there and does not wait
+	var out []fulmarwire.Load
+	for {
+		l, ok := c.loads.Get(ctx)
+		if !ok {
+			return out
+		}
+		out = append(out, l)
 	}
 }
 
