Let a planner without a majority give up its lease

Cause: a planner that was cut off from its peers, but not from the key-value service, kept renewing its lease and got no acknowledgements, so forced moves stood still until the partition ended. Change: a daemon that hears no majority of the roster resigns and does not stand for election for 3 s; if nobody else is elected it stands again, so that the loss of half of the roster keeps a planner for the operator's word. Ruled out: acknowledgements through the key-value service, one call for each daemon and epoch. Conclusion: the planner's place is on the side of the majority.

--- a/internal/fulmarcontrol/controller.go
+++ b/internal/fulmarcontrol/controller.go
@@ -119,6 +119,7 @@
 	confirm   map[string]time.Time
 	lift      map[uint64]time.Time
 	plannerTo time.Time // end of the own planner lease
+	minority  time.Time // since when no majority of the roster is heard, zero if one is
 	storeErr  error     // of the last call to the key-value service
 	leaving   bool
 	closed    bool // no more callers are accepted
--- a/internal/fulmarcontrol/store.go
+++ b/internal/fulmarcontrol/store.go
@@ -28,6 +28,8 @@
 	watchWait    = 10 * time.Second
 	storeBackoff = 2 * time.Second // longest random wait after a failed call
 	loadInterval = time.Second
+	// yieldTime is how long a daemon in a minority does not stand for election.
+	yieldTime = 3 * time.Second
 )
 
 // noteStore records whether the key-value service answers.
@@ -129,13 +131,29 @@
 // has no configuration can't plan, and a leaving one would hand over at once.
 func (c *Controller) eligible() bool {
 	c.mu.Lock()
-	ok := c.versioned.Version > 0 && !c.leaving
+	ok := c.versioned.Version > 0 && !c.leaving && !c.yields(time.Now())
 	planning := time.Now().Before(c.plannerTo)
 	other := c.otherPlanner()
 	c.mu.Unlock()
 	return ok && (planning || !other && c.chosen("planner"))
 }
 
+// yields reports whether this daemon leaves the election to others because it
+// hears no majority of the roster. A planner that is cut off from its peers, but
+// not from the key-value service, would otherwise keep the lease and get no
+// acknowledgements. If nobody else is elected meanwhile, most of the roster is
+// lost, and it stands again. mu must be held.
+func (c *Controller) yields(now time.Time) bool {
+	if len(c.table.Roster()) == 0 || c.hearsMajority(now) {
+		c.minority = time.Time{}
+		return false
+	}
+	if c.minority.IsZero() {
+		c.minority = now
+	}
+	return now.Sub(c.minority) < yieldTime
+}
+
 // otherPlanner reports whether a live peer says that it is the planner; mu must be held.
 func (c *Controller) otherPlanner() bool {
 	now := time.Now()
--- a/internal/fulmarproof/cut_test.go
+++ b/internal/fulmarproof/cut_test.go
@@ -26,6 +26,23 @@
 		t.finish(fault, unavailable)
 	})
 
+	// Guards I2 and the 2 s against a planner that keeps its lease while it gets no acknowledgements.
+	It("of the planner from its peers only, with the loss of a target", func(ctx SpecContext) {
+		t := begin(ctx)
+		d := t.planner(ctx)
+		g, _ := t.victim(ctx, reads)
+		except := []string{fulmarfleet.PlatformName}
+		for _, other := range t.Targets {
+			except = append(except, other.ID)
+		}
+		fault := time.Now()
+		t.Cut(fulmarfleet.Refuse, d.ID, except...)
+		g.Kill()
+		t.awaitAll(fault)
+		t.Network.Restore()
+		t.finish(fault, unavailable)
+	})
+
 	// Guards I1, I5 and the 2 s against a daemon without a majority that goes on renewing.
 	It("of a daemon from its peers and the platform", func(ctx SpecContext) {
 		t := begin(ctx)
