Leave slots of forced moves out of grants at once

Cause: a dispatcher kept a stopped slot in its renewals until its work in flight had ended, also if the move was forced. A forced move does not wait for work: when another daemon had reported the target as lost while this dispatcher still reached it, the grant outlasted the move, and the slot could have two owners. Change: only slots of cooperative moves stay in the grant; work in flight on a forced slot is aborted by the target and ends as unknown. Ruled out: a planner that waits for such grants, which a long request would draw out without bound. Conclusion: after the epoch of a forced move no grant has its slots.

--- a/internal/fulmarcontrol/renew.go
+++ b/internal/fulmarcontrol/renew.go
@@ -22,14 +22,7 @@
 		return fulmargrant.Grant{}, nil, false
 	}
 	owned := c.table.OwnedBy(nil, k.id)
-	slots := slices.Clone(owned)
-	for slot, idle := range k.stopping {
-		select {
-		case <-idle:
-		default:
-			slots = append(slots, slot)
-		}
-	}
+	slots := append(slices.Clone(owned), k.draining()...)
 	slices.Sort(slots)
 	slots = slices.Compact(slots)
 	c.lapses[k.id].record(now, slots, stampAt.Add(lifetime(c.Timing.TTL)))
@@ -38,6 +31,20 @@
 	}, owned, true
 }
 
+// draining returns the stopped slots that the grant must keep until their work
+// in flight has ended. A forced move does not wait for work: a grant that still
+// had its slot could outlast the move, and the slot would have two owners. mu
+// must be held.
+func (k *keeper) draining() []int {
+	t, ok := k.c.table.Target(k.id)
+	if !ok {
+		return nil
+	}
+	return slices.DeleteFunc(k.busy(), func(slot int) bool {
+		return k.c.table.Assignment(t.Service, slot).Forced
+	})
+}
+
 func lifetime(ttl time.Duration) time.Duration {
 	return ttl + time.Duration(float64(ttl)*clockDrift)
 }
--- /dev/null
+++ b/internal/fulmarcontrol/renew_test.go
@@ -0,0 +1,59 @@
+package fulmarcontrol
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
+)
+
+// planned returns a controller that is alone in the roster of a table with four
+// slots of target a: slot 0 moves to b, slot 1 is forced to b.
+func planned() *Controller {
+	c := New(Deps{
+		Self:   fulmarslot.Member{ID: "i1", Incarnation: 1},
+		Timing: Timing{Window: time.Second, TTL: time.Second},
+	})
+	table, err := fulmarslot.New(map[string]int{"rota": 4}).With(
+		fulmarslot.PutMember(c.Self),
+		fulmarslot.PutTarget(fulmarslot.Target{ID: "a", Service: "rota", Fenced: true}),
+		fulmarslot.PutTarget(fulmarslot.Target{ID: "b", Service: "rota", Fenced: true}),
+		fulmarslot.Assign("rota", 0, "a"), fulmarslot.Assign("rota", 1, "a"),
+		fulmarslot.Assign("rota", 2, "a"), fulmarslot.Assign("rota", 3, "a"),
+		fulmarslot.Move("rota", 0, "b", false), fulmarslot.Move("rota", 1, "b", true),
+	)
+	Expect(err).NotTo(HaveOccurred())
+	c.table = table
+	c.lease.SetRoster([]string{"i1"})
+	c.lapses["a"] = &lapseLog{}
+	return c
+}
+
+var _ = Describe("grant", func() {
+	// Guards against a grant that keeps a slot of a forced move while work is in
+	// flight: it could outlast the move, and the slot would have two owners.
+	It("keeps a slot with work in flight unless its move is forced", func() {
+		c := planned()
+		busy := make(chan struct{})
+		k := &keeper{c: c, id: "a", stopping: map[int]<-chan struct{}{0: busy, 1: busy}}
+		g, owned, ok := k.grantNow(5, 0, time.Now())
+		Expect(ok).To(BeTrue())
+		Expect(owned).To(Equal([]int{2, 3}))
+		Expect(g.Slots).To(Equal([]int{0, 2, 3}))
+		Expect(c.lapses["a"].until([]int{1})).To(BeZero())
+		close(busy)
+		g, _, _ = k.grantNow(5, 0, time.Now())
+		Expect(g.Slots).To(Equal([]int{2, 3}), "work in flight has ended")
+	})
+
+	// Guards against a grant by a daemon that is not current.
+	It("needs the quorum lease", func() {
+		c := planned()
+		c.lease.SetRoster([]string{"i1", "i2", "i3"})
+		k := &keeper{c: c, id: "a"}
+		_, _, ok := k.grantNow(5, 0, time.Now())
+		Expect(ok).To(BeFalse())
+	})
+})
