Acknowledge epochs with their lapses to every peer

Cause: a status carried the ends of grants only to a peer known as planner. The answer to the push of a planner that was just elected had the new epoch without them, as if no grant were in force; only the planner's wait after an election kept a forced move from ending too early. Change: lapses and sent grants go with each status. Ruled out: refusing acknowledgements without the planner flag, which delays each election's first moves. Figures: found by reading; the new unit test fails without the change, since the fields were empty. Conclusion: an epoch is never acknowledged without what belongs to it.

--- a/internal/fulmarcontrol/mesh.go
+++ b/internal/fulmarcontrol/mesh.go
@@ -234,6 +234,13 @@
 		}
 	}
 	slices.Sort(s.Held)
+	// An epoch without the lapses that go with it would let a planner that this
+	// daemon does not know as such yet end a forced move too early.
+	s.Lapses = make(map[string]time.Duration)
+	for id, until := range c.movingLapses() {
+		s.Lapses[id] = until.Sub(now)
+	}
+	s.Sent = c.movingSent(now)
 	if p, ok := c.peers[to]; ok && p.status.Planner {
 		c.addReports(s, now)
 	}
@@ -242,11 +249,6 @@
 
 // addReports adds what only the planner needs; mu must be held.
 func (c *Controller) addReports(s *fulmarwire.Status, now time.Time) {
-	s.Lapses = make(map[string]time.Duration)
-	for id, until := range c.movingLapses() {
-		s.Lapses[id] = until.Sub(now)
-	}
-	s.Sent = c.movingSent(now)
 	for _, k := range c.keepers {
 		if k.lost {
 			s.Losses = append(s.Losses, fulmarwire.Loss{Target: k.id, Suspects: k.suspects})
--- a/internal/fulmarcontrol/renew_test.go
+++ b/internal/fulmarcontrol/renew_test.go
@@ -57,3 +57,18 @@
 		Expect(ok).To(BeFalse())
 	})
 })
+
+var _ = Describe("status", func() {
+	// Guards against an acknowledgement without the ends of grants, which a
+	// planner that is not known as such yet would take for none in force.
+	It("carries the lapses of moving slots to every peer", func() {
+		c := planned()
+		now := time.Now()
+		c.lapses["a"].record(now, []int{0, 1, 2, 3}, now.Add(time.Minute))
+		s := c.status("anyone")
+		Expect(s.Epoch).To(Equal(c.table.Epoch()))
+		Expect(s.Lapses).To(HaveKey("a"))
+		Expect(s.Sent).To(Equal([]string{"a"}))
+		Expect(s.Loads).To(BeNil())
+	})
+})
--- a/internal/fulmarwire/message.go
+++ b/internal/fulmarwire/message.go
@@ -28,8 +28,8 @@
 	Used    time.Duration `cbor:"used"`
 }
 
-// Status is a heartbeat and its answer. The fields from Lapses on are sent
-// only to the planner.
+// Status is a heartbeat and its answer. With Lapses and Sent it acknowledges
+// the table of its epoch. The fields from Losses on are sent only to the planner.
 type Status struct {
 	ID          string   `cbor:"id"`
 	Incarnation uint64   `cbor:"incarnation"`
