Keep a handover within the life of a grant

Cause: a keeper does not renew while it hands a target over; 300 ms of drain and 1 s of waiting for the answer exceed the 450 ms that a grant lasts after a renewal, and its lapse aborts work in flight. Change: 150 ms of drain and 250 ms for the answer. Ruled out: renewing in between, which a second goroutine would have to do.

--- a/internal/fulmarcontrol/keeper.go
+++ b/internal/fulmarcontrol/keeper.go
@@ -21,9 +21,11 @@
 	// rankSettle is how long another daemon must rank better before a target is handed over to it.
 	rankSettle = 5 * time.Second
 	// handoverDrain is how long a handover waits for work in flight; longer
-	// work goes on at the target and is answered by the former dispatcher.
-	handoverDrain   = 300 * time.Millisecond
-	handoverTimeout = time.Second
+	// work goes on at the target and is answered by the former dispatcher. With
+	// handoverTimeout it stays within what a grant lasts after a renewal, since
+	// the grant is not renewed meanwhile and its lapse would abort that work.
+	handoverDrain   = 150 * time.Millisecond
+	handoverTimeout = 250 * time.Millisecond
 	transferTimeout = 300 * time.Millisecond
 	// maxTransfers is how often request memory is offered, once for each
 	// renewal: a target that has just joined gets its dispatcher within that time.
--- a/internal/fulmarcontrol/mesh.go
+++ b/internal/fulmarcontrol/mesh.go
@@ -242,13 +242,13 @@
 	}
 	s.Sent = c.movingSent(now)
 	if p, ok := c.peers[to]; ok && p.status.Planner {
-		c.addReports(s, now)
+		c.addReports(s)
 	}
 	return s
 }
 
 // addReports adds what only the planner needs; mu must be held.
-func (c *Controller) addReports(s *fulmarwire.Status, now time.Time) {
+func (c *Controller) addReports(s *fulmarwire.Status) {
 	for _, k := range c.keepers {
 		if k.lost {
 			s.Losses = append(s.Losses, fulmarwire.Loss{Target: k.id, Suspects: k.suspects})
