Judge each slot by itself after a takeover

Change: Table.Steady lists the slots that the target owned all along, and only the others begin anew. Ruled out: pausing balance while a daemon is down, which moves by hot keys need most. Conclusion: a move costs the memory of its own slot only.

--- a/internal/fulmarcontrol/controller.go
+++ b/internal/fulmarcontrol/controller.go
@@ -39,7 +39,7 @@
 // Dispatcher is the data plane of one target.
 type Dispatcher interface {
 	http.Handler
-	SetComplete(at time.Time)
+	SetComplete(at time.Time, slots []int)
 	Open(term uint64, free int, slots []int)
 	Grant(epoch uint64, slots []int)
 	Stop(slots []int) <-chan struct{}
--- a/internal/fulmarcontrol/takeover.go
+++ b/internal/fulmarcontrol/takeover.go
@@ -115,15 +115,16 @@
 }
 
 // complete returns a time after which no order of an earlier dispatcher started
-// for the keys that the target owns now. The target tells when it last admitted
-// one; that counts only if all these keys were its own since the last grant,
-// because an order for a key may also have run at a former owner.
-func (c *Controller) complete(t takeover, target string) (time.Time, bool) {
-	if t.after.Last == 0 || t.before.Term == 0 || !c.Table().Steady(target, t.before.Epoch) {
-		return time.Time{}, false
+// for the keys of the slots. The target tells when it last admitted one; that
+// counts only for slots that were its own since the last grant, because an order
+// for a key may also have run at a former owner.
+func (c *Controller) complete(t takeover, target string) (at time.Time, slots []int) {
+	if t.after.Last == 0 || t.before.Term == 0 {
+		return time.Time{}, nil
 	}
 	age := t.after.Stamp - t.after.Last
-	return t.at.Add(-age + time.Duration(float64(age)*clockDrift)), true
+	at = t.at.Add(-age + time.Duration(float64(age)*clockDrift))
+	return at, c.Table().Steady(nil, target, t.before.Epoch)
 }
 
 // open starts the dispatcher of a target that was taken over.
@@ -131,8 +132,8 @@
 	d := k.c.NewDispatcher(t)
 	before, g, owned, handed := take.before, take.grant, take.owned, take.handed
 	known := time.Duration(0) // how long before now the memory may begin
-	if at, ok := k.c.complete(take, k.id); ok {
-		d.SetComplete(at)
+	if at, slots := k.c.complete(take, k.id); len(slots) > 0 {
+		d.SetComplete(at, slots)
 		known = time.Since(at)
 	}
 	if handed != nil {
--- a/internal/fulmardispatch/dispatcher.go
+++ b/internal/fulmardispatch/dispatcher.go
@@ -78,7 +78,7 @@
 	flight      int
 	renewalsDue int // renewals that must succeed before work starts again
 	opened      bool
-	complete    time.Time // no order of another dispatcher started later; zero if not known
+	complete    map[int]time.Time // by slot: no order of another dispatcher started later
 	suspended   bool
 	stopped     bool
 	closed      bool
@@ -122,16 +122,20 @@
 	d.term, d.opened, d.suspended, d.stopped, d.renewalsDue = term, true, false, false, 0
 	d.queue.SetSlots(free)
 	d.apply(table, slots)
-	d.complete = time.Time{}
+	d.complete = nil
 	d.signal()
 }
 
-// SetComplete states that no order of another dispatcher started after at.
-// Memory that the next Open starts anew counts from then, instead of from Open.
-func (d *Dispatcher) SetComplete(at time.Time) {
+// SetComplete states that no order of another dispatcher for the slots started
+// after at. Memory of them that the next Open starts anew counts from then,
+// instead of from Open.
+func (d *Dispatcher) SetComplete(at time.Time, slots []int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.complete = at
+	d.complete = make(map[int]time.Time, len(slots))
+	for _, n := range slots {
+		d.complete[n] = at
+	}
 }
 
 // Running returns the number of orders in flight.
@@ -355,8 +359,8 @@
 			return
 		}
 	}
-	if !d.complete.IsZero() && d.complete.Before(now) {
-		now = d.complete
+	if at, ok := d.complete[n]; ok && at.Before(now) {
+		now = at
 	}
 	d.memory.Open(now, n)
 }
--- a/internal/fulmardispatch/dispatcher_test.go
+++ b/internal/fulmardispatch/dispatcher_test.go
@@ -202,7 +202,8 @@
 		r := newRig(false, 3)
 		d, _ := r.dispatcher()
 		defer d.Close(fulmaroutcome.NotHolder)
-		d.SetComplete(time.Now().Add(-time.Second))
+		slot, _ := r.table.Load().Slot(service, key)
+		d.SetComplete(time.Now().Add(-time.Second), []int{slot})
 		old, fresh := uuid.Must(uuid.NewV7()), newID()
 		at := time.Now().Add(-900 * time.Millisecond).UnixMilli() // within two skew bounds of the last order
 		for i := range 6 {
--- a/pkg/fulmarslot/table.go
+++ b/pkg/fulmarslot/table.go
@@ -276,25 +276,25 @@
 	}
 }
 
-// Steady reports whether target has owned all keys that it owns now since the
-// epoch, as far as the table remembers: no slot started to move to it later, and
-// no hot key returned to a plain slot of its service later.
-func (t Table) Steady(target string, epoch uint64) bool {
-	s, owner := t.home(target)
+// Steady appends to dst the slots that target owns and whose keys it has owned
+// since the epoch, as far as the table remembers: the slot did not start to move
+// to it later, and no hot key returned to a plain slot of its service later.
+func (t Table) Steady(dst []int, target string, epoch uint64) []int {
+	s, _ := t.home(target)
 	if s == nil || epoch > t.epoch || t.epoch-epoch >= reuse {
-		return false
+		return dst
 	}
 	for _, h := range s.hots {
 		if !h.used && h.freed > epoch {
-			return false
+			return dst
 		}
 	}
-	for slot, since := range s.since {
-		if since > epoch && s.at(slot).owner == owner {
-			return false
+	for _, slot := range t.OwnedBy(nil, target) {
+		if s.since[slot] <= epoch {
+			dst = append(dst, slot)
 		}
 	}
-	return true
+	return dst
 }
 
 // HotKeys returns the slots and hashes of the hot keys of service in order of slot.
--- a/pkg/fulmarslot/table_test.go
+++ b/pkg/fulmarslot/table_test.go
@@ -90,23 +90,24 @@
 
 	// Guards against a new dispatcher that trusts a target's word on its orders
 	// for keys which another target served in the meantime.
-	It("tells whether a target owned its keys all along", func() {
+	It("tells which slots a target owned all along", func() {
 		t := filled(4, 2)
 		before := t.Epoch()
-		Expect(t.Steady("t00000", before)).To(BeTrue())
-		Expect(t.Steady("t00000", before+1)).To(BeFalse(), "an epoch of the future")
-		Expect(t.Steady("none", before)).To(BeFalse())
+		Expect(t.Steady(nil, "t00000", before)).To(Equal([]int{0, 2}))
+		Expect(t.Steady(nil, "t00000", before+1)).To(BeEmpty(), "an epoch of the future")
+		Expect(t.Steady(nil, "none", before)).To(BeEmpty())
 		moving := expectWith(t, fulmarslot.Move("rota", 0, "t00001", false))
 		back := expectWith(expectWith(expectWith(moving, fulmarslot.Commit("rota", 0)), fulmarslot.Move("rota", 0, "t00000", false)), fulmarslot.Commit("rota", 0))
-		Expect(back.Steady("t00000", before)).To(BeFalse(), "a slot was away")
-		Expect(back.Steady("t00001", before)).To(BeTrue(), "it only lost a slot")
-		Expect(back.Steady("t00000", back.Epoch())).To(BeTrue())
-		hot := expectWith(expectWith(t, fulmarslot.PutHot("rota", 0)), fulmarslot.RemoveHot("rota", 0))
-		Expect(hot.Steady("t00000", before)).To(BeFalse(), "a hot key returned")
+		Expect(back.Steady(nil, "t00000", before)).To(Equal([]int{2}), "slot 0 was away")
+		Expect(back.Steady(nil, "t00001", before)).To(Equal([]int{1, 3}))
+		Expect(back.Steady(nil, "t00000", back.Epoch())).To(Equal([]int{0, 2}))
+		hot := expectWith(t, fulmarslot.PutHot("rota", 0))
+		Expect(hot.Steady(nil, "t00000", before)).To(Equal([]int{0, 2, 4}), "a hot key stays with its owner")
+		Expect(expectWith(hot, fulmarslot.RemoveHot("rota", 0)).Steady(nil, "t00000", before)).To(BeEmpty(), "a hot key returned")
 		for range 64 {
 			t = expectWith(t)
 		}
-		Expect(t.Steady("t00000", before)).To(BeFalse(), "an epoch beyond what the table remembers")
+		Expect(t.Steady(nil, "t00000", before)).To(BeEmpty(), "an epoch beyond what the table remembers")
 	})
 
 	// Guards against a hot key that gets another owner than its plain slot without a move.
