--- a/cmd/fulmarlab/main.go
+++ b/cmd/fulmarlab/main.go
@@ -1,5 +1,3 @@
-// Command fulmarlab runs the stand-ins for the platform, targets and callers,
-// alone or together as a demonstration.
 package main
 
 import (
