--- a/pkg/fulmarslot/doc.go
+++ b/pkg/fulmarslot/doc.go
@@ -15,8 +15,6 @@
 //
 // The binary form is CBOR. Owners are stored by index among the targets of their
 // service, one byte for a slot with up to 254 targets and two bytes with more.
-// Decode
-// checks all that the changes check, refuses unknown fields and trailing bytes, and
-// returns a *DecodeError. Quarantine times are kept in
-// milliseconds.
+// Decode checks all that the changes check, refuses unknown fields and trailing
+// bytes, and returns a *DecodeError. Quarantine times are kept in milliseconds.
 package fulmarslot
