--- /dev/null
+++ b/cmd/fulmarbend/front.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarfront"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarlog"
+	"github.com/fulmarbend/fulmarbend/platform/fulmaradapter"
+	"github.com/fulmarbend/fulmarbend/platform/fulmarboot"
+)
+
+// maxLines bounds the log of a daemon, in lines a second.
+const maxLines = 400
+
+func frontCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "front",
+		Usage: "run the daemon on the users' platform until SIGTERM",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "boot", Usage: "settings `FILE` of the platform", Sources: cli.EnvVars(fulmarboot.Variable)},
+			&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error", Value: "info"},
+			&cli.BoolFlag{Name: "check", Usage: "print the faults of the settings file and end"},
+		},
+		Action: front,
+	}
+}
+
+// front runs the daemon of the users' platform.
+func front(ctx context.Context, cmd *cli.Command) error {
+	path := cmd.String("boot")
+	if path == "" {
+		return fmt.Errorf("fulmarbend: neither --boot nor %s names a settings file", fulmarboot.Variable)
+	}
+	settings, err := fulmarboot.Load(path)
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("check") {
+		fmt.Fprintln(os.Stdout, "settings are valid")
+		return nil
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(cmd.String("log-level"))); err != nil {
+		return fmt.Errorf("fulmarbend: log level: %w", err)
+	}
+	out := fulmarlog.New(os.Stdout, maxLines)
+	defer out.Close()
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level, ReplaceAttr: plainErrors})).With("instance", settings.ID)
+	daemon, err := fulmarfront.New(settings, fulmaradapter.New(), log)
+	if err != nil {
+		return err
+	}
+	stop, cancel := untilSignal(ctx, log)
+	defer cancel()
+	return daemon.Run(stop)
+}
--- a/cmd/fulmarbend/main.go
+++ b/cmd/fulmarbend/main.go
@@ -38,6 +38,7 @@
 				},
 				Action: serve,
 			},
+			frontCommand(),
 			{
 				Name:      "check",
 				Usage:     "print the faults of a settings file",
@@ -76,8 +77,14 @@
 	if err != nil {
 		return err
 	}
-	stopCtx, stop := context.WithCancel(ctx)
+	stopCtx, stop := untilSignal(ctx, log)
 	defer stop()
+	return node.Run(stopCtx)
+}
+
+// untilSignal returns a context that ends with the first SIGTERM or SIGINT. The second ends the process.
+func untilSignal(ctx context.Context, log *slog.Logger) (context.Context, context.CancelFunc) {
+	stopCtx, stop := context.WithCancel(ctx)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -87,7 +94,7 @@
 		log.Warn("second signal, ending at once")
 		os.Exit(exitFault)
 	}()
-	return node.Run(stopCtx)
+	return stopCtx, stop
 }
 
 // plainErrors logs the message of an error. The text handler would print the
--- /dev/null
+++ b/internal/fulmarclock/clock.go
@@ -0,0 +1,23 @@
+// Package fulmarclock reads a clock that goes on while the machine is suspended.
+//
+// Leases and grants must not seem younger after a suspension than they are.
+package fulmarclock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// epoch keeps the readings apart from the zero time.
+const epoch = 1 << 30
+
+// Now returns the reading of the clock. Only differences between readings of one process have a meaning.
+func Now() time.Time {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// Linux has had this clock since 2.6.39; without it no lease can be judged.
+		panic("fulmarclock: " + err.Error())
+	}
+	return time.Unix(epoch+t.Sec, t.Nsec)
+}
--- /dev/null
+++ b/internal/fulmarfollow/follower.go
@@ -0,0 +1,221 @@
+package fulmarfollow
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarlead"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarsync"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
+)
+
+const (
+	readEvery   = 700 * time.Millisecond // without a leader that answers
+	readTimeout = 500 * time.Millisecond
+	syncTimeout = 700 * time.Millisecond // covers the leader's wait for a change
+	// stale is the age of the leader's knowledge at which the daemon reads the store itself.
+	stale      = 1200 * time.Millisecond
+	startDelay = 200 * time.Millisecond // longest random wait before the first election
+	reportSelf = 200 * time.Millisecond // between the leader's own reports
+)
+
+// Reports gathers what the daemon reports.
+type Reports interface {
+	// Collect returns the load since the last call.
+	Collect() (map[string][]fulmarsync.KeyCount, []fulmarsync.TargetLoad)
+}
+
+// Follower keeps the view current; see Run.
+type Follower struct {
+	lead    fulmarlead.Deps
+	reader  *fulmarsnapshot.Reader
+	views   *fulmarview.Holder
+	reports Reports
+	log     *slog.Logger
+
+	mu   sync.Mutex
+	term *fulmarlead.Term
+}
+
+// New returns a follower.
+func New(d fulmarlead.Deps, reports Reports) *Follower {
+	return &Follower{
+		lead: d, reader: fulmarsnapshot.New(d.Store, d.Registry, d.Log, d.Now), views: d.Views, reports: reports, log: d.Log,
+	}
+}
+
+// Leads reports whether this daemon leads.
+func (f *Follower) Leads() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.term != nil
+}
+
+// Sync answers the report of another daemon; see fulmarsync.Handler.
+func (f *Follower) Sync(ctx context.Context, r *fulmarsync.Report) (*fulmarsync.Update, error) {
+	f.mu.Lock()
+	term := f.term
+	f.mu.Unlock()
+	if term == nil {
+		return nil, fulmarsync.ErrNotLeader
+	}
+	return term.Sync(ctx, r)
+}
+
+// Run follows or leads until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	if !pause(ctx, rand.N(startDelay)) {
+		return
+	}
+	for ctx.Err() == nil {
+		began := f.lead.Now()
+		s, err := f.read(ctx)
+		switch {
+		case err != nil:
+		case s.Leader == nil:
+			if f.run(ctx, s) {
+				continue
+			}
+		case s.Leader.ID != f.lead.ID:
+			f.follow(ctx, s.Leader.Address)
+		}
+		pause(ctx, readEvery-f.lead.Now().Sub(began)+rand.N(readEvery/8))
+	}
+}
+
+// pause waits and reports whether ctx goes on.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(max(d, 0))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// read takes a snapshot and adopts it.
+func (f *Follower) read(ctx context.Context) (*fulmarsnapshot.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	s, err := f.reader.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	f.views.Update(func(v *fulmarview.View) {
+		if s.Taken.Before(v.Known) {
+			return // the leader has told newer things meanwhile
+		}
+		v.Routes, v.Catalog, v.Owners, v.Known = s.Routes, s.Catalog, s.Spans(), s.Taken
+	})
+	return s, nil
+}
+
+// run leads if the election succeeds; it returns when the lease is lost.
+func (f *Follower) run(ctx context.Context, s *fulmarsnapshot.Snapshot) bool {
+	term, err := fulmarlead.Begin(ctx, f.lead, s)
+	if err != nil {
+		level := slog.LevelWarn
+		if errors.Is(err, fulmarkv.ErrConflict) {
+			level = slog.LevelInfo
+		}
+		f.log.Log(ctx, level, "not elected", "error", err)
+		return false
+	}
+	f.set(term)
+	defer f.set(nil)
+	selfCtx, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	group.Go(func() {
+		for pause(selfCtx, reportSelf) {
+			term.Note(f.report(fulmarsync.Versions{}))
+		}
+	})
+	term.Run(ctx)
+	cancel()
+	group.Wait()
+	return true
+}
+
+func (f *Follower) set(t *fulmarlead.Term) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.term = t
+}
+
+func (f *Follower) report(have fulmarsync.Versions) *fulmarsync.Report {
+	keys, targets := f.reports.Collect()
+	return &fulmarsync.Report{ID: f.lead.ID, Have: have, Keys: keys, Targets: targets}
+}
+
+// follow exchanges reports with the leader until it fails or its knowledge is stale.
+func (f *Follower) follow(ctx context.Context, address string) {
+	client, err := fulmarsync.Dial(ctx, address)
+	if err != nil {
+		f.log.Info("leader not reached", "address", address, "error", err)
+		return
+	}
+	defer client.Close()
+	f.log.Info("following", "address", address)
+	var have fulmarsync.Versions
+	for ctx.Err() == nil {
+		began := f.lead.Now()
+		callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
+		u, err := client.Sync(callCtx, f.report(have))
+		cancel()
+		if err != nil {
+			f.log.Info("leader lost", "address", address, "error", err)
+			return
+		}
+		// The answer was made after the call began, so what it says is at most that much older.
+		known := began.Add(-u.Age)
+		have = u.Have
+		f.adopt(u, known)
+		if f.lead.Now().Sub(known) > stale {
+			f.log.Warn("leader does not reach the store", "address", address, "age", u.Age)
+			return
+		}
+	}
+}
+
+// adopt takes over an update.
+func (f *Follower) adopt(u *fulmarsync.Update, known time.Time) {
+	var routes *fulmarroute.Table
+	if u.Config != nil {
+		var err error
+		if routes, err = fulmarroute.New(*u.Config); err != nil {
+			f.log.Error("configuration of the leader is not valid", "error", err)
+		} else {
+			f.log.Info("configuration in force", "version", u.Config.Version, "routes", len(u.Config.Routes), "source", "leader")
+		}
+	}
+	var catalog *fulmarcatalog.Catalog
+	if u.HasTargets {
+		for i := range u.Targets {
+			u.Targets[i].Seen = time.Now()
+		}
+		catalog = fulmarcatalog.New(u.Targets)
+	}
+	f.views.Update(func(v *fulmarview.View) {
+		if routes != nil {
+			v.Routes = routes
+		}
+		if catalog != nil {
+			v.Catalog = catalog
+		}
+		if u.HasOwners {
+			v.Owners = u.Owners
+		}
+		v.Daemons, v.Known = u.Daemons, known
+	})
+}
--- /dev/null
+++ b/internal/fulmarfront/settings.go
@@ -0,0 +1,55 @@
+package fulmarfront
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarallowance"
+)
+
+// Listen holds the addresses that a daemon listens on, host:port.
+type Listen struct {
+	Callers string
+	Ready   string // status check of the daemon
+	Peers   string // reports of other daemons
+	Metrics string
+}
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	ID      string
+	DC      string
+	Listen  Listen
+	Store   string               // address of the key-value service
+	HoldMax time.Duration        // longest time of a grant that targets accept
+	Grace   time.Duration        // between SIGTERM and the end of the process
+	Retries fulmarallowance.Rule // repeated sends of the fleet
+	Power   float64              // share of a core
+	Memory  int64                // bytes
+}
+
+// Check returns the first fault of the settings.
+func (s Settings) Check() error {
+	for _, field := range []struct{ name, value string }{
+		{"id", s.ID},
+		{"data centre", s.DC},
+		{"address for callers", s.Listen.Callers},
+		{"address of the status check", s.Listen.Ready},
+		{"address for peers", s.Listen.Peers},
+		{"address of the store", s.Store},
+	} {
+		if field.value == "" {
+			return errors.Errorf("fulmarfront: settings have no %s", field.name)
+		}
+	}
+	for _, field := range []struct {
+		name  string
+		value time.Duration
+	}{{"longest grant", s.HoldMax}, {"grace", s.Grace}, {"retry window", s.Retries.Window}} {
+		if field.value <= 0 {
+			return errors.Errorf("fulmarfront: %s is not positive", field.name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fulmarlead/election.go
@@ -0,0 +1,71 @@
+package fulmarlead
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
+)
+
+// Timing of the leader's lease.
+const (
+	// LeaseTime is the time of the lease. A new leader is elected within it after the loss of one.
+	LeaseTime = 1200 * time.Millisecond
+	keepEvery = 200 * time.Millisecond
+	// leaseMargin is kept before the end of the lease in which no order is sent.
+	leaseMargin = 100 * time.Millisecond
+	callTimeout = 500 * time.Millisecond
+)
+
+// seat is a lease that was acquired.
+type seat struct {
+	lease    fulmarkv.Lease
+	revision int64 // of the leader's record
+	valid    time.Time
+}
+
+// acquire tries to become the leader; the record must be absent.
+func acquire(ctx context.Context, d Deps) (seat, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	started := d.Now()
+	lease, err := d.Store.Open(ctx, LeaseTime)
+	if err != nil {
+		return seat{}, errors.Wrap(err, "fulmarlead: lease")
+	}
+	record := fulmarsnapshot.Leader{ID: d.ID, Address: d.Address, Nonce: rand.Uint64()}
+	value, err := record.Encode()
+	if err != nil {
+		return seat{}, err
+	}
+	revision, err := d.Store.Commit(ctx, fulmarkv.Change{
+		If:    []fulmarkv.Condition{{Key: fulmarsnapshot.LeaderKey}},
+		Write: []fulmarkv.Write{{Key: fulmarsnapshot.LeaderKey, Value: value, Lease: lease}},
+	})
+	if errors.Is(err, fulmarkv.ErrAmbiguous) {
+		revision, err = confirm(ctx, d, value)
+	}
+	if err != nil {
+		return seat{}, errors.Wrap(err, "fulmarlead: leader's record")
+	}
+	return seat{lease: lease, revision: revision, valid: started.Add(LeaseTime - leaseMargin)}, nil
+}
+
+// confirm returns the revision of the leader's record if it has the value.
+func confirm(ctx context.Context, d Deps, value []byte) (int64, error) {
+	items, err := d.Store.Scan(ctx, fulmarsnapshot.LeaderKey)
+	if err != nil {
+		return 0, err
+	}
+	for _, i := range items {
+		if i.Key == fulmarsnapshot.LeaderKey && bytes.Equal(i.Value, value) {
+			return i.Revision, nil
+		}
+	}
+	return 0, fulmarkv.ErrConflict
+}
--- /dev/null
+++ b/internal/fulmarlead/publish.go
@@ -0,0 +1,162 @@
+package fulmarlead
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarsync"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
+)
+
+// longPoll is how long a report waits for a change before it is answered without one.
+const longPoll = 250 * time.Millisecond
+
+// publish makes what the leader knows its own view and wakes the reports that wait; mu is held.
+func (t *Term) publish() {
+	now := t.deps.Now()
+	next := t.state
+	next.have.Term = t.seat.revision
+	next.known = t.snapshot.Taken
+	if t.snapshot.Routes != nil {
+		next.routes = t.snapshot.Routes
+		next.have.Config = next.routes.Version()
+	}
+	if next.catalog == nil || !next.catalog.Same(t.snapshot.Catalog) {
+		next.catalog = t.snapshot.Catalog
+		next.have.Targets++
+	}
+	if owners := t.spans(now); !equal(owners, next.owners) {
+		next.owners = owners
+		next.have.Owners++
+	}
+	woken := next.have != t.state.have
+	t.state = next
+	daemons := t.count(now)
+	t.deps.Views.Update(func(v *fulmarview.View) {
+		v.Routes, v.Catalog, v.Owners, v.Daemons, v.Known = next.routes, next.catalog, next.owners, daemons, next.known
+	})
+	if woken {
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+}
+
+// spans returns how requests are routed; mu is held.
+func (t *Term) spans(now time.Time) map[string]fulmarview.Spans {
+	out := make(map[string]fulmarview.Spans, len(t.shards))
+	for name, s := range t.shards {
+		var spans fulmarview.Spans
+		for _, g := range s.book.Table().Segments() {
+			next := fulmarview.Span{From: g.From, To: g.To, Target: g.Owner.Life.ID, Ready: s.book.Holds(now, g)}
+			if n := len(spans); n > 0 && spans[n-1].Target == next.Target && spans[n-1].Ready == next.Ready {
+				spans[n-1].To = next.To
+				continue
+			}
+			spans = append(spans, next)
+		}
+		out[name] = spans
+	}
+	return out
+}
+
+func equal(a, b map[string]fulmarview.Spans) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for name, spans := range a {
+		if !slices.Equal(spans, b[name]) {
+			return false
+		}
+	}
+	return true
+}
+
+// count returns the number of daemons that reported lately, and this one; mu is held.
+func (t *Term) count(now time.Time) int {
+	n := 1
+	for id, at := range t.daemons {
+		if now.Sub(at) > present {
+			delete(t.daemons, id)
+			continue
+		}
+		n++
+	}
+	return n
+}
+
+// Note records a report of a daemon or of the leader itself.
+func (t *Term) Note(r *fulmarsync.Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.deps.Now()
+	if r.ID != t.deps.ID {
+		t.daemons[r.ID] = now
+	}
+	for service, counts := range r.Keys {
+		s := t.shards[service]
+		if s == nil {
+			continue
+		}
+		s.rates.Advance(now)
+		for _, k := range counts {
+			s.rates.Add(k.Key, float64(k.Count))
+		}
+	}
+	for _, l := range r.Targets {
+		m := t.times[l.Target]
+		if m == nil {
+			m = make(map[string]time.Duration)
+			t.times[l.Target] = m
+		}
+		m[r.ID] = l.Time
+	}
+}
+
+// Sync answers a report with what is newer, after a wait if nothing is.
+func (t *Term) Sync(ctx context.Context, r *fulmarsync.Report) (*fulmarsync.Update, error) {
+	t.Note(r)
+	timer := time.NewTimer(longPoll)
+	defer timer.Stop()
+	for {
+		t.mu.Lock()
+		now := t.deps.Now()
+		if !now.Before(t.valid) || t.state.catalog == nil {
+			t.mu.Unlock()
+			return nil, fulmarsync.ErrNotLeader
+		}
+		s, changed := t.state, t.changed
+		daemons := t.count(now)
+		t.mu.Unlock()
+		if s.have != r.Have {
+			return update(s, r.Have, now.Sub(s.known), daemons), nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			t.mu.Lock()
+			known := t.state.known
+			t.mu.Unlock()
+			return &fulmarsync.Update{Have: s.have, Age: t.deps.Now().Sub(known), Daemons: daemons}, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// update returns the parts of s that have does not contain.
+func update(s state, have fulmarsync.Versions, age time.Duration, daemons int) *fulmarsync.Update {
+	u := &fulmarsync.Update{Have: s.have, Age: age, Daemons: daemons}
+	other := have.Term != s.have.Term
+	if s.routes != nil && (other || have.Config != s.have.Config) {
+		c := s.routes.Config()
+		u.Config = &c
+	}
+	if other || have.Targets != s.have.Targets {
+		u.Targets, u.HasTargets = s.catalog.All(), true
+	}
+	if other || have.Owners != s.have.Owners {
+		u.Owners, u.HasOwners = s.owners, true
+	}
+	return u
+}
--- /dev/null
+++ b/internal/fulmarlink/pool.go
@@ -0,0 +1,439 @@
+package fulmarlink
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of an exchange; compare with errors.Is.
+var (
+	// ErrUnsent states that no byte of the request was sent.
+	ErrUnsent = errors.New("fulmarlink: request not sent")
+	// ErrBroken states that the request was sent, at least in part, and that no complete answer came.
+	ErrBroken = errors.New("fulmarlink: no complete answer")
+)
+
+const (
+	maxStale      = 8       // answers to earlier requests that are skipped
+	maxInterim    = 8       // answers of status 1xx that are skipped
+	chunk         = 4 << 10 // step in which the body of unknown length is read, in bytes
+	idleMargin    = time.Second
+	requestBuffer = 1 << 10
+)
+
+// Settings bound the connections of a pool.
+type Settings struct {
+	Dial time.Duration // longest time to open a connection
+	Lost time.Duration // longest time that sent data may stay unacknowledged
+	Idle time.Duration // longest time that an unused connection is kept
+	Body int64         // longest answer that is read whole, in bytes; longer ones are streamed
+	ID   string        // name of the header that identifies a request
+}
+
+// Request is one request to a target.
+type Request struct {
+	Method string
+	URI    string // path and query as the caller sent them
+	Host   string
+	Header http.Header // without connection headers, Host and Content-Length
+	ID     string      // request id; empty if the answer need not carry one
+	Body   io.Reader   // nil for none
+	Length int64       // of the body, -1 if unknown
+	Kept   bool        // send over a connection of an earlier request, or not at all
+}
+
+// Answer is the answer of a target.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte        // the whole body, or what was read of it if Rest is set
+	Rest   io.ReadCloser // nil if Body is the whole body
+	Length int64         // of the whole body, -1 if unknown
+	Fresh  bool          // the connection was opened for this request
+}
+
+// Pool holds connections to targets; it is safe for concurrent use.
+type Pool struct {
+	settings Settings
+	mu       sync.Mutex
+	idle     map[string][]*conn // by address, the one used last at the end
+	open     map[string]int     // connections by address
+	dialled  int64
+}
+
+// New returns an empty pool.
+func New(s Settings) *Pool {
+	return &Pool{settings: s, idle: make(map[string][]*conn), open: make(map[string]int)}
+}
+
+// Dialled returns the number of connections opened so far.
+func (p *Pool) Dialled() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialled
+}
+
+// Idle returns the number of unused open connections to address.
+func (p *Pool) Idle(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[address])
+}
+
+// Open returns the number of connections to address, used or not.
+func (p *Pool) Open(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open[address]
+}
+
+// Drop closes the unused connections to address.
+func (p *Pool) Drop(address string) {
+	for _, c := range p.takeAll(address) {
+		p.discard(address, c)
+	}
+}
+
+func (p *Pool) takeAll(address string) []*conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	return list
+}
+
+// Sweep closes the connections that have been unused for too long at now.
+func (p *Pool) Sweep(now time.Time) {
+	type old struct {
+		address string
+		conn    *conn
+	}
+	var expired []old
+	p.mu.Lock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Sub(c.used) >= c.idle {
+				expired = append(expired, old{address, c})
+				continue
+			}
+			kept = append(kept, c)
+		}
+		clear(list[len(kept):])
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		} else {
+			p.idle[address] = kept
+		}
+	}
+	p.mu.Unlock()
+	for _, e := range expired {
+		p.discard(e.address, e.conn)
+	}
+}
+
+// Close closes all unused connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	addresses := make([]string, 0, len(p.idle))
+	for a := range p.idle {
+		addresses = append(addresses, a)
+	}
+	p.mu.Unlock()
+	for _, a := range addresses {
+		p.Drop(a)
+	}
+}
+
+func (p *Pool) discard(address string, c *conn) {
+	c.Close()
+	p.forget(address)
+}
+
+func (p *Pool) forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[address]--; p.open[address] <= 0 {
+		delete(p.open, address)
+	}
+}
+
+// take returns an unused connection that is still open, or nil.
+func (p *Pool) take(address string, now time.Time) *conn {
+	for {
+		p.mu.Lock()
+		list := p.idle[address]
+		if len(list) == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := list[len(list)-1]
+		list[len(list)-1] = nil
+		p.idle[address] = list[:len(list)-1]
+		p.mu.Unlock()
+		if now.Sub(c.used) < c.idle && c.usable() {
+			return c
+		}
+		p.discard(address, c)
+	}
+}
+
+func (p *Pool) put(address string, c *conn, now time.Time) {
+	c.used = now
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[address] = append(p.idle[address], c)
+}
+
+// connect returns an unused connection or a new one.
+func (p *Pool) connect(ctx context.Context, address string, kept bool) (c *conn, fresh bool, err error) {
+	if c = p.take(address, time.Now()); c != nil {
+		return c, false, nil
+	}
+	if kept {
+		return nil, false, errors.Wrap(ErrUnsent, "no connection of an earlier request")
+	}
+	p.mu.Lock()
+	p.open[address]++
+	p.dialled++
+	p.mu.Unlock()
+	if c, err = dial(ctx, address, p.settings.Dial, p.settings.Lost); err != nil {
+		p.forget(address)
+		return nil, true, errors.Wrap(ErrUnsent, err.Error())
+	}
+	return c, true, nil
+}
+
+// Do sends the request to address once and returns the answer. Cancelling ctx breaks off the exchange.
+// If the answer has a Rest, it must be read to its end or closed.
+func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
+	c, fresh, err := p.connect(ctx, address, r.Kept)
+	if err != nil {
+		return nil, err
+	}
+	c.written = false
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) }) // a closed connection needs no deadline
+	a, keep, err := p.exchange(c, r)
+	if err != nil {
+		stop()
+		p.abandon(address, c)
+		if !c.written {
+			return nil, errors.Wrap(ErrUnsent, err.Error())
+		}
+		return nil, errors.Wrap(ErrBroken, err.Error())
+	}
+	a.Fresh = fresh
+	finish := func(whole bool) {
+		if !stop() || !whole || !keep || c.reader.Buffered() > 0 {
+			p.abandon(address, c)
+			return
+		}
+		p.put(address, c, time.Now())
+	}
+	if a.Rest != nil {
+		a.Rest = &rest{ReadCloser: a.Rest, finish: finish}
+		return a, nil
+	}
+	finish(true)
+	return a, nil
+}
+
+// abandon closes a connection in the midst of an exchange; its target stops the work.
+func (p *Pool) abandon(address string, c *conn) {
+	c.reset()
+	p.forget(address)
+}
+
+// exchange writes the request and reads the head of the answer and as much of the body as is kept.
+func (p *Pool) exchange(c *conn, r *Request) (a *Answer, keep bool, err error) {
+	sendErr := send(c, r)
+	if sendErr != nil && !c.written {
+		return nil, false, sendErr
+	}
+	for range maxStale {
+		resp, err := receive(c, r.Method) //nolint:bodyclose // read to its end by read or skip, or closed with the connection
+		if err != nil {
+			return nil, false, err
+		}
+		if id := resp.Header.Get(p.settings.ID); r.ID != "" && id != "" && id != r.ID {
+			if err := p.skip(resp); err != nil {
+				return nil, false, err
+			}
+			continue
+		}
+		a, keep, err := p.read(c, resp)
+		// After a broken write the target may have answered early, but waits for the rest of the request.
+		return a, keep && sendErr == nil, err
+	}
+	return nil, false, errors.New("too many answers to other requests")
+}
+
+// skip reads past a late answer to an earlier request.
+func (p *Pool) skip(resp *http.Response) error {
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, p.settings.Body)); err != nil {
+		return err
+	}
+	if resp.Close {
+		return errors.New("connection ended after an answer to another request")
+	}
+	return nil
+}
+
+// receive reads the head of the next final answer.
+func receive(c *conn, method string) (*http.Response, error) {
+	for range maxInterim {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+	return nil, errors.New("too many interim answers")
+}
+
+// read reads the body of an answer up to the bound of what is kept.
+func (p *Pool) read(c *conn, resp *http.Response) (*Answer, bool, error) {
+	a := &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
+	c.idle = p.settings.Idle
+	if limit, ok := keepAlive(resp.Header.Get("Keep-Alive")); ok {
+		c.idle = min(c.idle, limit-idleMargin)
+	}
+	keep := !resp.Close && c.idle > 0
+	size := int64(chunk)
+	if resp.ContentLength >= 0 {
+		size = min(resp.ContentLength, p.settings.Body)
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
+	n, err := buf.ReadFrom(io.LimitReader(resp.Body, p.settings.Body))
+	if err != nil {
+		return nil, false, err
+	}
+	a.Body = buf.Bytes()
+	if n == p.settings.Body && n != resp.ContentLength {
+		a.Rest = resp.Body
+		return a, keep, nil
+	}
+	a.Length = n
+	return a, keep, nil
+}
+
+// send writes the request.
+func send(c *conn, r *Request) error {
+	var head bytes.Buffer
+	head.Grow(requestBuffer)
+	head.WriteString(r.Method)
+	head.WriteByte(' ')
+	head.WriteString(r.URI)
+	head.WriteString(" HTTP/1.1\r\nHost: ")
+	head.WriteString(r.Host)
+	head.WriteString("\r\n")
+	if err := r.Header.Write(&head); err != nil {
+		return err
+	}
+	switch {
+	case r.Body == nil:
+		if r.Method != http.MethodGet && r.Method != http.MethodHead {
+			head.WriteString("Content-Length: 0\r\n")
+		}
+	case r.Length >= 0:
+		head.WriteString("Content-Length: ")
+		head.WriteString(strconv.FormatInt(r.Length, 10))
+		head.WriteString("\r\n")
+	default:
+		head.WriteString("Transfer-Encoding: chunked\r\n")
+	}
+	head.WriteString("\r\n")
+	if b, ok := r.Body.(*bytes.Reader); ok && r.Length >= 0 {
+		if _, err := b.WriteTo(&head); err != nil {
+			return err
+		}
+		_, err := c.Write(head.Bytes())
+		return err
+	}
+	if _, err := c.Write(head.Bytes()); err != nil || r.Body == nil {
+		return err
+	}
+	if r.Length >= 0 {
+		n, err := io.Copy(c, r.Body)
+		if err == nil && n != r.Length {
+			err = errors.Errorf("body has %d of %d bytes", n, r.Length)
+		}
+		return err
+	}
+	return sendChunked(c, r.Body)
+}
+
+func sendChunked(c *conn, body io.Reader) error {
+	buf := make([]byte, chunk)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			line := strconv.FormatInt(int64(n), 16) + "\r\n"
+			if _, werr := io.WriteString(c, line+string(buf[:n])+"\r\n"); werr != nil {
+				return werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			_, err = io.WriteString(c, "0\r\n\r\n")
+			return err
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// rest is the unread part of an answer.
+type rest struct {
+	io.ReadCloser
+	once   sync.Once
+	finish func(whole bool)
+}
+
+func (r *rest) Read(b []byte) (int, error) {
+	n, err := r.ReadCloser.Read(b)
+	if err != nil {
+		r.once.Do(func() { r.finish(errors.Is(err, io.EOF)) })
+	}
+	return n, err
+}
+
+// Close abandons what was not read.
+func (r *rest) Close() error {
+	r.once.Do(func() { r.finish(false) })
+	return nil
+}
+
+// EndToEnd returns the headers of src that do not concern one connection only.
+func EndToEnd(src http.Header) http.Header {
+	dst := make(http.Header, len(src)+2)
+	for name, values := range src {
+		if !single[name] {
+			dst[name] = values
+		}
+	}
+	for _, line := range src["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			delete(dst, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return dst
+}
+
+// single lists the headers that concern one connection or one message only.
+var single = map[string]bool{
+	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, "Host": true, "Expect": true,
+}
--- /dev/null
+++ b/internal/fulmarrelay/attempt.go
@@ -0,0 +1,216 @@
+package fulmarrelay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarlink"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarserve"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarpick"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
+)
+
+const (
+	lastKey = fulmarrange.Last
+	// retryAfter is what callers are told when there is no better estimate.
+	retryAfter = 150 * time.Millisecond
+	// perTarget bounds the requests of one daemon in flight at one target. Targets run few requests at once,
+	// and what is sent beyond their queue is turned away or lost.
+	perTarget = 4
+	// unsentTries bounds the targets that are dialled in vain for one request.
+	unsentTries = 3
+)
+
+// result says how one send ended.
+type result int
+
+const (
+	delivered result = iota // a complete answer of the target
+	notRun                  // the target stated that it did not run the request
+	unsent                  // no byte was sent
+	broken                  // sent, without a complete answer
+)
+
+// attempts sends the request until it is answered or given up.
+func (x *exchange) attempts(ctx context.Context) *fulmarserve.Answer {
+	last := Full
+	for dials := 0; ; {
+		target, reason := x.choose(ctx)
+		if reason != "" {
+			if x.sends > 0 {
+				reason = last
+			}
+			return x.refuse(reason)
+		}
+		if x.sends > 0 && !x.relay.deps.Allowance.Take(x.relay.deps.Now(), x.service.Name, x.view.Daemons) {
+			x.relay.deps.Board.End(target.ID)
+			return x.refuse(last)
+		}
+		answer, res := x.send(ctx, target)
+		switch res {
+		case delivered:
+			return answer
+		case unsent:
+			last = Unsent
+			if dials++; dials >= unsentTries {
+				return x.refuse(last)
+			}
+		case notRun:
+			last = Rejected
+			if x.sends >= x.route.Attempts {
+				return x.refuse(last)
+			}
+		case broken:
+			last = Broken
+			if ctx.Err() != nil {
+				return x.fail(http.StatusGatewayTimeout, Late)
+			}
+			if !x.route.Idempotent || x.sends >= x.route.Attempts {
+				return x.fail(http.StatusBadGateway, Broken)
+			}
+		}
+		if ctx.Err() != nil {
+			return x.refuse(last)
+		}
+	}
+}
+
+// choose returns a target with room and counts the request there, or the reason why there is none.
+func (x *exchange) choose(ctx context.Context) (fulmarcatalog.Target, Reason) {
+	if x.key >= 0 {
+		return x.owner(ctx)
+	}
+	d := &x.relay.deps
+	targets := x.view.Catalog.Service(x.service.Name)
+	usable := make([]fulmarcatalog.Target, 0, len(targets))
+	candidates := make([]fulmarpick.Candidate, 0, len(targets))
+	now := d.Now()
+	for _, t := range targets {
+		if t.Leaving || x.tried[t.ID] {
+			continue
+		}
+		usable = append(usable, t)
+		candidates = append(candidates, fulmarpick.Candidate{
+			ID: t.ID, Slots: t.Slots, Remote: t.DC != d.DC, Cold: now.Sub(t.Seen) < t.Cold,
+		})
+	}
+	if len(usable) == 0 {
+		return fulmarcatalog.Target{}, NoTarget
+	}
+	i := d.Board.Choose(now, candidates, perTarget)
+	if i < 0 || !d.Board.Start(usable[i].ID, perTarget) {
+		return fulmarcatalog.Target{}, Full
+	}
+	return usable[i], ""
+}
+
+// owner returns the target that holds the request's key; it waits a short time while the key moves.
+func (x *exchange) owner(ctx context.Context) (fulmarcatalog.Target, Reason) {
+	d := &x.relay.deps
+	patience := time.NewTimer(min(x.route.Goal/3, time.Until(x.deadline)/2))
+	defer patience.Stop()
+	for {
+		view, changed := d.Views.Watch()
+		x.view = view
+		span, ok := view.Owners[x.service.Name].Find(x.key)
+		if ok && span.Ready {
+			t, known := view.Catalog.Target(span.Target)
+			if known && !x.tried[t.ID] {
+				if !d.Board.Start(t.ID, perTarget) {
+					return t, Full
+				}
+				return t, ""
+			}
+		}
+		select {
+		case <-changed:
+		case <-patience.C:
+			return fulmarcatalog.Target{}, NoOwner
+		case <-ctx.Done():
+			return fulmarcatalog.Target{}, NoOwner
+		}
+	}
+}
+
+// send exchanges the request with a target whose place was taken by choose.
+func (x *exchange) send(ctx context.Context, t fulmarcatalog.Target) (*fulmarserve.Answer, result) {
+	d := &x.relay.deps
+	defer d.Board.End(t.ID)
+	x.target = t.ID
+	if x.tried == nil {
+		x.tried = make(map[string]bool, 2)
+	}
+	x.tried[t.ID] = true
+	started := d.Now()
+	left := time.Until(x.deadline).Milliseconds()
+	if left <= 0 {
+		return nil, unsent
+	}
+	header := fulmarlink.EndToEnd(x.request.Header)
+	header[http.CanonicalHeaderKey(d.Names.Deadline)] = []string{strconv.FormatInt(left, 10)}
+	header[http.CanonicalHeaderKey(d.Names.Expect)] = []string{t.ID}
+	a, err := d.Pool.Do(ctx, t.Address, &fulmarlink.Request{
+		Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header,
+		ID: x.id, Body: x.request.Payload.Reader(), Length: x.request.Payload.Length(),
+	})
+	if errors.Is(err, fulmarlink.ErrUnsent) {
+		d.Board.Failed(d.Now(), t.ID)
+		return nil, unsent
+	}
+	x.sends++
+	if err != nil {
+		if ctx.Err() == nil {
+			d.Board.Failed(d.Now(), t.ID)
+		}
+		return nil, broken
+	}
+	now := d.Now()
+	if load, ok := parseLoad(a.Header.Get(d.Names.Load)); ok {
+		d.Board.Report(now, t.ID, load)
+	}
+	if a.Status == http.StatusMisdirectedRequest || a.Header.Get(d.Names.NotRun) != "" {
+		if a.Rest != nil {
+			a.Rest.Close()
+		}
+		d.Board.Failed(now, t.ID)
+		return nil, notRun
+	}
+	if a.Status < http.StatusMultipleChoices && a.Header.Get(d.Names.Signature) == "" {
+		if a.Rest != nil {
+			a.Rest.Close()
+		}
+		d.Board.Failed(now, t.ID)
+		return nil, broken
+	}
+	if a.Status < http.StatusInternalServerError {
+		d.Board.Served(t.ID, now.Sub(started))
+	} else {
+		d.Board.Failed(now, t.ID)
+	}
+	return &fulmarserve.Answer{
+		Status: a.Status, Header: fulmarlink.EndToEnd(a.Header), Body: a.Body, Rest: a.Rest, Length: a.Length,
+	}, delivered
+}
+
+// parseLoad reads the load that a target reports: running, waiting and slots.
+func parseLoad(text string) (fulmarpick.Load, bool) {
+	parts := strings.Split(text, ",")
+	if len(parts) != 3 {
+		return fulmarpick.Load{}, false
+	}
+	var n [3]int
+	for i, p := range parts {
+		v, err := strconv.Atoi(strings.TrimSpace(p))
+		if err != nil || v < 0 {
+			return fulmarpick.Load{}, false
+		}
+		n[i] = v
+	}
+	return fulmarpick.Load{Running: n[0], Waiting: n[1], Slots: n[2]}, true
+}
--- /dev/null
+++ b/internal/fulmarrelay/relay.go
@@ -0,0 +1,140 @@
+package fulmarrelay
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarlink"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarserve"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarallowance"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarpick"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
+)
+
+// Metrics counts what the relay decides.
+type Metrics interface {
+	Served(service, group string, took time.Duration)
+	Count(name string)
+}
+
+// Loads learns which keys are busy.
+type Loads interface {
+	// Note records a request for a key of a service.
+	Note(service string, key int)
+}
+
+// Deps are what a relay works with.
+type Deps struct {
+	Names     Names
+	DC        string
+	Views     *fulmarview.Holder
+	Pool      *fulmarlink.Pool
+	Board     *fulmarpick.Board
+	Splitter  *fulmarroute.Splitter
+	Allowance *fulmarallowance.Allowance
+	Loads     Loads
+	Metrics   Metrics
+	Log       *slog.Logger
+	Now       func() time.Time
+	// Age returns how old the knowledge is that a view of the given Known contains.
+	Age func(known time.Time) time.Duration
+}
+
+// Relay serves callers' requests; it is safe for concurrent use.
+type Relay struct{ deps Deps }
+
+// New returns a relay.
+func New(d Deps) *Relay { return &Relay{deps: d} }
+
+// Repeatable reports whether the request's route allows it to run more than once.
+func (y *Relay) Repeatable(r *fulmarserve.Request) bool {
+	v := y.deps.Views.Get()
+	if !v.Ready() {
+		return false
+	}
+	route, ok := v.Routes.Match(r.Host, path(r.RequestURI))
+	return ok && route.Idempotent
+}
+
+func path(uri string) string {
+	p, _, _ := strings.Cut(uri, "?")
+	return p
+}
+
+// exchange is the handling of one request.
+type exchange struct {
+	relay    *Relay
+	request  *fulmarserve.Request
+	view     *fulmarview.View
+	route    fulmarroute.Route
+	service  fulmarroute.Service
+	id       string
+	key      int // -1 if the request has none
+	deadline time.Time
+	sends    int // targets that the request reached
+	tried    map[string]bool
+	target   string
+	reason   Reason
+}
+
+// Serve answers a request; see fulmarserve.Handler.
+func (y *Relay) Serve(ctx context.Context, r *fulmarserve.Request) *fulmarserve.Answer {
+	x := &exchange{relay: y, request: r, view: y.deps.Views.Get(), id: r.Header.Get(y.deps.Names.RequestID), key: -1}
+	a := x.serve(ctx)
+	x.record(a)
+	return a
+}
+
+func (x *exchange) serve(ctx context.Context) *fulmarserve.Answer {
+	d := &x.relay.deps
+	if !x.view.Ready() {
+		return x.refuse(NoView)
+	}
+	route, ok := x.view.Routes.Match(x.request.Host, path(x.request.RequestURI))
+	if !ok {
+		return x.fail(http.StatusNotFound, NoRoute)
+	}
+	x.route = route
+	x.deadline = x.request.Arrived.Add(route.Timeout)
+	if ms, err := strconv.ParseFloat(x.request.Header.Get(d.Names.Deadline), 64); err == nil && ms >= 0 {
+		if end := x.request.Arrived.Add(time.Duration(ms * float64(time.Millisecond))); end.Before(x.deadline) {
+			x.deadline = end
+		}
+	}
+	x.service, _ = x.view.Routes.Service(d.Splitter.Next(route))
+	if x.service.Keyed {
+		key, err := strconv.Atoi(x.request.Header.Get(d.Names.Key))
+		if err != nil || key < 0 || key > lastKey {
+			return x.fail(http.StatusBadRequest, NoKey)
+		}
+		x.key = key
+		d.Loads.Note(x.service.Name, key)
+	}
+	d.Allowance.Request(x.request.Arrived, x.service.Name)
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	return x.attempts(ctx)
+}
+
+// record writes the line and the counters of a request that has ended.
+func (x *exchange) record(a *fulmarserve.Answer) {
+	d := &x.relay.deps
+	took := d.Now().Sub(x.request.Arrived)
+	if x.reason == "" {
+		d.Metrics.Served(x.service.Name, x.route.Name, took)
+	} else {
+		d.Metrics.Count("relay." + strings.ReplaceAll(string(x.reason), "-", "_"))
+	}
+	version := uint64(0)
+	if x.view.Routes != nil {
+		version = x.view.Routes.Version()
+	}
+	d.Log.Info("request", "id", x.id, "route", x.route.Name, "service", x.service.Name, "key", x.key,
+		"target", x.target, "sends", x.sends, "status", a.Status, "reason", string(x.reason),
+		"ms", took.Milliseconds(), "config", version, "age", d.Age(x.view.Known).Milliseconds())
+}
--- /dev/null
+++ b/internal/fulmarserve/server.go
@@ -0,0 +1,98 @@
+package fulmarserve
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	Header        int   // bytes
+	Body          int64 // bytes
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Server serves the connections of a listener.
+type Server struct {
+	handler  Handler
+	limits   func() Limits
+	log      *slog.Logger
+	draining atomic.Bool
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	busy     atomic.Int64
+}
+
+// New returns a server that asks limits for the bounds of each request.
+func New(handler Handler, limits func() Limits, log *slog.Logger) *Server {
+	return &Server{handler: handler, limits: limits, log: log, conns: make(map[*conn]struct{})}
+}
+
+// Serve accepts connections until ctx ends, and returns when all of them have ended.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	stop := context.AfterFunc(ctx, func() { listener.Close() })
+	defer stop()
+	for {
+		raw, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			var temporary net.Error
+			if errors.As(err, &temporary) {
+				s.log.Warn("connection of a caller not accepted", "error", err)
+				time.Sleep(acceptPause)
+				continue
+			}
+			return errors.Wrap(err, "fulmarserve: accept")
+		}
+		c := newConn(s, raw)
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		group.Go(func() {
+			c.run(ctx)
+			s.mu.Lock()
+			delete(s.conns, c)
+			s.mu.Unlock()
+		})
+	}
+}
+
+// acceptPause is the wait after a failed accept, for example when descriptors have run out.
+const acceptPause = 10 * time.Millisecond
+
+// Busy returns the number of requests that were read and not yet answered.
+func (s *Server) Busy() int { return int(s.busy.Load()) }
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Drain makes each answer from now on the last one of its connection.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// CloseIdle closes the connections without a request.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	list := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		list = append(list, c)
+	}
+	s.mu.Unlock()
+	for _, c := range list {
+		c.closeIfIdle()
+	}
+}
--- /dev/null
+++ b/internal/fulmarsnapshot/record.go
@@ -0,0 +1,69 @@
+package fulmarsnapshot
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
+)
+
+// Keys of the project's own records.
+const (
+	LeaderKey = "fulmarbend/leader"
+	TablesKey = "fulmarbend/ranges"
+)
+
+// Leader says who leads and where it is reached.
+type Leader struct {
+	ID      string `cbor:"id"`
+	Address string `cbor:"address"` // of its service for the other daemons
+	Nonce   uint64 `cbor:"nonce"`   // tells terms of the same daemon apart
+}
+
+// Encode returns the stored form of the record.
+func (l Leader) Encode() ([]byte, error) {
+	b, err := cbor.Marshal(l)
+	return b, errors.Wrap(err, "fulmarsnapshot: encode leader")
+}
+
+func decodeLeader(b []byte) (Leader, error) {
+	var l Leader
+	err := cbor.Unmarshal(b, &l)
+	return l, errors.Wrap(err, "fulmarsnapshot: decode leader")
+}
+
+// storedTable is the stored form of one service's table.
+type storedTable struct {
+	Fence    int64                 `cbor:"fence"`
+	Segments []fulmarrange.Segment `cbor:"segments"`
+}
+
+// EncodeTables returns the stored form of the tables by service.
+func EncodeTables(tables map[string]fulmarrange.Table) ([]byte, error) {
+	out := make(map[string]storedTable, len(tables))
+	for name, t := range tables {
+		out[name] = storedTable{t.Fence(), t.Segments()}
+	}
+	mode, err := cbor.EncOptions{Sort: cbor.SortCanonical}.EncMode()
+	if err != nil {
+		return nil, errors.Wrap(err, "fulmarsnapshot: encoder")
+	}
+	b, err := mode.Marshal(out)
+	return b, errors.Wrap(err, "fulmarsnapshot: encode tables")
+}
+
+func decodeTables(b []byte) (map[string]fulmarrange.Table, error) {
+	var in map[string]storedTable
+	if err := cbor.Unmarshal(b, &in); err != nil {
+		return nil, errors.Wrap(err, "fulmarsnapshot: decode tables")
+	}
+	out := make(map[string]fulmarrange.Table, len(in))
+	for name, s := range in {
+		t, err := fulmarrange.Restore(s.Segments, s.Fence)
+		if err != nil {
+			return nil, errors.Wrapf(err, "fulmarsnapshot: table of %s", name)
+		}
+		out[name] = t
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/fulmarsync/message.go
@@ -0,0 +1,50 @@
+package fulmarsync
+
+import (
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
+)
+
+// Versions tell which state of a leader a daemon has. They compare only within one term.
+type Versions struct {
+	Term    int64  `cbor:"term"`
+	Config  uint64 `cbor:"config"`
+	Targets int64  `cbor:"targets"`
+	Owners  int64  `cbor:"owners"`
+}
+
+// KeyCount is the number of requests for a key since the last report.
+type KeyCount struct {
+	Key   int `cbor:"key"`
+	Count int `cbor:"count"`
+}
+
+// TargetLoad is what a daemon sees of one target.
+type TargetLoad struct {
+	Target string        `cbor:"target"`
+	Time   time.Duration `cbor:"time"` // usual time of a request
+}
+
+// Report is what a daemon tells the leader.
+type Report struct {
+	ID      string                `cbor:"id"`
+	Have    Versions              `cbor:"have"`
+	Keys    map[string][]KeyCount `cbor:"keys,omitempty"` // by service
+	Targets []TargetLoad          `cbor:"targets,omitempty"`
+}
+
+// Update is the leader's answer. Parts that the daemon has already are left out.
+type Update struct {
+	Have    Versions                    `cbor:"have"`
+	Age     time.Duration               `cbor:"age"` // of the read of the store that the leader's state follows from
+	Daemons int                         `cbor:"daemons"`
+	Config  *fulmarroute.Config         `cbor:"config,omitempty"`
+	Targets []fulmarcatalog.Target      `cbor:"targets,omitempty"`
+	Owners  map[string]fulmarview.Spans `cbor:"owners,omitempty"`
+	// Parts say which of the two above are contained, as both may be empty.
+	HasTargets bool `cbor:"hastargets,omitempty"`
+	HasOwners  bool `cbor:"hasowners,omitempty"`
+}
--- /dev/null
+++ b/internal/fulmarsync/transport.go
@@ -0,0 +1,134 @@
+package fulmarsync
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarwire"
+)
+
+const (
+	rpcSync     = "/fulmarbend.Leader/Sync"
+	maxMessage  = 2 << 20 // bytes
+	dialTimeout = 300 * time.Millisecond
+)
+
+// ErrNotLeader is returned by a daemon that does not lead.
+var ErrNotLeader = errors.New("fulmarsync: this daemon does not lead")
+
+// Handler answers reports; it may wait for a change.
+type Handler interface {
+	Sync(ctx context.Context, r *Report) (*Update, error)
+}
+
+// description lists the one call for the drpc multiplexer.
+type description struct{ codec fulmarwire.Codec }
+
+func (description) NumMethods() int { return 1 }
+
+func (d description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	if n != 0 {
+		return "", nil, nil, nil, false
+	}
+	receiver := func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
+		handler, ok := srv.(Handler)
+		report, is := in.(*Report)
+		if !ok || !is {
+			return nil, errors.New("fulmarsync: unexpected message")
+		}
+		return handler.Sync(ctx, report)
+	}
+	return rpcSync, d.codec, receiver, Handler.Sync, true
+}
+
+func options() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}
+}
+
+// Server answers the reports of other daemons.
+type Server struct {
+	server *drpcserver.Server
+	log    *slog.Logger
+}
+
+// New returns a server that passes reports to handler.
+func New(handler Handler, log *slog.Logger) (*Server, error) {
+	codec, err := fulmarwire.New()
+	if err != nil {
+		return nil, err
+	}
+	mux := drpcmux.New()
+	if err := mux.Register(handler, description{codec}); err != nil {
+		return nil, errors.Wrap(err, "fulmarsync: register")
+	}
+	return &Server{server: drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: options()}), log: log}, nil
+}
+
+// Serve accepts connections until ctx ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	stop := context.AfterFunc(ctx, func() { listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "fulmarsync: accept")
+		}
+		group.Go(func() {
+			defer conn.Close()
+			end := context.AfterFunc(ctx, func() { conn.Close() })
+			defer end()
+			if err := s.server.ServeOne(ctx, conn); err != nil && ctx.Err() == nil {
+				s.log.Debug("connection of a daemon ended", "remote", conn.RemoteAddr().String(), "error", err)
+			}
+		})
+	}
+}
+
+// Client sends reports to one leader over one connection; it is not safe for concurrent use.
+type Client struct {
+	address string
+	codec   fulmarwire.Codec
+	conn    *drpcconn.Conn
+}
+
+// Dial returns a client of the leader at address.
+func Dial(ctx context.Context, address string) (*Client, error) {
+	codec, err := fulmarwire.New()
+	if err != nil {
+		return nil, err
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "fulmarsync: dial")
+	}
+	return &Client{address: address, codec: codec, conn: drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: options()})}, nil
+}
+
+// Sync sends a report and returns the leader's update.
+func (c *Client) Sync(ctx context.Context, r *Report) (*Update, error) {
+	out := new(Update)
+	if err := c.conn.Invoke(ctx, rpcSync, c.codec, r, out); err != nil {
+		return nil, errors.Wrap(err, "fulmarsync: call")
+	}
+	return out, nil
+}
+
+// Close closes the connection.
+func (c *Client) Close() { c.conn.Close() }
--- /dev/null
+++ b/internal/fulmarview/view.go
@@ -0,0 +1,87 @@
+package fulmarview
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
+)
+
+// Span is a range of keys as requests are routed.
+type Span struct {
+	From   int    `cbor:"from"`
+	To     int    `cbor:"to"` // inclusive
+	Target string `cbor:"target,omitempty"`
+	Ready  bool   `cbor:"ready,omitempty"` // the target holds the keys; otherwise they are on the move
+}
+
+// Spans cover the key space in order.
+type Spans []Span
+
+// Find returns the span of a key; ok is false if there is none.
+func (s Spans) Find(key int) (Span, bool) {
+	i := sort.Search(len(s), func(i int) bool { return s[i].To >= key })
+	if i == len(s) || s[i].From > key {
+		return Span{}, false
+	}
+	return s[i], true
+}
+
+// View is a snapshot of the fleet; it is immutable. Routes and Catalog are nil until they are known.
+type View struct {
+	Routes  *fulmarroute.Table
+	Catalog *fulmarcatalog.Catalog
+	Owners  map[string]Spans // by service
+	Daemons int              // instances that take requests, at least 1
+	Known   time.Time        // the view contains all changes up to then
+}
+
+// Ready reports whether requests can be routed.
+func (v *View) Ready() bool { return v != nil && v.Routes != nil && v.Catalog != nil }
+
+// Holder keeps the newest view; it is safe for concurrent use.
+type Holder struct {
+	mu      sync.Mutex
+	view    *View
+	changed chan struct{}
+}
+
+// New returns a holder of an empty view.
+func New() *Holder {
+	return &Holder{view: &View{Daemons: 1, Owners: map[string]Spans{}}, changed: make(chan struct{})}
+}
+
+// Get returns the newest view.
+func (h *Holder) Get() *View {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.view
+}
+
+// Watch returns the newest view and a channel that is closed when it is replaced.
+func (h *Holder) Watch() (*View, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.view, h.changed
+}
+
+// Update replaces the view by what change makes of a copy. A configuration of an older
+// version is never taken over, and neither is an earlier Known.
+func (h *Holder) Update(change func(v *View)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	next := *h.view
+	change(&next)
+	if old := h.view.Routes; old != nil && (next.Routes == nil || next.Routes.Version() < old.Version()) {
+		next.Routes = old
+	}
+	if next.Known.Before(h.view.Known) {
+		next.Known = h.view.Known
+	}
+	next.Daemons = max(next.Daemons, 1)
+	h.view = &next
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
--- /dev/null
+++ b/pkg/fulmarallowance/allowance.go
@@ -0,0 +1,85 @@
+package fulmarallowance
+
+import (
+	"sync"
+	"time"
+)
+
+// buckets is the number of steps in which a window slides.
+const buckets = 20
+
+// Rule is the bound of the fleet for one service.
+type Rule struct {
+	Ratio  float64 // repeats for each request
+	Extra  float64 // repeats besides, of the whole fleet
+	Window time.Duration
+}
+
+// counts holds what happened in one step of the window.
+type counts struct {
+	step              int64
+	requests, repeats int
+}
+
+// Allowance counts requests and repeats by service; it is safe for concurrent use.
+type Allowance struct {
+	mu       sync.Mutex
+	rule     Rule
+	step     time.Duration
+	services map[string]*[buckets + 1]counts
+}
+
+// New returns an allowance without history; it panics unless the window is positive.
+func New(r Rule) *Allowance {
+	if r.Window <= 0 {
+		panic("fulmarallowance: window must be positive")
+	}
+	return &Allowance{rule: r, step: r.Window / buckets, services: make(map[string]*[buckets + 1]counts)}
+}
+
+// at returns the counts of the step that now lies in.
+func (a *Allowance) at(now time.Time, service string) *counts {
+	ring := a.services[service]
+	if ring == nil {
+		ring = new([buckets + 1]counts)
+		a.services[service] = ring
+	}
+	step := now.UnixNano() / int64(a.step)
+	c := &ring[step%int64(len(ring))]
+	if c.step != step {
+		*c = counts{step: step}
+	}
+	return c
+}
+
+// Request records a caller's request for the service.
+func (a *Allowance) Request(now time.Time, service string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.at(now, service).requests++
+}
+
+// Take records a repeated send and reports whether the bound allows it. daemons is the number of
+// instances that share the fixed number.
+func (a *Allowance) Take(now time.Time, service string, daemons int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	current := a.at(now, service)
+	requests, repeats := 0, 0
+	for _, c := range a.services[service] {
+		age := current.step - c.step
+		if age < 0 || age > buckets {
+			continue
+		}
+		repeats += c.repeats
+		// The oldest step lies only partly within the window: its repeats count, its requests do not.
+		if age < buckets {
+			requests += c.requests
+		}
+	}
+	if float64(repeats+1) > a.rule.Ratio*float64(requests)+a.rule.Extra/float64(max(daemons, 1)) {
+		return false
+	}
+	current.repeats++
+	return true
+}
--- /dev/null
+++ b/pkg/fulmarcatalog/catalog.go
@@ -0,0 +1,90 @@
+package fulmarcatalog
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
+)
+
+// Target is one target as its entry describes it.
+type Target struct {
+	ID      string        `cbor:"id"`
+	Born    int64         `cbor:"born"` // identifies the start of the process
+	Service string        `cbor:"service"`
+	Address string        `cbor:"address"` // host:port
+	DC      string        `cbor:"dc"`
+	Slots   int           `cbor:"slots"`
+	Leaving bool          `cbor:"leaving,omitempty"`
+	Cold    time.Duration `cbor:"cold,omitempty"` // remaining time of slowness after the start, at Seen
+	Seen    time.Time     `cbor:"-"`
+}
+
+// Life returns the identity of this start of the target.
+func (t Target) Life() fulmarrange.Life { return fulmarrange.Life{ID: t.ID, Born: t.Born} }
+
+// same reports whether routing may treat a and b alike.
+func same(a, b Target) bool {
+	a.Cold, b.Cold = 0, 0
+	a.Seen, b.Seen = time.Time{}, time.Time{}
+	return a == b
+}
+
+// Catalog is a set of targets; it is immutable.
+type Catalog struct {
+	targets  map[string]Target
+	services map[string][]Target // by service, in the order of the ids
+}
+
+// New returns the catalog of the targets. Of two with the same id the younger counts.
+func New(targets []Target) *Catalog {
+	c := &Catalog{targets: make(map[string]Target, len(targets)), services: make(map[string][]Target)}
+	for _, t := range targets {
+		if old, ok := c.targets[t.ID]; !ok || old.Born <= t.Born {
+			c.targets[t.ID] = t
+		}
+	}
+	for _, t := range c.targets {
+		c.services[t.Service] = append(c.services[t.Service], t)
+	}
+	for _, list := range c.services {
+		slices.SortFunc(list, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return c
+}
+
+// Target returns the target with the given id.
+func (c *Catalog) Target(id string) (Target, bool) {
+	t, ok := c.targets[id]
+	return t, ok
+}
+
+// Service returns the targets of a service in the order of their ids; the caller must not modify them.
+func (c *Catalog) Service(name string) []Target { return c.services[name] }
+
+// All returns all targets in no particular order.
+func (c *Catalog) All() []Target {
+	out := make([]Target, 0, len(c.targets))
+	for _, t := range c.targets {
+		out = append(out, t)
+	}
+	return out
+}
+
+// Len returns the number of targets.
+func (c *Catalog) Len() int { return len(c.targets) }
+
+// Same reports whether routing may treat both alike.
+func (c *Catalog) Same(o *Catalog) bool {
+	if len(c.targets) != len(o.targets) {
+		return false
+	}
+	for id, t := range c.targets {
+		u, ok := o.targets[id]
+		if !ok || !same(t, u) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/fulmarledger/ledger.go
@@ -0,0 +1,183 @@
+package fulmarledger
+
+import (
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
+)
+
+// slowClock is the factor by which a grant may outlast its time on a target whose clock is slow.
+const slowClock = 1.02
+
+// slack covers the time between a reset of a connection and its effect on bytes already on their way.
+const slack = 50 * time.Millisecond
+
+// Grant identifies an entered grant.
+type Grant int64
+
+type entry struct {
+	id       Grant
+	from, to int
+	hold     time.Duration
+	open     bool // the call has not ended
+	answered bool
+	until    time.Time
+}
+
+// Ledger holds the grants that may be in force; it is not safe for concurrent use.
+type Ledger struct {
+	next    Grant
+	entries map[fulmarrange.Life][]entry
+}
+
+// New returns an empty ledger.
+func New() *Ledger { return &Ledger{entries: make(map[fulmarrange.Life][]entry)} }
+
+// lasts returns the latest end of a grant that arrived at the given time.
+func lasts(arrived time.Time, hold time.Duration) time.Time {
+	return arrived.Add(time.Duration(float64(hold) * slowClock)).Add(slack)
+}
+
+// Enter records that a grant is about to be sent.
+func (l *Ledger) Enter(life fulmarrange.Life, from, to int, hold time.Duration) Grant {
+	l.next++
+	l.entries[life] = append(l.entries[life], entry{id: l.next, from: from, to: to, hold: hold, open: true})
+	return l.next
+}
+
+// Answered records at now that the target applied the grant. It replaces older answered grants within its range.
+func (l *Ledger) Answered(now time.Time, life fulmarrange.Life, id Grant) {
+	list := l.entries[life]
+	i := find(list, id)
+	if i < 0 {
+		return
+	}
+	e := list[i]
+	e.open, e.answered, e.until = false, true, lasts(now, e.hold)
+	kept := list[:0]
+	for _, old := range list {
+		if old.id == id || old.answered && old.from >= e.from && old.to <= e.to && !old.until.After(e.until) {
+			continue
+		}
+		kept = append(kept, old)
+	}
+	l.entries[life] = append(kept, e)
+}
+
+// Refused records that the target did not apply the grant and will not.
+func (l *Ledger) Refused(life fulmarrange.Life, id Grant) {
+	list := l.entries[life]
+	if i := find(list, id); i >= 0 {
+		l.entries[life] = append(list[:i], list[i+1:]...)
+	}
+}
+
+// Lost records that the call ended at now without an answer and its connection was reset.
+func (l *Ledger) Lost(now time.Time, life fulmarrange.Life, id Grant) {
+	list := l.entries[life]
+	if i := find(list, id); i >= 0 {
+		list[i].open, list[i].until = false, lasts(now, list[i].hold)
+	}
+}
+
+// Released records that the target answered a release of the keys.
+func (l *Ledger) Released(life fulmarrange.Life, from, to int) {
+	var out []entry
+	for _, e := range l.entries[life] {
+		if !e.answered || e.to < from || e.from > to {
+			out = append(out, e)
+			continue
+		}
+		if e.from < from {
+			left := e
+			left.to = from - 1
+			out = append(out, left)
+		}
+		if e.to > to {
+			right := e
+			right.from = to + 1
+			out = append(out, right)
+		}
+	}
+	l.set(life, out)
+}
+
+// Ended records that the life has ended: it holds nothing any more.
+func (l *Ledger) Ended(life fulmarrange.Life) { delete(l.entries, life) }
+
+// Inherit records grants of an earlier sender that is not able to send any more. Answered ones last at
+// most until answered, unanswered ones at most until unanswered.
+func (l *Ledger) Inherit(life fulmarrange.Life, from, to int, answered, unanswered time.Time) {
+	l.next += 2
+	l.entries[life] = append(
+		l.entries[life],
+		entry{id: l.next - 1, from: from, to: to, answered: true, until: answered},
+		entry{id: l.next, from: from, to: to, until: unanswered},
+	)
+}
+
+// Free reports whether the life surely holds none of the keys at now. If not, at is the
+// time from which it holds none unless something is sent, or zero while a call is open.
+func (l *Ledger) Free(now time.Time, life fulmarrange.Life, from, to int) (free bool, at time.Time) {
+	free = true
+	open := false
+	for _, e := range l.entries[life] {
+		if e.to < from || e.from > to {
+			continue
+		}
+		if e.open {
+			free, open = false, true
+			continue
+		}
+		if e.until.After(now) {
+			free = false
+			if e.until.After(at) {
+				at = e.until
+			}
+		}
+	}
+	if open {
+		at = time.Time{}
+	}
+	return free, at
+}
+
+// Until returns the latest time up to which the life may hold any of the keys by answered grants.
+func (l *Ledger) Until(life fulmarrange.Life, from, to int) (until time.Time) {
+	for _, e := range l.entries[life] {
+		if e.answered && e.to >= from && e.from <= to && e.until.After(until) {
+			until = e.until
+		}
+	}
+	return until
+}
+
+// Expire drops the grants that have lapsed at now.
+func (l *Ledger) Expire(now time.Time) {
+	for life, list := range l.entries {
+		kept := list[:0]
+		for _, e := range list {
+			if e.open || e.until.After(now) {
+				kept = append(kept, e)
+			}
+		}
+		l.set(life, kept)
+	}
+}
+
+func (l *Ledger) set(life fulmarrange.Life, list []entry) {
+	if len(list) == 0 {
+		delete(l.entries, life)
+		return
+	}
+	l.entries[life] = list
+}
+
+func find(list []entry, id Grant) int {
+	for i := range list {
+		if list[i].id == id {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/pkg/fulmarorder/book.go
@@ -0,0 +1,334 @@
+package fulmarorder
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarledger"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
+)
+
+// Timing holds the times of grants.
+type Timing struct {
+	Hold    time.Duration // of a grant
+	Renew   time.Duration // between renewals of a grant
+	Retry   time.Duration // between attempts of an order that failed
+	HoldMax time.Duration // longest time of any grant that an earlier sender may have sent
+}
+
+// span identifies an order by its keys and the claim that it is about.
+type span struct {
+	claim    fulmarrange.Claim
+	from, to int
+}
+
+// status is what is known of one order.
+type status struct {
+	next     time.Time // not before
+	done     bool      // answered: granted or released
+	handover string    // of a release
+	sent     bool      // in flight
+}
+
+// Book decides the orders of one service.
+type Book struct {
+	timing Timing
+	table  fulmarrange.Table
+	ledger *fulmarledger.Ledger
+	spans  map[span]*status
+	last   map[string]fulmarrange.Life // newest known life of each id
+	known  map[fulmarrange.Life]bool   // lives that answered on a kept connection of this sender
+	hold   time.Duration               // of grants sent now
+	stalls map[fulmarrange.Life]stall
+}
+
+// stall describes orders to a life that fail one after another.
+type stall struct {
+	since time.Time
+	count int
+}
+
+// New returns a book of a table that an earlier sender may have acted on up to now.
+func New(now time.Time, table fulmarrange.Table, t Timing) *Book {
+	b := &Book{
+		timing: t, table: table, ledger: fulmarledger.New(), spans: make(map[span]*status),
+		last: make(map[string]fulmarrange.Life), known: make(map[fulmarrange.Life]bool), hold: t.Hold,
+		stalls: make(map[fulmarrange.Life]stall),
+	}
+	answered := now.Add(t.HoldMax * 103 / 100) // a target's clock may be slow
+	unanswered := now.Add(t.Hold * 103 / 100)
+	for _, s := range table.Segments() {
+		if s.Owned() {
+			b.ledger.Inherit(s.Owner.Life, s.From, s.To, answered, unanswered)
+		}
+		for _, p := range s.Prior {
+			b.ledger.Inherit(p.Life, s.From, s.To, answered, unanswered)
+		}
+	}
+	return b
+}
+
+// Table returns the committed table.
+func (b *Book) Table() fulmarrange.Table { return b.table }
+
+// WithHold changes the time of the grants sent from now on and makes all of them due.
+func (b *Book) WithHold(now time.Time, hold time.Duration) {
+	b.hold = hold
+	for _, s := range b.spans {
+		if s.next.After(now) {
+			s.next = now
+		}
+	}
+}
+
+// Commit replaces the table by one that was written to the store.
+func (b *Book) Commit(table fulmarrange.Table) {
+	old := b.spans
+	b.table = table
+	b.spans = make(map[span]*status)
+	carry := func(claim fulmarrange.Claim, from, to int) {
+		k := span{claim, from, to}
+		if s := old[k]; s != nil {
+			b.spans[k] = s
+			return
+		}
+		// A part of a range that was granted or released stays so.
+		for o, s := range old {
+			if o.claim == claim && o.from <= from && o.to >= to {
+				c := *s
+				c.sent = false
+				b.spans[k] = &c
+				return
+			}
+		}
+	}
+	stale := make(map[fulmarrange.Life]bool) // lives of which a claim was already granted or released
+	for _, s := range table.Segments() {
+		if s.Owned() {
+			carry(s.Owner, s.From, s.To)
+			if st := b.spans[span{s.Owner, s.From, s.To}]; st != nil && st.done {
+				stale[s.Owner.Life] = true
+			}
+		}
+		for _, p := range s.Prior {
+			carry(p, s.From, s.To)
+		}
+	}
+	// A life whose connection was lost can be granted keys again once all of them have new fences.
+	for life, known := range b.known {
+		if !known && !stale[life] {
+			delete(b.known, life)
+		}
+	}
+}
+
+// Observe records the newest life of an id. Older lives under the id hold nothing any more.
+func (b *Book) Observe(life fulmarrange.Life) {
+	old, ok := b.last[life.ID]
+	if ok && old.Born >= life.Born {
+		return
+	}
+	b.last[life.ID] = life
+	for _, s := range b.table.Segments() {
+		for _, c := range append([]fulmarrange.Claim{s.Owner}, s.Prior...) {
+			if c.Life.ID == life.ID && c.Life.Born < life.Born {
+				b.ledger.Ended(c.Life)
+			}
+		}
+	}
+}
+
+// Ended records that a life has ended: it holds nothing any more.
+func (b *Book) Ended(life fulmarrange.Life) { b.ledger.Ended(life) }
+
+func (b *Book) status(k span) *status {
+	s := b.spans[k]
+	if s == nil {
+		s = &status{}
+		b.spans[k] = s
+	}
+	return s
+}
+
+// clear reports whether no earlier owner can hold keys of the segment, else when that is known by time alone.
+func (b *Book) clear(now time.Time, s fulmarrange.Segment) (bool, time.Time) {
+	all, at := true, time.Time{}
+	for _, p := range s.Prior {
+		if free, until := b.ledger.Free(now, p.Life, s.From, s.To); !free {
+			all = false
+			if until.After(at) {
+				at = until
+			}
+		}
+	}
+	return all, at
+}
+
+// Next returns the order that is due for the life at now; ok is false if there is none before wait has passed.
+func (b *Book) Next(now time.Time, life fulmarrange.Life) (o Order, wait time.Duration, ok bool) {
+	wait = b.timing.Renew
+	soon := func(at time.Time) {
+		if d := at.Sub(now); d < wait {
+			wait = max(d, time.Millisecond)
+		}
+	}
+	var best *status
+	for _, s := range b.table.Segments() {
+		for _, p := range s.Prior {
+			if p.Life != life {
+				continue
+			}
+			st := b.status(span{p, s.From, s.To})
+			if st.done || st.sent {
+				continue
+			}
+			if st.next.After(now) {
+				soon(st.next)
+				continue
+			}
+			// Releases go first: another target waits for them.
+			return Order{Kind: Release, Life: life, From: s.From, To: s.To, Fence: p.Fence}, 0, true
+		}
+		if s.Owner.Life != life || b.Uncertain(life) {
+			continue
+		}
+		st := b.status(span{s.Owner, s.From, s.To})
+		if st.sent {
+			continue
+		}
+		if st.next.After(now) {
+			soon(st.next)
+			continue
+		}
+		if !st.done {
+			if free, at := b.clear(now, s); !free {
+				if !at.IsZero() {
+					soon(at)
+				}
+				continue
+			}
+		}
+		if best == nil || st.next.Before(best.next) {
+			best = st
+			o = Order{
+				Kind: Grant, Life: life, From: s.From, To: s.To, Fence: s.Owner.Fence, Hold: b.hold,
+				Handover: b.handover(s), Kept: st.done && b.known[life],
+			}
+		}
+	}
+	return o, wait, best != nil
+}
+
+// handover returns what the last holder of the segment gave for its new owner.
+func (b *Book) handover(s fulmarrange.Segment) string {
+	for i := len(s.Prior) - 1; i >= 0; i-- {
+		if st := b.spans[span{s.Prior[i], s.From, s.To}]; st != nil && st.handover != "" {
+			return st.handover
+		}
+	}
+	return ""
+}
+
+func (b *Book) key(o Order) span {
+	return span{fulmarrange.Claim{Life: o.Life, Fence: o.Fence}, o.From, o.To}
+}
+
+// Sending records that the order is about to be sent.
+func (b *Book) Sending(o Order) fulmarledger.Grant {
+	b.status(b.key(o)).sent = true
+	if o.Kind == Grant {
+		return b.ledger.Enter(o.Life, o.From, o.To, o.Hold)
+	}
+	return 0
+}
+
+// Sent records at now how an order ended: without an error, or with one of the errors of this package.
+// It reports whether routing changes.
+func (b *Book) Sent(now time.Time, o Order, entry fulmarledger.Grant, handover string, err error) bool {
+	if o.Kind == Grant {
+		switch {
+		case err == nil:
+			b.ledger.Answered(now, o.Life, entry)
+		case errors.Is(err, ErrUnanswered):
+			b.ledger.Lost(now, o.Life, entry)
+		default:
+			b.ledger.Refused(o.Life, entry)
+		}
+	} else if err == nil {
+		b.ledger.Released(o.Life, o.From, o.To)
+	}
+	if err == nil || errors.Is(err, ErrRefused) {
+		delete(b.stalls, o.Life)
+	} else {
+		s := b.stalls[o.Life]
+		if s.count == 0 {
+			s.since = now
+		}
+		s.count++
+		b.stalls[o.Life] = s
+	}
+	st := b.spans[b.key(o)]
+	if st == nil {
+		return false // the table has changed meanwhile
+	}
+	st.sent = false
+	if err != nil {
+		st.next = now.Add(b.timing.Retry)
+		if errors.Is(err, ErrUnsent) && o.Kept {
+			b.known[o.Life] = false
+		}
+		return false
+	}
+	changed := !st.done
+	st.done, st.handover, st.next = true, handover, now
+	if o.Kind == Grant {
+		st.handover = ""
+		st.next = now.Add(b.timing.Renew)
+		b.known[o.Life] = true
+	}
+	return changed
+}
+
+// Stalled returns how long orders to the life have failed without one that succeeded, and how many did.
+func (b *Book) Stalled(now time.Time, life fulmarrange.Life) (time.Duration, int) {
+	s, ok := b.stalls[life]
+	if !ok {
+		return 0, 0
+	}
+	return now.Sub(s.since), s.count
+}
+
+// Uncertain reports whether the life lost the connection on which it had answered, so that another life may
+// have taken its place. Its keys need new fences before they are granted again.
+func (b *Book) Uncertain(life fulmarrange.Life) bool {
+	known, ok := b.known[life]
+	return ok && !known
+}
+
+// Holds reports whether the owner of the segment was granted its keys and can hold them at now.
+func (b *Book) Holds(now time.Time, s fulmarrange.Segment) bool {
+	st := b.spans[span{s.Owner, s.From, s.To}]
+	if st != nil && st.done {
+		return true
+	}
+	return len(s.Prior) == 0 && s.Owned() && b.ledger.Until(s.Owner.Life, s.From, s.To).After(now)
+}
+
+// Settled returns the prior claims that need no longer stand in the table: keys of the segment were granted
+// to their owner.
+func (b *Book) Settled() []fulmarrange.Segment {
+	var out []fulmarrange.Segment
+	for _, s := range b.table.Segments() {
+		if len(s.Prior) == 0 {
+			continue
+		}
+		if st := b.spans[span{s.Owner, s.From, s.To}]; st != nil && st.done {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Expire forgets grants that have lapsed at now.
+func (b *Book) Expire(now time.Time) { b.ledger.Expire(now) }
--- /dev/null
+++ b/pkg/fulmarpick/board.go
@@ -0,0 +1,211 @@
+package fulmarpick
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	weight       = 0.15                   // of the latest time in the mean
+	decay        = 150 * time.Millisecond // time in which a reported queue loses 63% of its weight
+	usual        = 80 * time.Millisecond  // assumed time of a request before any was seen
+	failureDecay = 2 * time.Second        // time in which a failure loses 63% of its weight
+	failureCost  = 1.0                    // share by which a full failure score raises the cost
+	remoteCost   = 0.1                    // share by which another data centre raises the cost
+	coldCost     = 1.0                    // share by which a target that has just started is slower
+)
+
+// Candidate is a target that can serve the request.
+type Candidate struct {
+	ID     string
+	Slots  int
+	Remote bool // in another data centre
+	Cold   bool // has just started
+}
+
+// Load is what a target says of itself.
+type Load struct{ Running, Waiting, Slots int }
+
+type target struct {
+	own      int
+	load     float64 // running and waiting requests of others, as reported
+	at       time.Time
+	mean     float64 // seconds of a request
+	failures float64
+	failedAt time.Time
+	fresh    bool // answered since the last call of Times
+}
+
+// Board holds the state of all targets; it is safe for concurrent use.
+type Board struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	targets map[string]*target
+	samples int
+}
+
+// New returns a board that compares samples random candidates. It uses src alone.
+func New(samples int, src rand.Source) *Board {
+	if samples < 1 {
+		panic("fulmarpick: samples must be positive")
+	}
+	return &Board{random: rand.New(src), targets: make(map[string]*target), samples: samples}
+}
+
+func (b *Board) target(id string) *target {
+	t := b.targets[id]
+	if t == nil {
+		t = &target{mean: usual.Seconds()}
+		b.targets[id] = t
+	}
+	return t
+}
+
+// Choose returns the index of the cheapest of some random candidates with fewer than limit own requests
+// in flight, or -1 if there is none.
+func (b *Board) Choose(now time.Time, candidates []Candidate, limit int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	best, bestCost := -1, math.Inf(1)
+	seen := 0
+	n := len(candidates)
+	if n == 0 {
+		return -1
+	}
+	// A random start and a random odd stride visit candidates in an order that differs between calls.
+	start, stride := b.random.IntN(n), 1
+	if n > 2 {
+		stride = 1 + b.random.IntN(n-1)
+		for gcd(stride, n) != 1 {
+			stride = 1 + b.random.IntN(n-1)
+		}
+	}
+	for i := range n {
+		j := (start + i*stride) % n
+		t := b.target(candidates[j].ID)
+		if t.own >= limit {
+			continue
+		}
+		if cost := t.cost(now, candidates[j]); cost < bestCost {
+			best, bestCost = j, cost
+		}
+		if seen++; seen >= b.samples {
+			break
+		}
+	}
+	return best
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+// cost returns the expected time until a new request is answered, in seconds.
+func (t *target) cost(now time.Time, c Candidate) float64 {
+	others := t.load * math.Exp(-now.Sub(t.at).Seconds()/decay.Seconds())
+	ahead := float64(t.own) + others
+	slots := float64(max(c.Slots, 1))
+	rounds := 1 + max(0, ahead+1-slots)/slots + 0.2*min(ahead, slots)/slots
+	cost := t.mean * rounds
+	cost *= 1 + failureCost*t.failureScore(now)
+	if c.Remote {
+		cost *= 1 + remoteCost
+	}
+	if c.Cold {
+		cost *= 1 + coldCost
+	}
+	return cost
+}
+
+func (t *target) failureScore(now time.Time) float64 {
+	return t.failures * math.Exp(-now.Sub(t.failedAt).Seconds()/failureDecay.Seconds())
+}
+
+// Own returns the number of own requests in flight at the target.
+func (b *Board) Own(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.targets[id]; t != nil {
+		return t.own
+	}
+	return 0
+}
+
+// Start records that a request is sent to the target, unless limit requests are in flight already.
+func (b *Board) Start(id string, limit int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.target(id)
+	if t.own >= limit {
+		return false
+	}
+	t.own++
+	return true
+}
+
+// End records that a request has ended.
+func (b *Board) End(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.targets[id]; t != nil {
+		t.own--
+	}
+}
+
+// Served records the time of an answered request.
+func (b *Board) Served(id string, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.target(id)
+	t.mean += weight * (took.Seconds() - t.mean)
+	t.failures *= 1 - weight
+	t.fresh = true
+}
+
+// Failed records a request that the target failed or turned away.
+func (b *Board) Failed(now time.Time, id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.target(id)
+	t.failures = t.failureScore(now) + 1
+	t.failedAt = now
+}
+
+// Report records the load that the target reported with an answer at now.
+func (b *Board) Report(now time.Time, id string, l Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.target(id)
+	t.load = float64(max(l.Running+l.Waiting-t.own, 0))
+	t.at = now
+}
+
+// Times returns the usual time of a request at each target that answered since the last call.
+func (b *Board) Times() map[string]time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]time.Duration)
+	for id, t := range b.targets {
+		if t.fresh {
+			t.fresh = false
+			out[id] = time.Duration(t.mean * float64(time.Second))
+		}
+	}
+	return out
+}
+
+// Retain drops the targets for which keep is false and that have no request in flight.
+func (b *Board) Retain(keep func(id string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, t := range b.targets {
+		if t.own == 0 && !keep(id) {
+			delete(b.targets, id)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/fulmarroute/table.go
@@ -0,0 +1,143 @@
+package fulmarroute
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Part is a share of a route's requests that goes to one service.
+type Part struct {
+	Service string  `cbor:"service"`
+	Weight  float64 `cbor:"weight"`
+}
+
+// Route describes the requests of one host and path prefix.
+type Route struct {
+	Name       string        `cbor:"name"`
+	Host       string        `cbor:"host"`
+	Prefix     string        `cbor:"prefix"`
+	Idempotent bool          `cbor:"idempotent"`
+	Timeout    time.Duration `cbor:"timeout"`  // longest time that a request is kept waiting
+	Goal       time.Duration `cbor:"goal"`     // latency objective
+	Priority   int           `cbor:"priority"` // 0 is the most urgent
+	Attempts   int           `cbor:"attempts"` // most targets that one request may be sent to
+	Parts      []Part        `cbor:"parts"`
+}
+
+// Service describes the targets that serve one kind of work.
+type Service struct {
+	Name        string        `cbor:"name"`
+	Health      string        `cbor:"health"`      // path of the status check
+	Connections int           `cbor:"connections"` // that one target accepts from all callers
+	Keyed       bool          `cbor:"keyed"`       // targets own key ranges exclusively
+	Warm        time.Duration `cbor:"warm"`        // time that keys stay slow after a move without handover
+}
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	Header        int           `cbor:"header"` // bytes
+	Body          int64         `cbor:"body"`   // bytes
+	HeaderTimeout time.Duration `cbor:"headertimeout"`
+	IdleTimeout   time.Duration `cbor:"idletimeout"`
+}
+
+// Config is one version of the operators' configuration.
+type Config struct {
+	Version  uint64    `cbor:"version"`
+	Routes   []Route   `cbor:"routes"`
+	Services []Service `cbor:"services"`
+	Limits   Limits    `cbor:"limits"`
+}
+
+// Table selects routes; it is immutable.
+type Table struct {
+	config   Config
+	hosts    map[string][]Route // longest prefix first
+	services map[string]Service
+}
+
+// New returns the table of a configuration, or an error that names the first fault.
+func New(c Config) (*Table, error) {
+	t := &Table{config: c, hosts: make(map[string][]Route), services: make(map[string]Service)}
+	for _, s := range c.Services {
+		if s.Name == "" {
+			return nil, errors.New("fulmarroute: service without a name")
+		}
+		t.services[s.Name] = s
+	}
+	for _, r := range c.Routes {
+		if err := t.check(r); err != nil {
+			return nil, err
+		}
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t, nil
+}
+
+func (t *Table) check(r Route) error {
+	switch {
+	case r.Host == "":
+		return errors.Errorf("fulmarroute: route %q has no host", r.Name)
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return errors.Errorf("fulmarroute: prefix %q of route %q does not begin and end with a slash", r.Prefix, r.Name)
+	case r.Timeout <= 0:
+		return errors.Errorf("fulmarroute: route %q has no timeout", r.Name)
+	case len(r.Parts) == 0:
+		return errors.Errorf("fulmarroute: route %q has no service", r.Name)
+	}
+	total := 0.0
+	for _, p := range r.Parts {
+		if _, ok := t.services[p.Service]; !ok {
+			return errors.Errorf("fulmarroute: route %q names the unknown service %q", r.Name, p.Service)
+		}
+		if p.Weight < 0 {
+			return errors.Errorf("fulmarroute: route %q has a negative weight", r.Name)
+		}
+		total += p.Weight
+	}
+	if total <= 0 {
+		return errors.Errorf("fulmarroute: weights of route %q sum to zero", r.Name)
+	}
+	return nil
+}
+
+// Config returns the configuration of the table; the caller must not modify it.
+func (t *Table) Config() Config { return t.config }
+
+// Version returns the version of the configuration.
+func (t *Table) Version() uint64 { return t.config.Version }
+
+// Limits returns the limits of the configuration.
+func (t *Table) Limits() Limits { return t.config.Limits }
+
+// Service returns the service with the given name.
+func (t *Table) Service(name string) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Match returns the route with the longest prefix of path among the routes of host.
+// A port in host is ignored.
+func (t *Table) Match(host, path string) (Route, bool) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	routes, ok := t.hosts[host]
+	if !ok {
+		routes = t.hosts[strings.ToLower(host)]
+	}
+	for _, r := range routes {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
