Keep what was read since the leader last read

Change: updates are adopted only if the leader has read the store since the daemon did; stale ones are dropped before they are adopted. Ruled out: a late read (the daemon had read the store 1.4 s before).

--- a/internal/fulmarfollow/follower.go
+++ b/internal/fulmarfollow/follower.go
@@ -34,12 +34,22 @@
 	Collect() (map[string][]fulmarsync.KeyCount, []fulmarsync.TargetLoad)
 }
 
+// Leader answers reports.
+type Leader interface {
+	Sync(ctx context.Context, r *fulmarsync.Report) (*fulmarsync.Update, error)
+	Close()
+}
+
+// Dial connects to the leader at address.
+type Dial func(ctx context.Context, address string) (Leader, error)
+
 // Follower keeps the view current; see Run.
 type Follower struct {
 	lead    fulmarlead.Deps
 	reader  *fulmarsnapshot.Reader
 	views   *fulmarview.Holder
 	reports Reports
+	dial    Dial
 	log     *slog.Logger
 
 	mu   sync.Mutex
@@ -47,9 +57,10 @@
 }
 
 // New returns a follower.
-func New(d fulmarlead.Deps, reports Reports) *Follower {
+func New(d fulmarlead.Deps, reports Reports, dial Dial) *Follower {
 	return &Follower{
-		lead: d, reader: fulmarsnapshot.New(d.Store, d.Registry, d.Log, d.Now), views: d.Views, reports: reports, log: d.Log,
+		lead: d, reader: fulmarsnapshot.New(d.Store, d.Registry, d.Log, d.Now), views: d.Views, reports: reports, dial: dial,
+		log: d.Log,
 	}
 }
 
@@ -86,7 +97,7 @@
 				continue
 			}
 		case s.Leader.ID != f.lead.ID:
-			f.follow(ctx, s.Leader.Address)
+			f.follow(ctx, s.Leader.Address, s.Taken)
 		}
 		pause(ctx, readEvery-f.lead.Now().Sub(began)+rand.N(readEvery/8))
 	}
@@ -158,20 +169,21 @@
 	return &fulmarsync.Report{ID: f.lead.ID, Have: have, Keys: keys, Targets: targets}
 }
 
-// follow exchanges reports with the leader until it fails or its knowledge is stale.
-func (f *Follower) follow(ctx context.Context, address string) {
-	client, err := fulmarsync.Dial(ctx, address)
+// follow exchanges reports with the leader until it fails or its knowledge is stale. read is when the store
+// was last read here: what the leader knows of before must not replace that.
+func (f *Follower) follow(ctx context.Context, address string, read time.Time) {
+	leader, err := f.dial(ctx, address)
 	if err != nil {
 		f.log.Info("leader not reached", "address", address, "error", err)
 		return
 	}
-	defer client.Close()
+	defer leader.Close()
 	f.log.Info("following", "address", address)
-	var have fulmarsync.Versions
+	state := &told{}
 	for ctx.Err() == nil {
 		began := f.lead.Now()
 		callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
-		u, err := client.Sync(callCtx, f.report(have))
+		u, err := leader.Sync(callCtx, f.report(state.have))
 		cancel()
 		if err != nil {
 			f.log.Info("leader lost", "address", address, "error", err)
@@ -179,43 +191,66 @@
 		}
 		// The answer was made after the call began, so what it says is at most that much older.
 		known := began.Add(-u.Age)
-		have = u.Have
-		f.adopt(u, known)
 		if f.lead.Now().Sub(known) > stale {
 			f.log.Warn("leader does not reach the store", "address", address, "age", u.Age)
 			return
 		}
+		if err := state.take(u); err != nil {
+			f.log.Error("configuration of the leader is not valid", "error", err)
+			return
+		}
+		if !known.Before(read) {
+			f.adopt(state, u.Daemons, known)
+		}
 	}
 }
 
-// adopt takes over an update.
-func (f *Follower) adopt(u *fulmarsync.Update, known time.Time) {
-	var routes *fulmarroute.Table
+// told is what a leader has told so far.
+type told struct {
+	have    fulmarsync.Versions
+	routes  *fulmarroute.Table
+	catalog *fulmarcatalog.Catalog
+	owners  map[string]fulmarview.Spans
+}
+
+// take adds an update.
+func (s *told) take(u *fulmarsync.Update) error {
 	if u.Config != nil {
-		var err error
-		if routes, err = fulmarroute.New(*u.Config); err != nil {
-			f.log.Error("configuration of the leader is not valid", "error", err)
-		} else {
-			f.log.Info("configuration in force", "version", u.Config.Version, "routes", len(u.Config.Routes), "source", "leader")
+		routes, err := fulmarroute.New(*u.Config)
+		if err != nil {
+			return err
 		}
+		s.routes = routes
 	}
-	var catalog *fulmarcatalog.Catalog
 	if u.HasTargets {
+		now := time.Now()
 		for i := range u.Targets {
-			u.Targets[i].Seen = time.Now()
+			u.Targets[i].Seen = now
 		}
-		catalog = fulmarcatalog.New(u.Targets)
+		s.catalog = fulmarcatalog.New(u.Targets)
+	}
+	if u.HasOwners {
+		s.owners = u.Owners
 	}
+	s.have = u.Have
+	return nil
+}
+
+// adopt makes what the leader told the view.
+func (f *Follower) adopt(s *told, daemons int, known time.Time) {
 	f.views.Update(func(v *fulmarview.View) {
-		if routes != nil {
-			v.Routes = routes
+		if s.routes != nil {
+			if v.Routes == nil || v.Routes.Version() < s.routes.Version() {
+				f.log.Info("configuration in force", "version", s.routes.Version(), "source", "leader")
+			}
+			v.Routes = s.routes
 		}
-		if catalog != nil {
-			v.Catalog = catalog
+		if s.catalog != nil {
+			v.Catalog = s.catalog
 		}
-		if u.HasOwners {
-			v.Owners = u.Owners
+		if s.owners != nil {
+			v.Owners = s.owners
 		}
-		v.Daemons, v.Known = u.Daemons, known
+		v.Daemons, v.Known = daemons, known
 	})
 }
--- /dev/null
+++ b/internal/fulmarfollow/follower_test.go
@@ -0,0 +1,174 @@
+package fulmarfollow_test
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarfollow"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarlead"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarmemory"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarsync"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarorder"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
+)
+
+// registry decodes records that are the product's own types in JSON.
+var registry = fulmarsnapshot.Registry{
+	ConfigKey: "config", TargetPrefix: "targets/",
+	Config: func(value []byte) (c fulmarroute.Config, err error) {
+		err = json.Unmarshal(value, &c)
+		return c, err
+	},
+	Target: func(_ string, value []byte) (t fulmarcatalog.Target, err error) {
+		err = json.Unmarshal(value, &t)
+		return t, err
+	},
+}
+
+func encode(t *testing.T, v any) []byte {
+	t.Helper()
+	b, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func config(version uint64) fulmarroute.Config {
+	return fulmarroute.Config{
+		Version:  version,
+		Services: []fulmarroute.Service{{Name: "board", Keyed: true}},
+		Routes: []fulmarroute.Route{{
+			Name: "r", Host: "h", Prefix: "/", Timeout: time.Second, Attempts: 1,
+			Parts: []fulmarroute.Part{{Service: "board", Weight: 1}},
+		}},
+	}
+}
+
+func target(id string, leaving bool) fulmarcatalog.Target {
+	return fulmarcatalog.Target{ID: id, Born: 1, Service: "board", Address: "10.0.0.1:1", DC: "a", Slots: 3, Leaving: leaving}
+}
+
+// orders answers every order.
+type orders struct{}
+
+func (orders) Send(context.Context, string, fulmarorder.Order) (string, error) { return "", nil }
+
+type noReports struct{}
+
+func (noReports) Collect() (map[string][]fulmarsync.KeyCount, []fulmarsync.TargetLoad) { return nil, nil }
+
+// fleet connects daemons of a test.
+type fleet struct {
+	mu      sync.Mutex
+	leaders map[string]fulmarfollow.Leader // by address
+}
+
+// link passes reports to a daemon.
+type link struct{ *fulmarfollow.Follower }
+
+func (link) Close() {}
+
+func (f *fleet) dial(_ context.Context, address string) (fulmarfollow.Leader, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l, ok := f.leaders[address]; ok {
+		return l, nil
+	}
+	return nil, context.DeadlineExceeded
+}
+
+func (f *fleet) set(address string, l fulmarfollow.Leader) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leaders == nil {
+		f.leaders = make(map[string]fulmarfollow.Leader)
+	}
+	f.leaders[address] = l
+}
+
+// daemon starts a follower; its view is returned.
+func (f *fleet) daemon(ctx context.Context, id string, store *fulmarmemory.Client) *fulmarview.Holder {
+	views := fulmarview.New()
+	d := fulmarfollow.New(fulmarlead.Deps{
+		ID: id, Address: id, Store: store, Registry: registry, Orders: orders{}, Views: views,
+		HoldMax: 10 * time.Second, Log: slog.New(slog.DiscardHandler), Now: time.Now,
+	}, noReports{}, f.dial)
+	f.set(id, link{d})
+	go d.Run(ctx)
+	return views
+}
+
+func leaving(v *fulmarview.Holder, id string) bool {
+	view := v.Get()
+	if view.Catalog == nil {
+		return false
+	}
+	t, ok := view.Catalog.Target(id)
+	return ok && t.Leaving
+}
+
+// frozen is a leader that answers, but has not read the store since a moment.
+type frozen struct {
+	since   time.Time
+	targets []fulmarcatalog.Target
+	config  fulmarroute.Config
+}
+
+func (l *frozen) Sync(ctx context.Context, r *fulmarsync.Report) (*fulmarsync.Update, error) {
+	u := &fulmarsync.Update{Have: fulmarsync.Versions{Term: 1, Config: 1, Targets: 1}, Age: time.Since(l.since), Daemons: 2}
+	if r.Have != u.Have {
+		u.Config, u.Targets, u.HasTargets = &l.config, l.targets, true
+		return u, nil
+	}
+	select {
+	case <-time.After(250 * time.Millisecond):
+	case <-ctx.Done():
+	}
+	u.Age = time.Since(l.since)
+	return u, nil
+}
+
+func (*frozen) Close() {}
+
+// Guards against a leader that is cut off from the store and makes others forget what they have read since:
+// a target that had said that it leaves got requests 2.02 s later.
+func TestStaleLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := fulmarmemory.New(time.Now)
+		store.Set("config", encode(t, config(1)))
+		store.Set("targets/x", encode(t, target("x", false)))
+		record, err := fulmarsnapshot.Leader{ID: "a", Address: "a"}.Encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		store.Set(fulmarsnapshot.LeaderKey, record)
+		f := &fleet{}
+		f.set("a", &frozen{since: time.Now(), targets: []fulmarcatalog.Target{target("x", false)}, config: config(1)})
+		view := f.daemon(ctx, "b", fulmarmemory.NewClient(store))
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(view.Get().Ready()).To(BeTrue())
+
+		store.Set("targets/x", encode(t, target("x", true)))
+		store.Set("config", encode(t, config(2)))
+		time.Sleep(1900 * time.Millisecond)
+		for range 60 {
+			g.Expect(leaving(view, "x")).To(BeTrue())
+			g.Expect(view.Get().Routes.Version()).To(BeEquivalentTo(2))
+			time.Sleep(50 * time.Millisecond)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/fulmarfront/front.go
+++ b/internal/fulmarfront/front.go
@@ -93,7 +93,9 @@
 	f.follower = fulmarfollow.New(fulmarlead.Deps{
 		ID: s.ID, Address: s.Listen.Peers, Store: p.Store(s.Store, storeClient()), Registry: p.Registry,
 		Orders: p.Orders(f.orders), Views: f.views, HoldMax: s.HoldMax, Log: log, Now: fulmarclock.Now,
-	}, loads)
+	}, loads, func(ctx context.Context, address string) (fulmarfollow.Leader, error) {
+		return fulmarsync.Dial(ctx, address)
+	})
 	relay := fulmarrelay.New(fulmarrelay.Deps{
 		Names: p.Names, DC: s.DC, Views: f.views, Pool: f.pool, Board: board,
 		Splitter: fulmarroute.NewSplitter(), Allowance: fulmarallowance.New(s.Retries), Loads: loads,
