Release keys before their grants lapse, and never reuse a fence

Change: spans are told apart by the kind of order; grants go only over the connection on which the life has answered, else keys get new fences; the ledger tells targets apart by id alone; requests to a leaving owner end before the drain does.

--- a/internal/fulmarfollow/follower.go
+++ b/internal/fulmarfollow/follower.go
@@ -195,7 +195,7 @@
 			f.log.Warn("leader does not reach the store", "address", address, "age", u.Age)
 			return
 		}
-		if err := state.take(u); err != nil {
+		if err := state.take(f.lead.Now(), u); err != nil {
 			f.log.Error("configuration of the leader is not valid", "error", err)
 			return
 		}
@@ -213,8 +213,8 @@
 	owners  map[string]fulmarview.Spans
 }
 
-// take adds an update.
-func (s *told) take(u *fulmarsync.Update) error {
+// take adds an update that came at now.
+func (s *told) take(now time.Time, u *fulmarsync.Update) error {
 	if u.Config != nil {
 		routes, err := fulmarroute.New(*u.Config)
 		if err != nil {
@@ -223,7 +223,6 @@
 		s.routes = routes
 	}
 	if u.HasTargets {
-		now := time.Now()
 		for i := range u.Targets {
 			u.Targets[i].Seen = now
 		}
--- a/internal/fulmarfollow/follower_test.go
+++ b/internal/fulmarfollow/follower_test.go
@@ -66,7 +66,9 @@
 
 type noReports struct{}
 
-func (noReports) Collect() (map[string][]fulmarsync.KeyCount, []fulmarsync.TargetLoad) { return nil, nil }
+func (noReports) Collect() (map[string][]fulmarsync.KeyCount, []fulmarsync.TargetLoad) {
+	return nil, nil
+}
 
 // fleet connects daemons of a test.
 type fleet struct {
--- a/internal/fulmarfront/front.go
+++ b/internal/fulmarfront/front.go
@@ -44,6 +44,8 @@
 	noticed   = 2300 * time.Millisecond
 	lastCall  = 400 * time.Millisecond // of the grace kept for the end of the process
 	drainPoll = 20 * time.Millisecond
+	// drainMargin covers the way of a request to a leaving target.
+	drainMargin = 150 * time.Millisecond
 
 	collectorShare = 4 // the heap may grow to that share of the memory before it is collected hard
 	collectorRate  = 200
@@ -99,8 +101,7 @@
 	relay := fulmarrelay.New(fulmarrelay.Deps{
 		Names: p.Names, DC: s.DC, Views: f.views, Pool: f.pool, Board: board,
 		Splitter: fulmarroute.NewSplitter(), Allowance: fulmarallowance.New(s.Retries), Loads: loads,
-		Metrics: metrics, Log: log, Now: time.Now,
-		Age: func(known time.Time) time.Duration { return fulmarclock.Now().Sub(known) },
+		Metrics: metrics, Log: log, Now: time.Now, Clock: fulmarclock.Now, Drain: s.Drain - drainMargin,
 	})
 	f.server = fulmarserve.New(relay, f.limits, log)
 	return f, nil
--- a/internal/fulmarfront/settings.go
+++ b/internal/fulmarfront/settings.go
@@ -23,6 +23,7 @@
 	Listen  Listen
 	Store   string               // address of the key-value service
 	HoldMax time.Duration        // longest time of a grant that targets accept
+	Drain   time.Duration        // for which a leaving target takes requests for its keys
 	Grace   time.Duration        // between SIGTERM and the end of the process
 	Retries fulmarallowance.Rule // repeated sends of the fleet
 	Power   float64              // share of a core
@@ -46,7 +47,7 @@
 	for _, field := range []struct {
 		name  string
 		value time.Duration
-	}{{"longest grant", s.HoldMax}, {"grace", s.Grace}, {"retry window", s.Retries.Window}} {
+	}{{"longest grant", s.HoldMax}, {"drain", s.Drain}, {"grace", s.Grace}, {"retry window", s.Retries.Window}} {
 		if field.value <= 0 {
 			return errors.Errorf("fulmarfront: %s is not positive", field.name)
 		}
--- a/internal/fulmarlead/publish.go
+++ b/internal/fulmarlead/publish.go
@@ -129,7 +129,7 @@
 		daemons := t.count(now)
 		t.mu.Unlock()
 		if s.have != r.Have {
-			return update(s, r.Have, now.Sub(s.known), daemons), nil
+			return update(now, s, r.Have, daemons), nil
 		}
 		select {
 		case <-changed:
@@ -145,15 +145,15 @@
 }
 
 // update returns the parts of s that have does not contain.
-func update(s state, have fulmarsync.Versions, age time.Duration, daemons int) *fulmarsync.Update {
-	u := &fulmarsync.Update{Have: s.have, Age: age, Daemons: daemons}
+func update(now time.Time, s state, have fulmarsync.Versions, daemons int) *fulmarsync.Update {
+	u := &fulmarsync.Update{Have: s.have, Age: now.Sub(s.known), Daemons: daemons}
 	other := have.Term != s.have.Term
 	if s.routes != nil && (other || have.Config != s.have.Config) {
 		c := s.routes.Config()
 		u.Config = &c
 	}
 	if other || have.Targets != s.have.Targets {
-		u.Targets, u.HasTargets = s.catalog.All(), true
+		u.Targets, u.HasTargets = s.catalog.At(now), true
 	}
 	if other || have.Owners != s.have.Owners {
 		u.Owners, u.HasOwners = s.owners, true
--- a/internal/fulmarlead/term.go
+++ b/internal/fulmarlead/term.go
@@ -258,11 +258,6 @@
 	}
 	now := t.deps.Now()
 	t.openShards(now)
-	for _, target := range s.Catalog.All() {
-		if sh := t.shards[target.Service]; sh != nil {
-			sh.book.Observe(target.Life())
-		}
-	}
 	t.staff(now)
 	t.publish()
 	return true
--- a/internal/fulmarlead/worker.go
+++ b/internal/fulmarlead/worker.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarledger"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarorder"
@@ -122,10 +120,6 @@
 	defer t.mu.Unlock()
 	now := t.deps.Now()
 	book := t.shards[w.target.Service].book
-	if errors.Is(err, fulmarorder.ErrMisdirected) {
-		// Another target answers at the address, so this life has ended.
-		book.Ended(o.Life)
-	}
 	changed := book.Sent(now, o, entry, handover, err)
 	if err != nil || changed {
 		t.deps.Log.Info("order", "kind", o.Kind.String(), "target", o.Life.ID, "from", o.From, "to", o.To,
--- a/internal/fulmarrelay/attempt.go
+++ b/internal/fulmarrelay/attempt.go
@@ -90,14 +90,14 @@
 	targets := x.view.Catalog.Service(x.service.Name)
 	usable := make([]fulmarcatalog.Target, 0, len(targets))
 	candidates := make([]fulmarpick.Candidate, 0, len(targets))
-	now := d.Now()
+	now, clock := d.Now(), d.Clock()
 	for _, t := range targets {
 		if t.Leaving || x.tried[t.ID] {
 			continue
 		}
 		usable = append(usable, t)
 		candidates = append(candidates, fulmarpick.Candidate{
-			ID: t.ID, Slots: t.Slots, Remote: t.DC != d.DC, Cold: now.Sub(t.Seen) < t.Cold,
+			ID: t.ID, Slots: t.Slots, Remote: t.DC != d.DC, Cold: t.IsCold(clock),
 		})
 	}
 	if len(usable) == 0 {
@@ -121,7 +121,7 @@
 		span, ok := view.Owners[x.service.Name].Find(x.key)
 		if ok && span.Ready {
 			t, known := view.Catalog.Target(span.Target)
-			if known && !x.tried[t.ID] {
+			if known && !x.tried[t.ID] && t.Open(d.Clock(), d.Drain) {
 				if !d.Board.Start(t.ID, perTarget) {
 					return t, Full
 				}
--- a/internal/fulmarrelay/relay.go
+++ b/internal/fulmarrelay/relay.go
@@ -41,8 +41,8 @@
 	Metrics   Metrics
 	Log       *slog.Logger
 	Now       func() time.Time
-	// Age returns how old the knowledge is that a view of the given Known contains.
-	Age func(known time.Time) time.Duration
+	Clock     func() time.Time // the clock of the times in views
+	Drain     time.Duration    // for which a leaving target takes requests for its keys
 }
 
 // Relay serves callers' requests; it is safe for concurrent use.
@@ -136,5 +136,5 @@
 	}
 	d.Log.Info("request", "id", x.id, "route", x.route.Name, "service", x.service.Name, "key", x.key,
 		"target", x.target, "sends", x.sends, "status", a.Status, "reason", string(x.reason),
-		"ms", took.Milliseconds(), "config", version, "age", d.Age(x.view.Known).Milliseconds())
+		"ms", took.Milliseconds(), "config", version, "age", d.Clock().Sub(x.view.Known).Milliseconds())
 }
--- a/pkg/fulmarcatalog/catalog.go
+++ b/pkg/fulmarcatalog/catalog.go
@@ -17,16 +17,26 @@
 	DC      string        `cbor:"dc"`
 	Slots   int           `cbor:"slots"`
 	Leaving bool          `cbor:"leaving,omitempty"`
+	For     time.Duration `cbor:"for,omitempty"`  // longest time for which it may have been leaving, at Seen
 	Cold    time.Duration `cbor:"cold,omitempty"` // remaining time of slowness after the start, at Seen
 	Seen    time.Time     `cbor:"-"`
 }
 
+// Open reports whether the target may still get requests for keys that it holds at now, if a leaving target
+// takes them for drain.
+func (t Target) Open(now time.Time, drain time.Duration) bool {
+	return !t.Leaving || t.For+now.Sub(t.Seen) < drain
+}
+
+// IsCold reports whether the target is still slow after its start at now.
+func (t Target) IsCold(now time.Time) bool { return now.Sub(t.Seen) < t.Cold }
+
 // Life returns the identity of this start of the target.
 func (t Target) Life() fulmarrange.Life { return fulmarrange.Life{ID: t.ID, Born: t.Born} }
 
 // same reports whether routing may treat a and b alike.
 func same(a, b Target) bool {
-	a.Cold, b.Cold = 0, 0
+	a.Cold, b.Cold, a.For, b.For = 0, 0, 0, 0
 	a.Seen, b.Seen = time.Time{}, time.Time{}
 	return a == b
 }
@@ -72,6 +82,21 @@
 	return out
 }
 
+// At returns all targets with the times that they have at now.
+func (c *Catalog) At(now time.Time) []Target {
+	out := c.All()
+	for i := range out {
+		t := &out[i]
+		passed := max(now.Sub(t.Seen), 0)
+		t.Cold = max(t.Cold-passed, 0)
+		if t.Leaving {
+			t.For += passed
+		}
+		t.Seen = now
+	}
+	return out
+}
+
 // Len returns the number of targets.
 func (c *Catalog) Len() int { return len(c.targets) }
 
--- a/pkg/fulmarledger/doc.go
+++ b/pkg/fulmarledger/doc.go
@@ -7,6 +7,9 @@
 // by unanswered ones. Keys may be granted to a second target only when Free
 // reports that the first holds none of them.
 //
+// Targets are told apart by their ids alone: a target that has started again
+// under its id may have got a grant that was meant for its former life.
+//
 // The package has no I/O; the caller passes times of a clock that does not stop
 // while the machine is suspended.
 package fulmarledger
--- a/pkg/fulmarledger/ledger.go
+++ b/pkg/fulmarledger/ledger.go
@@ -1,10 +1,6 @@
 package fulmarledger
 
-import (
-	"time"
-
-	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
-)
+import "time"
 
 // slowClock is the factor by which a grant may outlast its time on a target whose clock is slow.
 const slowClock = 1.02
@@ -27,11 +23,11 @@
 // Ledger holds the grants that may be in force; it is not safe for concurrent use.
 type Ledger struct {
 	next    Grant
-	entries map[fulmarrange.Life][]entry
+	entries map[string][]entry
 }
 
 // New returns an empty ledger.
-func New() *Ledger { return &Ledger{entries: make(map[fulmarrange.Life][]entry)} }
+func New() *Ledger { return &Ledger{entries: make(map[string][]entry)} }
 
 // lasts returns the latest end of a grant that arrived at the given time.
 func lasts(arrived time.Time, hold time.Duration) time.Time {
@@ -39,15 +35,15 @@
 }
 
 // Enter records that a grant is about to be sent.
-func (l *Ledger) Enter(life fulmarrange.Life, from, to int, hold time.Duration) Grant {
+func (l *Ledger) Enter(target string, from, to int, hold time.Duration) Grant {
 	l.next++
-	l.entries[life] = append(l.entries[life], entry{id: l.next, from: from, to: to, hold: hold, open: true})
+	l.entries[target] = append(l.entries[target], entry{id: l.next, from: from, to: to, hold: hold, open: true})
 	return l.next
 }
 
 // Answered records at now that the target applied the grant. It replaces older answered grants within its range.
-func (l *Ledger) Answered(now time.Time, life fulmarrange.Life, id Grant) {
-	list := l.entries[life]
+func (l *Ledger) Answered(now time.Time, target string, id Grant) {
+	list := l.entries[target]
 	i := find(list, id)
 	if i < 0 {
 		return
@@ -61,29 +57,29 @@
 		}
 		kept = append(kept, old)
 	}
-	l.entries[life] = append(kept, e)
+	l.entries[target] = append(kept, e)
 }
 
 // Refused records that the target did not apply the grant and will not.
-func (l *Ledger) Refused(life fulmarrange.Life, id Grant) {
-	list := l.entries[life]
+func (l *Ledger) Refused(target string, id Grant) {
+	list := l.entries[target]
 	if i := find(list, id); i >= 0 {
-		l.entries[life] = append(list[:i], list[i+1:]...)
+		l.entries[target] = append(list[:i], list[i+1:]...)
 	}
 }
 
 // Lost records that the call ended at now without an answer and its connection was reset.
-func (l *Ledger) Lost(now time.Time, life fulmarrange.Life, id Grant) {
-	list := l.entries[life]
+func (l *Ledger) Lost(now time.Time, target string, id Grant) {
+	list := l.entries[target]
 	if i := find(list, id); i >= 0 {
 		list[i].open, list[i].until = false, lasts(now, list[i].hold)
 	}
 }
 
 // Released records that the target answered a release of the keys.
-func (l *Ledger) Released(life fulmarrange.Life, from, to int) {
+func (l *Ledger) Released(target string, from, to int) {
 	var out []entry
-	for _, e := range l.entries[life] {
+	for _, e := range l.entries[target] {
 		if !e.answered || e.to < from || e.from > to {
 			out = append(out, e)
 			continue
@@ -99,29 +95,26 @@
 			out = append(out, right)
 		}
 	}
-	l.set(life, out)
+	l.set(target, out)
 }
 
-// Ended records that the life has ended: it holds nothing any more.
-func (l *Ledger) Ended(life fulmarrange.Life) { delete(l.entries, life) }
-
 // Inherit records grants of an earlier sender that is not able to send any more. Answered ones last at
 // most until answered, unanswered ones at most until unanswered.
-func (l *Ledger) Inherit(life fulmarrange.Life, from, to int, answered, unanswered time.Time) {
+func (l *Ledger) Inherit(target string, from, to int, answered, unanswered time.Time) {
 	l.next += 2
-	l.entries[life] = append(
-		l.entries[life],
+	l.entries[target] = append(
+		l.entries[target],
 		entry{id: l.next - 1, from: from, to: to, answered: true, until: answered},
 		entry{id: l.next, from: from, to: to, until: unanswered},
 	)
 }
 
-// Free reports whether the life surely holds none of the keys at now. If not, at is the
+// Free reports whether the target surely holds none of the keys at now. If not, at is the
 // time from which it holds none unless something is sent, or zero while a call is open.
-func (l *Ledger) Free(now time.Time, life fulmarrange.Life, from, to int) (free bool, at time.Time) {
+func (l *Ledger) Free(now time.Time, target string, from, to int) (free bool, at time.Time) {
 	free = true
 	open := false
-	for _, e := range l.entries[life] {
+	for _, e := range l.entries[target] {
 		if e.to < from || e.from > to {
 			continue
 		}
@@ -142,9 +135,9 @@
 	return free, at
 }
 
-// Until returns the latest time up to which the life may hold any of the keys by answered grants.
-func (l *Ledger) Until(life fulmarrange.Life, from, to int) (until time.Time) {
-	for _, e := range l.entries[life] {
+// Until returns the latest time up to which the target may hold any of the keys by answered grants.
+func (l *Ledger) Until(target string, from, to int) (until time.Time) {
+	for _, e := range l.entries[target] {
 		if e.answered && e.to >= from && e.from <= to && e.until.After(until) {
 			until = e.until
 		}
@@ -154,23 +147,23 @@
 
 // Expire drops the grants that have lapsed at now.
 func (l *Ledger) Expire(now time.Time) {
-	for life, list := range l.entries {
+	for target, list := range l.entries {
 		kept := list[:0]
 		for _, e := range list {
 			if e.open || e.until.After(now) {
 				kept = append(kept, e)
 			}
 		}
-		l.set(life, kept)
+		l.set(target, kept)
 	}
 }
 
-func (l *Ledger) set(life fulmarrange.Life, list []entry) {
+func (l *Ledger) set(target string, list []entry) {
 	if len(list) == 0 {
-		delete(l.entries, life)
+		delete(l.entries, target)
 		return
 	}
-	l.entries[life] = list
+	l.entries[target] = list
 }
 
 func find(list []entry, id Grant) int {
--- a/pkg/fulmarorder/book.go
+++ b/pkg/fulmarorder/book.go
@@ -17,8 +17,9 @@
 	HoldMax time.Duration // longest time of any grant that an earlier sender may have sent
 }
 
-// span identifies an order by its keys and the claim that it is about.
+// span identifies an order by its kind, its keys and the claim that it is about.
 type span struct {
+	kind     Kind
 	claim    fulmarrange.Claim
 	from, to int
 }
@@ -37,10 +38,11 @@
 	table  fulmarrange.Table
 	ledger *fulmarledger.Ledger
 	spans  map[span]*status
-	last   map[string]fulmarrange.Life // newest known life of each id
-	known  map[fulmarrange.Life]bool   // lives that answered on a kept connection of this sender
-	hold   time.Duration               // of grants sent now
-	stalls map[fulmarrange.Life]stall
+	// known tells which lives answered on a kept connection of this sender. It is false for those that may
+	// have been granted keys over another connection: a new life may have taken their place since.
+	known  map[fulmarrange.Life]bool
+	hold   time.Duration // of grants sent now
+	stalls map[string]stall
 }
 
 // stall describes orders to a life that fail one after another.
@@ -53,17 +55,18 @@
 func New(now time.Time, table fulmarrange.Table, t Timing) *Book {
 	b := &Book{
 		timing: t, table: table, ledger: fulmarledger.New(), spans: make(map[span]*status),
-		last: make(map[string]fulmarrange.Life), known: make(map[fulmarrange.Life]bool), hold: t.Hold,
-		stalls: make(map[fulmarrange.Life]stall),
+		known: make(map[fulmarrange.Life]bool), hold: t.Hold,
+		stalls: make(map[string]stall),
 	}
 	answered := now.Add(t.HoldMax * 103 / 100) // a target's clock may be slow
 	unanswered := now.Add(t.Hold * 103 / 100)
 	for _, s := range table.Segments() {
 		if s.Owned() {
-			b.ledger.Inherit(s.Owner.Life, s.From, s.To, answered, unanswered)
+			b.known[s.Owner.Life] = false
+			b.ledger.Inherit(s.Owner.Life.ID, s.From, s.To, answered, unanswered)
 		}
 		for _, p := range s.Prior {
-			b.ledger.Inherit(p.Life, s.From, s.To, answered, unanswered)
+			b.ledger.Inherit(p.Life.ID, s.From, s.To, answered, unanswered)
 		}
 	}
 	return b
@@ -84,18 +87,18 @@
 
 // Commit replaces the table by one that was written to the store.
 func (b *Book) Commit(table fulmarrange.Table) {
-	old := b.spans
+	old, former := b.spans, b.table.Fence()
 	b.table = table
 	b.spans = make(map[span]*status)
-	carry := func(claim fulmarrange.Claim, from, to int) {
-		k := span{claim, from, to}
+	carry := func(kind Kind, claim fulmarrange.Claim, from, to int) {
+		k := span{kind, claim, from, to}
 		if s := old[k]; s != nil {
 			b.spans[k] = s
 			return
 		}
 		// A part of a range that was granted or released stays so.
 		for o, s := range old {
-			if o.claim == claim && o.from <= from && o.to >= to {
+			if o.kind == kind && o.claim == claim && o.from <= from && o.to >= to {
 				c := *s
 				c.sent = false
 				b.spans[k] = &c
@@ -103,16 +106,16 @@
 			}
 		}
 	}
-	stale := make(map[fulmarrange.Life]bool) // lives of which a claim was already granted or released
+	stale := make(map[fulmarrange.Life]bool) // lives with a fence that was in use before
 	for _, s := range table.Segments() {
 		if s.Owned() {
-			carry(s.Owner, s.From, s.To)
-			if st := b.spans[span{s.Owner, s.From, s.To}]; st != nil && st.done {
+			carry(Grant, s.Owner, s.From, s.To)
+			if s.Owner.Fence <= former {
 				stale[s.Owner.Life] = true
 			}
 		}
 		for _, p := range s.Prior {
-			carry(p, s.From, s.To)
+			carry(Release, p, s.From, s.To)
 		}
 	}
 	// A life whose connection was lost can be granted keys again once all of them have new fences.
@@ -123,25 +126,6 @@
 	}
 }
 
-// Observe records the newest life of an id. Older lives under the id hold nothing any more.
-func (b *Book) Observe(life fulmarrange.Life) {
-	old, ok := b.last[life.ID]
-	if ok && old.Born >= life.Born {
-		return
-	}
-	b.last[life.ID] = life
-	for _, s := range b.table.Segments() {
-		for _, c := range append([]fulmarrange.Claim{s.Owner}, s.Prior...) {
-			if c.Life.ID == life.ID && c.Life.Born < life.Born {
-				b.ledger.Ended(c.Life)
-			}
-		}
-	}
-}
-
-// Ended records that a life has ended: it holds nothing any more.
-func (b *Book) Ended(life fulmarrange.Life) { b.ledger.Ended(life) }
-
 func (b *Book) status(k span) *status {
 	s := b.spans[k]
 	if s == nil {
@@ -155,7 +139,7 @@
 func (b *Book) clear(now time.Time, s fulmarrange.Segment) (bool, time.Time) {
 	all, at := true, time.Time{}
 	for _, p := range s.Prior {
-		if free, until := b.ledger.Free(now, p.Life, s.From, s.To); !free {
+		if free, until := b.ledger.Free(now, p.Life.ID, s.From, s.To); !free {
 			all = false
 			if until.After(at) {
 				at = until
@@ -176,10 +160,10 @@
 	var best *status
 	for _, s := range b.table.Segments() {
 		for _, p := range s.Prior {
-			if p.Life != life {
+			if p.Life.ID != life.ID {
 				continue
 			}
-			st := b.status(span{p, s.From, s.To})
+			st := b.status(span{Release, p, s.From, s.To})
 			if st.done || st.sent {
 				continue
 			}
@@ -188,12 +172,12 @@
 				continue
 			}
 			// Releases go first: another target waits for them.
-			return Order{Kind: Release, Life: life, From: s.From, To: s.To, Fence: p.Fence}, 0, true
+			return Order{Kind: Release, Life: p.Life, From: s.From, To: s.To, Fence: p.Fence}, 0, true
 		}
 		if s.Owner.Life != life || b.Uncertain(life) {
 			continue
 		}
-		st := b.status(span{s.Owner, s.From, s.To})
+		st := b.status(span{Grant, s.Owner, s.From, s.To})
 		if st.sent {
 			continue
 		}
@@ -213,7 +197,7 @@
 			best = st
 			o = Order{
 				Kind: Grant, Life: life, From: s.From, To: s.To, Fence: s.Owner.Fence, Hold: b.hold,
-				Handover: b.handover(s), Kept: st.done && b.known[life],
+				Handover: b.handover(s), Kept: b.known[life],
 			}
 		}
 	}
@@ -223,7 +207,7 @@
 // handover returns what the last holder of the segment gave for its new owner.
 func (b *Book) handover(s fulmarrange.Segment) string {
 	for i := len(s.Prior) - 1; i >= 0; i-- {
-		if st := b.spans[span{s.Prior[i], s.From, s.To}]; st != nil && st.handover != "" {
+		if st := b.spans[span{Release, s.Prior[i], s.From, s.To}]; st != nil && st.handover != "" {
 			return st.handover
 		}
 	}
@@ -231,14 +215,14 @@
 }
 
 func (b *Book) key(o Order) span {
-	return span{fulmarrange.Claim{Life: o.Life, Fence: o.Fence}, o.From, o.To}
+	return span{o.Kind, fulmarrange.Claim{Life: o.Life, Fence: o.Fence}, o.From, o.To}
 }
 
 // Sending records that the order is about to be sent.
 func (b *Book) Sending(o Order) fulmarledger.Grant {
 	b.status(b.key(o)).sent = true
 	if o.Kind == Grant {
-		return b.ledger.Enter(o.Life, o.From, o.To, o.Hold)
+		return b.ledger.Enter(o.Life.ID, o.From, o.To, o.Hold)
 	}
 	return 0
 }
@@ -249,24 +233,24 @@
 	if o.Kind == Grant {
 		switch {
 		case err == nil:
-			b.ledger.Answered(now, o.Life, entry)
+			b.ledger.Answered(now, o.Life.ID, entry)
 		case errors.Is(err, ErrUnanswered):
-			b.ledger.Lost(now, o.Life, entry)
+			b.ledger.Lost(now, o.Life.ID, entry)
 		default:
-			b.ledger.Refused(o.Life, entry)
+			b.ledger.Refused(o.Life.ID, entry)
 		}
 	} else if err == nil {
-		b.ledger.Released(o.Life, o.From, o.To)
+		b.ledger.Released(o.Life.ID, o.From, o.To)
 	}
 	if err == nil || errors.Is(err, ErrRefused) {
-		delete(b.stalls, o.Life)
+		delete(b.stalls, o.Life.ID)
 	} else {
-		s := b.stalls[o.Life]
+		s := b.stalls[o.Life.ID]
 		if s.count == 0 {
 			s.since = now
 		}
 		s.count++
-		b.stalls[o.Life] = s
+		b.stalls[o.Life.ID] = s
 	}
 	st := b.spans[b.key(o)]
 	if st == nil {
@@ -275,7 +259,7 @@
 	st.sent = false
 	if err != nil {
 		st.next = now.Add(b.timing.Retry)
-		if errors.Is(err, ErrUnsent) && o.Kept {
+		if o.Kind == Grant && (errors.Is(err, ErrUnanswered) || errors.Is(err, ErrUnsent) && o.Kept) {
 			b.known[o.Life] = false
 		}
 		return false
@@ -292,15 +276,15 @@
 
 // Stalled returns how long orders to the life have failed without one that succeeded, and how many did.
 func (b *Book) Stalled(now time.Time, life fulmarrange.Life) (time.Duration, int) {
-	s, ok := b.stalls[life]
+	s, ok := b.stalls[life.ID]
 	if !ok {
 		return 0, 0
 	}
 	return now.Sub(s.since), s.count
 }
 
-// Uncertain reports whether the life lost the connection on which it had answered, so that another life may
-// have taken its place. Its keys need new fences before they are granted again.
+// Uncertain reports whether the life may have been granted keys over a connection that is no longer used, so
+// that another life may have taken its place since. Its keys need new fences before they are granted again.
 func (b *Book) Uncertain(life fulmarrange.Life) bool {
 	known, ok := b.known[life]
 	return ok && !known
@@ -308,11 +292,11 @@
 
 // Holds reports whether the owner of the segment was granted its keys and can hold them at now.
 func (b *Book) Holds(now time.Time, s fulmarrange.Segment) bool {
-	st := b.spans[span{s.Owner, s.From, s.To}]
+	st := b.spans[span{Grant, s.Owner, s.From, s.To}]
 	if st != nil && st.done {
 		return true
 	}
-	return len(s.Prior) == 0 && s.Owned() && b.ledger.Until(s.Owner.Life, s.From, s.To).After(now)
+	return len(s.Prior) == 0 && s.Owned() && b.ledger.Until(s.Owner.Life.ID, s.From, s.To).After(now)
 }
 
 // Settled returns the prior claims that need no longer stand in the table: keys of the segment were granted
@@ -323,7 +307,7 @@
 		if len(s.Prior) == 0 {
 			continue
 		}
-		if st := b.spans[span{s.Owner, s.From, s.To}]; st != nil && st.done {
+		if st := b.spans[span{Grant, s.Owner, s.From, s.To}]; st != nil && st.done {
 			out = append(out, s)
 		}
 	}
--- /dev/null
+++ b/pkg/fulmarorder/book_test.go
@@ -0,0 +1,139 @@
+package fulmarorder_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarorder"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
+)
+
+var (
+	lifeA = fulmarrange.Life{ID: "a", Born: 1}
+	lifeB = fulmarrange.Life{ID: "b", Born: 1}
+)
+
+// book is a book with the targets' answers at hand.
+type book struct {
+	*fulmarorder.Book
+	g   *WithT
+	now time.Time
+}
+
+func newBook(t *testing.T, table fulmarrange.Table) *book {
+	now := time.Unix(1000, 0)
+	return &book{Book: fulmarorder.New(now, table, modelTiming), g: NewWithT(t), now: now}
+}
+
+// next expects an order of the kind for the keys and sends it.
+func (b *book) next(life fulmarrange.Life, kind fulmarorder.Kind, from, to int, handover string, err error) fulmarorder.Order {
+	o, _, ok := b.Next(b.now, life)
+	b.g.ExpectWithOffset(1, ok).To(BeTrue(), "no order is due")
+	b.g.ExpectWithOffset(1, []any{o.Kind, o.From, o.To}).To(Equal([]any{kind, from, to}))
+	b.Sent(b.now, o, b.Sending(o), handover, err)
+	return o
+}
+
+// idle expects that no order is due.
+func (b *book) idle(life fulmarrange.Life) {
+	_, _, ok := b.Next(b.now, life)
+	b.g.ExpectWithOffset(1, ok).To(BeFalse(), "an order is due")
+}
+
+func (b *book) holds(key int) bool { return b.Holds(b.now, b.Table().Find(key)) }
+
+func TestBook(t *testing.T) {
+	owned := fulmarrange.New().WithOwner(0, fulmarrange.Last, lifeA)
+
+	// Guards against a move that waits until the old grant lapses: the status of the grant was taken for that
+	// of the release, so releases were never sent.
+	t.Run("releases keys before their new owner gets them", func(t *testing.T) {
+		b := newBook(t, fulmarrange.New())
+		b.Commit(owned)
+		b.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", nil)
+		b.Commit(owned.WithOwner(100, 200, lifeB))
+		b.idle(lifeB)
+		b.g.Expect(b.holds(150)).To(BeFalse())
+		b.next(lifeA, fulmarorder.Release, 100, 200, "token", nil)
+		o := b.next(lifeB, fulmarorder.Grant, 100, 200, "", nil)
+		b.g.Expect(o.Handover).To(Equal("token"))
+		b.g.Expect(b.holds(150)).To(BeTrue())
+		b.g.Expect(b.holds(99)).To(BeTrue())
+		b.g.Expect(b.Settled()).To(HaveLen(1))
+	})
+
+	t.Run("renews grants over the same connection", func(t *testing.T) {
+		b := newBook(t, fulmarrange.New())
+		b.Commit(owned)
+		first := b.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", nil)
+		b.idle(lifeA)
+		b.now = b.now.Add(modelTiming.Renew)
+		second := b.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", nil)
+		b.g.Expect([]bool{first.Kept, second.Kept}).To(Equal([]bool{false, true}))
+		b.g.Expect(second.Fence).To(Equal(first.Fence))
+	})
+
+	// Guards against keys of a silent target that go to another one while it may still hold them.
+	t.Run("waits until the grant of a silent target has lapsed", func(t *testing.T) {
+		b := newBook(t, fulmarrange.New())
+		b.Commit(owned)
+		b.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", nil)
+		b.Commit(owned.WithOwner(0, fulmarrange.Last, lifeB))
+		b.next(lifeA, fulmarorder.Release, 0, fulmarrange.Last, "", fulmarorder.ErrUnanswered)
+		b.now = b.now.Add(modelHold)
+		b.idle(lifeB)
+		b.now = b.now.Add(modelHold/20 + 100*time.Millisecond)
+		b.next(lifeB, fulmarorder.Grant, 0, fulmarrange.Last, "", nil)
+	})
+
+	// Guards against grants of a former leader that were not answered and are carried out after the release.
+	t.Run("waits for unanswered grants of a former leader", func(t *testing.T) {
+		b := newBook(t, owned)
+		b.Commit(owned.WithOwner(0, fulmarrange.Last, lifeB))
+		b.next(lifeA, fulmarorder.Release, 0, fulmarrange.Last, "", nil)
+		b.idle(lifeB)
+		b.now = b.now.Add(modelHold)
+		b.idle(lifeB)
+		b.now = b.now.Add(modelHold / 20)
+		b.next(lifeB, fulmarorder.Grant, 0, fulmarrange.Last, "", nil)
+	})
+
+	// Guards against a fence that two lives of one target get.
+	t.Run("asks for new fences when the connection was lost", func(t *testing.T) {
+		b := newBook(t, fulmarrange.New())
+		b.Commit(owned)
+		b.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", nil)
+		b.now = b.now.Add(modelTiming.Renew)
+		b.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", fulmarorder.ErrUnsent)
+		b.now = b.now.Add(modelTiming.Renew)
+		b.idle(lifeA)
+		b.g.Expect(b.Uncertain(lifeA)).To(BeTrue())
+		b.Commit(owned.WithRenewedFence(0, fulmarrange.Last))
+		o := b.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", nil)
+		b.g.Expect(o.Kept).To(BeFalse())
+		b.g.Expect(o.Fence).To(BeEquivalentTo(2))
+	})
+
+	t.Run("extends grants at once when told to", func(t *testing.T) {
+		b := newBook(t, fulmarrange.New())
+		b.Commit(owned)
+		b.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", nil)
+		b.WithHold(b.now, modelHoldMax)
+		o := b.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", nil)
+		b.g.Expect(o.Hold).To(Equal(modelHoldMax))
+	})
+
+	t.Run("counts orders that fail in a row", func(t *testing.T) {
+		b := newBook(t, fulmarrange.New())
+		b.Commit(owned)
+		for range 2 {
+			b.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", fulmarorder.ErrUnsent)
+			b.now = b.now.Add(modelTiming.Retry)
+		}
+		since, count := b.Stalled(b.now, lifeA)
+		b.g.Expect(count).To(Equal(2))
+		b.g.Expect(since).To(Equal(2 * modelTiming.Retry))
+	})
+}
--- /dev/null
+++ b/pkg/fulmarorder/safety_test.go
@@ -0,0 +1,264 @@
+package fulmarorder_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarledger"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarorder"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
+)
+
+const (
+	modelHold    = 1900 * time.Millisecond
+	modelHoldMax = 10 * time.Second
+	modelKeys    = 64 // keys that moves touch; few, so that moves meet
+)
+
+var modelTiming = fulmarorder.Timing{
+	Hold: modelHold, Renew: 450 * time.Millisecond, Retry: 100 * time.Millisecond, HoldMax: modelHoldMax,
+}
+
+// held is what a target believes of one key.
+type held struct {
+	until time.Time
+	fence int64
+}
+
+// modelTarget follows the users' description of a target: a grant is refused if a greater fence was seen on one
+// of its keys, its time counts from its arrival by a clock that may be slow, a release is never refused.
+type modelTarget struct {
+	life fulmarrange.Life
+	cut  bool // from the leader
+	// fresh marks a life that the leader has not read of: orders for the former life reach it.
+	fresh bool
+	keys  [modelKeys]held
+}
+
+func (m *modelTarget) grant(now, arrived time.Time, o fulmarorder.Order) bool {
+	for k := o.From; k <= min(o.To, modelKeys-1); k++ {
+		if m.keys[k].fence > o.Fence {
+			return false
+		}
+	}
+	until := arrived.Add(o.Hold * 102 / 100)
+	for k := o.From; k <= min(o.To, modelKeys-1); k++ {
+		m.keys[k].fence = o.Fence
+		if until.After(now) {
+			m.keys[k].until = until
+		}
+	}
+	return true
+}
+
+func (m *modelTarget) release(now time.Time, o fulmarorder.Order) {
+	for k := o.From; k <= min(o.To, modelKeys-1); k++ {
+		if m.keys[k].until.After(now) {
+			m.keys[k].until = now
+		}
+	}
+}
+
+// late is an unanswered grant that is carried out later.
+type late struct {
+	at, arrived time.Time
+	order       fulmarorder.Order
+}
+
+// model runs a book against targets under faults.
+type model struct {
+	t       *rapid.T
+	now     time.Time
+	table   fulmarrange.Table
+	book    *fulmarorder.Book
+	targets map[string]*modelTarget
+	late    []late
+	fences  [modelKeys]map[fulmarrange.Life]int64 // greatest fence by life
+}
+
+func (m *model) check() {
+	for k := range modelKeys {
+		holders := 0
+		for _, t := range m.targets {
+			if t.keys[k].until.After(m.now) {
+				holders++
+			}
+		}
+		if holders > 1 {
+			m.t.Fatalf("key %d has %d holders at %s", k, holders, m.now)
+		}
+	}
+}
+
+// applied checks that a life takes a key only under a fence above those of all other lives.
+func (m *model) applied(o fulmarorder.Order) {
+	for k := o.From; k <= min(o.To, modelKeys-1); k++ {
+		for life, fence := range m.fences[k] {
+			if life != o.Life && fence >= o.Fence {
+				m.t.Fatalf("key %d goes to %v with fence %d, %v had %d", k, o.Life, o.Fence, life, fence)
+			}
+		}
+		if m.fences[k] == nil {
+			m.fences[k] = make(map[fulmarrange.Life]int64)
+		}
+		m.fences[k][o.Life] = max(m.fences[k][o.Life], o.Fence)
+	}
+}
+
+func (m *model) advance(d time.Duration) {
+	end := m.now.Add(d)
+	for i := 0; i < len(m.late); {
+		l := m.late[i]
+		if l.at.After(end) {
+			i++
+			continue
+		}
+		m.late = append(m.late[:i], m.late[i+1:]...)
+		m.now = l.at
+		lasts := l.arrived.Add(l.order.Hold * 102 / 100)
+		if t := m.targets[l.order.Life.ID]; t.life == l.order.Life && t.grant(m.now, l.arrived, l.order) && lasts.After(m.now) {
+			m.applied(l.order)
+		}
+		m.check()
+	}
+	m.now = end
+	m.check()
+}
+
+// observe lets the leader read the targets' entries.
+func (m *model) observe() {
+	for _, t := range m.targets {
+		t.fresh = false
+	}
+}
+
+// order sends the next order of a target, with an outcome that is drawn.
+func (m *model) order(id string) {
+	t := m.targets[id]
+	life := t.life
+	if t.fresh {
+		life.Born--
+	}
+	o, _, ok := m.book.Next(m.now, life)
+	if !ok {
+		return
+	}
+	entry := m.book.Sending(o)
+	if o.Kept && t.fresh {
+		m.book.Sent(m.now, o, entry, "", fulmarorder.ErrUnsent) // the connection ended with the former life
+		return
+	}
+	outcome := rapid.IntRange(0, 9).Draw(m.t, "outcome")
+	switch {
+	case t.cut || outcome == 0:
+		m.book.Sent(m.now, o, entry, "", fulmarorder.ErrUnsent)
+	case outcome == 1: // not answered and not done
+		m.advance(500 * time.Millisecond)
+		m.book.Sent(m.now, o, entry, "", fulmarorder.ErrUnanswered)
+	case outcome == 2: // not answered, done at once or later
+		delay := time.Duration(rapid.IntRange(0, 4000).Draw(m.t, "delay")) * time.Millisecond
+		if o.Kind == fulmarorder.Grant {
+			m.late = append(m.late, late{m.now.Add(delay), m.now, o})
+		} else {
+			t.release(m.now, o)
+		}
+		m.advance(500 * time.Millisecond)
+		m.book.Sent(m.now, o, entry, "", fulmarorder.ErrUnanswered)
+	case o.Kind == fulmarorder.Release:
+		t.release(m.now, o)
+		m.book.Sent(m.now, o, entry, "x", nil)
+	case t.grant(m.now, m.now, o):
+		taken := o
+		taken.Life = t.life
+		m.applied(taken)
+		m.book.Sent(m.now, o, entry, "", nil)
+	default:
+		m.book.Sent(m.now, o, entry, "", fulmarorder.ErrRefused)
+	}
+	m.check()
+}
+
+// move gives keys another owner, as a committed table.
+func (m *model) move(id string) {
+	from := rapid.IntRange(0, modelKeys-1).Draw(m.t, "from")
+	to := rapid.IntRange(from, modelKeys-1).Draw(m.t, "to")
+	m.table = m.table.WithOwner(from, to, m.targets[id].life)
+	m.book.Commit(m.table)
+}
+
+// settle drops earlier owners that no longer matter.
+func (m *model) settle() {
+	for _, s := range m.book.Settled() {
+		for _, p := range s.Prior {
+			m.table = m.table.WithoutPrior(s.From, s.To, p)
+		}
+	}
+	for _, s := range m.table.Segments() {
+		if s.Owned() && m.book.Uncertain(s.Owner.Life) {
+			m.table = m.table.WithRenewedFence(s.From, s.To)
+		}
+	}
+	m.book.Commit(m.table)
+}
+
+// Guards against two targets that hold a key at once: with unanswered grants that are carried out late, slow
+// clocks, targets that crash and start again, and new leaders that know only the table.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{t: t, now: time.Unix(1000, 0), table: fulmarrange.New(), targets: make(map[string]*modelTarget)}
+		for i := range 3 {
+			id := fmt.Sprintf("t%d", i)
+			m.targets[id] = &modelTarget{life: fulmarrange.Life{ID: id, Born: 1}}
+		}
+		m.book = fulmarorder.New(m.now, m.table, modelTiming)
+		ids := rapid.SampledFrom([]string{"t0", "t1", "t2"})
+		for range 300 {
+			id := ids.Draw(t, "id")
+			switch action := rapid.IntRange(0, 19).Draw(t, "action"); {
+			case action < 11:
+				m.order(id)
+			case action < 14:
+				m.advance(time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond)
+			case action < 16:
+				m.move(id)
+			case action < 17:
+				m.settle()
+			case action == 17: // the target ends and starts again; its entry may be read later
+				target := m.targets[id]
+				next := &modelTarget{life: fulmarrange.Life{ID: id, Born: target.life.Born + 1}, fresh: true}
+				m.targets[id] = next
+				if rapid.Bool().Draw(t, "read") {
+					m.observe()
+				}
+			case action == 18: // a new leader follows one whose lease has ended
+				m.advance(1200 * time.Millisecond)
+				m.book = fulmarorder.New(m.now, m.table, modelTiming)
+				m.observe()
+				m.settle()
+			default:
+				m.targets[id].cut = !m.targets[id].cut
+			}
+		}
+	})
+}
+
+// Guards against a ledger that lets a grant lapse earlier than a target with a slow clock does.
+func TestLapse(t *testing.T) {
+	l := fulmarledger.New()
+	const id = "a"
+	now := time.Unix(1000, 0)
+	entry := l.Enter(id, 0, 10, time.Second)
+	if free, at := l.Free(now, id, 5, 5); free || !at.IsZero() {
+		t.Fatal("keys are free while a grant is on its way")
+	}
+	l.Answered(now, id, entry)
+	if free, _ := l.Free(now.Add(1019*time.Millisecond), id, 5, 5); free {
+		t.Fatal("keys are free before a slow clock lets the grant lapse")
+	}
+	if free, _ := l.Free(now.Add(1100*time.Millisecond), id, 5, 5); !free {
+		t.Fatal("keys are never free")
+	}
+}
