Take settings over on SIGHUP, and no own pause for an outage

Change: SIGHUP and a changed file reload the settings; an outage is a second of failed reads; the list of before is the one in force, not the reader's own. Ruled out: late news of the leader (the list had been read 1.3 s before).

--- a/cmd/fulmarbend/front.go
+++ b/cmd/fulmarbend/front.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -57,5 +60,48 @@
 	}
 	stop, cancel := untilSignal(ctx, log)
 	defer cancel()
+	go watchSettings(stop, path, settings, daemon, log)
 	return daemon.Run(stop)
 }
+
+// fileEvery is the time between looks at the settings file, which may change without a signal.
+const fileEvery = 2 * time.Second
+
+// watchSettings reloads the settings on SIGHUP and when their file has changed.
+func watchSettings(ctx context.Context, path string, old fulmarfront.Settings, daemon *fulmarfront.Front, log *slog.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(fileEvery)
+	defer ticker.Stop()
+	var written time.Time
+	if info, err := os.Stat(path); err == nil {
+		written = info.ModTime()
+	}
+	for {
+		signalled := false
+		select {
+		case <-signals:
+			signalled = true
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		info, err := os.Stat(path)
+		if err == nil && !signalled && info.ModTime().Equal(written) {
+			continue
+		}
+		if err == nil {
+			written = info.ModTime()
+		}
+		s, err := fulmarboot.Load(path)
+		if err != nil {
+			log.Warn("settings not reloaded, the former ones stay in force", "signal", signalled, "error", err)
+			continue
+		}
+		if signalled || s != old {
+			daemon.Reload(s)
+		}
+		old = s
+	}
+}
--- a/internal/fulmarfollow/follower.go
+++ b/internal/fulmarfollow/follower.go
@@ -119,7 +119,8 @@
 func (f *Follower) read(ctx context.Context) (*fulmarsnapshot.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	s, err := f.reader.Read(ctx)
+	view := f.views.Get()
+	s, err := f.reader.Read(ctx, view.Catalog, view.Known)
 	if err != nil {
 		return nil, err
 	}
@@ -134,7 +135,7 @@
 
 // run leads if the election succeeds; it returns when the lease is lost.
 func (f *Follower) run(ctx context.Context, s *fulmarsnapshot.Snapshot) bool {
-	term, err := fulmarlead.Begin(ctx, f.lead, s)
+	term, err := fulmarlead.Begin(ctx, f.lead, f.reader, s)
 	if err != nil {
 		level := slog.LevelWarn
 		if errors.Is(err, fulmarkv.ErrConflict) {
--- a/internal/fulmarfront/front.go
+++ b/internal/fulmarfront/front.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,16 +66,19 @@
 
 // Front is one daemon.
 type Front struct {
-	settings Settings
-	platform Platform
-	log      *slog.Logger
-	metrics  *fulmarmetric.Metrics
-	views    *fulmarview.Holder
-	pool     *fulmarlink.Pool // for requests
-	orders   *fulmarlink.Pool // for orders
-	follower *fulmarfollow.Follower
-	server   *fulmarserve.Server
-	leaving  chan struct{}
+	settings  Settings                 // at the start
+	current   atomic.Pointer[Settings] // after the last reload
+	platform  Platform
+	log       *slog.Logger
+	metrics   *fulmarmetric.Metrics
+	views     *fulmarview.Holder
+	pool      *fulmarlink.Pool // for requests
+	orders    *fulmarlink.Pool // for orders
+	store     *switched
+	allowance *fulmarallowance.Allowance
+	follower  *fulmarfollow.Follower
+	server    *fulmarserve.Server
+	leaving   chan struct{}
 }
 
 // New returns a daemon that does nothing until Run.
@@ -89,19 +93,21 @@
 	f := &Front{
 		settings: s, platform: p, log: log, metrics: metrics, views: fulmarview.New(),
 		pool: fulmarlink.New(link), orders: fulmarlink.New(link), leaving: make(chan struct{}),
+		store: newSwitched(p.Store(s.Store, storeClient())), allowance: fulmarallowance.New(s.Retries),
 	}
+	f.current.Store(&s)
 	board := fulmarpick.New(samples, rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	loads := fulmarloads.New(board)
 	f.follower = fulmarfollow.New(fulmarlead.Deps{
-		ID: s.ID, Address: s.Listen.Peers, Store: p.Store(s.Store, storeClient()), Registry: p.Registry,
+		ID: s.ID, Address: s.Listen.Peers, Store: f.store, Registry: p.Registry,
 		Orders: p.Orders(f.orders), Views: f.views, HoldMax: s.HoldMax, Log: log, Now: fulmarclock.Now,
 	}, loads, func(ctx context.Context, address string) (fulmarfollow.Leader, error) {
 		return fulmarsync.Dial(ctx, address)
 	})
 	relay := fulmarrelay.New(fulmarrelay.Deps{
 		Names: p.Names, DC: s.DC, Views: f.views, Pool: f.pool, Board: board,
-		Splitter: fulmarroute.NewSplitter(), Allowance: fulmarallowance.New(s.Retries), Loads: loads,
-		Metrics: metrics, Log: log, Now: time.Now, Clock: fulmarclock.Now, Drain: s.Drain - drainMargin,
+		Splitter: fulmarroute.NewSplitter(), Allowance: f.allowance, Loads: loads,
+		Metrics: metrics, Log: log, Now: time.Now, Clock: fulmarclock.Now, Drain: func() time.Duration { return f.current.Load().Drain - drainMargin },
 	})
 	f.server = fulmarserve.New(relay, f.limits, log)
 	return f, nil
@@ -186,7 +192,7 @@
 	close(f.leaving)
 	f.server.Drain()
 	resign()
-	for time.Since(began) < f.settings.Grace-lastCall {
+	for time.Since(began) < f.current.Load().Grace-lastCall {
 		if time.Since(began) > noticed {
 			f.server.CloseIdle()
 			if f.server.Busy() == 0 && f.server.Connections() == 0 {
--- a/internal/fulmarlead/term.go
+++ b/internal/fulmarlead/term.go
@@ -69,8 +69,9 @@
 
 // Term is one time of leading.
 type Term struct {
-	deps Deps
-	seat seat
+	deps   Deps
+	reader *fulmarsnapshot.Reader
+	seat   seat
 
 	mu       sync.Mutex
 	valid    time.Time // the lease surely holds until then
@@ -97,13 +98,14 @@
 }
 
 // Begin tries to become the leader after the snapshot showed that nobody leads.
-func Begin(ctx context.Context, d Deps, s *fulmarsnapshot.Snapshot) (*Term, error) {
+// The term uses reader until it ends.
+func Begin(ctx context.Context, d Deps, reader *fulmarsnapshot.Reader, s *fulmarsnapshot.Snapshot) (*Term, error) {
 	acquired, err := acquire(ctx, d)
 	if err != nil {
 		return nil, err
 	}
 	return &Term{
-		deps: d, seat: acquired, valid: acquired.valid, kept: d.Now(), snapshot: s,
+		deps: d, reader: reader, seat: acquired, valid: acquired.valid, kept: d.Now(), snapshot: s,
 		shards: make(map[string]*shard), workers: make(map[fulmarrange.Life]*worker),
 		times: make(map[string]map[string]time.Duration), daemons: make(map[string]time.Time),
 		changed: make(chan struct{}),
@@ -117,14 +119,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t.group.Go(func() { defer cancel(); t.keepLoop(ctx) })
-	reader := fulmarsnapshot.New(t.deps.Store, t.deps.Registry, log, t.deps.Now)
 	// The snapshot that preceded the election may be older than the last change of the former leader.
-	if !t.read(ctx, reader) && !t.awaitRead(ctx, reader) {
+	if !t.read(ctx) && !t.awaitRead(ctx) {
 		cancel()
 		t.group.Wait()
 		return
 	}
-	t.group.Go(func() { t.readLoop(ctx, reader) })
+	t.group.Go(func() { t.readLoop(ctx) })
 	t.planLoop(ctx, cancel)
 	cancel()
 	t.dismiss()
@@ -134,9 +135,9 @@
 }
 
 // awaitRead repeats the first read until it succeeds.
-func (t *Term) awaitRead(ctx context.Context, reader *fulmarsnapshot.Reader) bool {
+func (t *Term) awaitRead(ctx context.Context) bool {
 	for sleep(ctx, retry) {
-		if t.read(ctx, reader) {
+		if t.read(ctx) {
 			return true
 		}
 	}
@@ -228,17 +229,20 @@
 	}
 }
 
-func (t *Term) readLoop(ctx context.Context, reader *fulmarsnapshot.Reader) {
+func (t *Term) readLoop(ctx context.Context) {
 	for sleep(ctx, readEvery) {
-		t.read(ctx, reader)
+		t.read(ctx)
 	}
 }
 
 // read takes a snapshot and adopts it.
-func (t *Term) read(ctx context.Context, reader *fulmarsnapshot.Reader) bool {
+func (t *Term) read(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	s, err := reader.Read(callCtx)
+	t.mu.Lock()
+	former := t.snapshot
+	t.mu.Unlock()
+	s, err := t.reader.Read(callCtx, former.Catalog, former.Taken)
 	if err != nil {
 		return false
 	}
--- a/internal/fulmarrelay/attempt.go
+++ b/internal/fulmarrelay/attempt.go
@@ -121,7 +121,7 @@
 		span, ok := view.Owners[x.service.Name].Find(x.key)
 		if ok && span.Ready {
 			t, known := view.Catalog.Target(span.Target)
-			if known && !x.tried[t.ID] && t.Open(d.Clock(), d.Drain) {
+			if known && !x.tried[t.ID] && t.Open(d.Clock(), d.Drain()) {
 				if !d.Board.Start(t.ID, perTarget) {
 					return t, Full
 				}
--- a/internal/fulmarrelay/relay.go
+++ b/internal/fulmarrelay/relay.go
@@ -41,8 +41,8 @@
 	Metrics   Metrics
 	Log       *slog.Logger
 	Now       func() time.Time
-	Clock     func() time.Time // the clock of the times in views
-	Drain     time.Duration    // for which a leaving target takes requests for its keys
+	Clock     func() time.Time     // the clock of the times in views
+	Drain     func() time.Duration // for which a leaving target takes requests for its keys
 }
 
 // Relay serves callers' requests; it is safe for concurrent use.
--- a/internal/fulmarsnapshot/reader.go
+++ b/internal/fulmarsnapshot/reader.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// Read returns the present state.
-func (r *Reader) Read(ctx context.Context) (*Snapshot, error) {
+// Read returns the present state. former is the list of targets of before, which contained all changes up to known.
+func (r *Reader) Read(ctx context.Context, former *fulmarcatalog.Catalog, known time.Time) (*Snapshot, error) {
 	taken := r.now()
 	items, err := r.store.Scan(ctx, "")
 	if err != nil {
@@ -69,6 +69,7 @@
 			r.log.Warn("store lost", "error", err)
 		}
 		r.failing = true
+		r.tracker.Failed(taken)
 		return nil, errors.Wrap(err, "fulmarsnapshot: read")
 	}
 	if r.failing {
@@ -105,7 +106,7 @@
 	if r.tables != nil {
 		s.Tables, s.TablesRevision, s.TablesValue = r.tables, r.tablesRevision, r.tablesValue
 	}
-	s.Catalog = r.tracker.Read(taken, targets)
+	s.Catalog = r.tracker.Read(taken, targets, former, known)
 	return s, nil
 }
 
--- a/pkg/fulmarallowance/allowance.go
+++ b/pkg/fulmarallowance/allowance.go
@@ -52,6 +52,19 @@
 	return c
 }
 
+// SetRule replaces the bound; what was counted stays if the window has the same length.
+func (a *Allowance) SetRule(r Rule) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.Window <= 0 {
+		panic("fulmarallowance: window must be positive")
+	}
+	if r.Window != a.rule.Window {
+		a.services = make(map[string]*[buckets + 1]counts)
+	}
+	a.rule, a.step = r, r.Window/buckets
+}
+
 // Request records a caller's request for the service.
 func (a *Allowance) Request(now time.Time, service string) {
 	a.mu.Lock()
--- a/pkg/fulmarcatalog/tracker.go
+++ b/pkg/fulmarcatalog/tracker.go
@@ -6,71 +6,69 @@
 // living targets are back.
 const Returning = 2 * time.Second
 
-// gap is the time without a successful read that counts as an outage; it is
-// over three reads at the usual pace.
-const gap = 1800 * time.Millisecond
+// outage is the time of failed reads from which entries of living targets may have ended meanwhile.
+const outage = time.Second
+
+// forever is the time for which a target may have been leaving that was leaving when it was first seen.
+const forever = time.Hour
 
 // Tracker derives a Catalog from each of successive reads; it is not safe for concurrent use.
 type Tracker struct {
-	last    time.Time // of the last successful read
+	failing time.Time // first of the failed reads since the last successful one
 	until   time.Time // missing targets are kept until then
-	kept    map[string]Target
-	leaving map[string]time.Time // latest time at which each target was known not to be leaving
 }
 
-// NewTracker returns a tracker that has seen nothing.
-func NewTracker() *Tracker {
-	return &Tracker{kept: make(map[string]Target), leaving: make(map[string]time.Time)}
+// NewTracker returns a tracker that has seen no failures.
+func NewTracker() *Tracker { return &Tracker{} }
+
+// Failed records a read that failed at now.
+func (k *Tracker) Failed(now time.Time) {
+	if k.failing.IsZero() {
+		k.failing = now
+	}
 }
 
-// Read takes the targets of a complete read at now and returns the catalog that is in force. Targets that
-// are missing are kept for a while if the read follows an outage.
-func (k *Tracker) Read(now time.Time, targets []Target) *Catalog {
-	if !k.last.IsZero() && now.Sub(k.last) > gap {
+// Read takes the targets of a complete read at now and returns the catalog that is in force. former is the
+// catalog of before, which contained all changes up to known; it may be nil. Targets that are missing are kept
+// for a while if the read follows an outage.
+func (k *Tracker) Read(now time.Time, targets []Target, former *Catalog, known time.Time) *Catalog {
+	if !k.failing.IsZero() && now.Sub(k.failing) >= outage {
 		k.until = now.Add(Returning)
 	}
-	before := k.last
-	k.last = now
-	present := make(map[string]Target, len(targets))
+	k.failing = time.Time{}
+	present := make(map[string]bool, len(targets))
 	list := make([]Target, 0, len(targets))
 	for _, t := range targets {
 		t.Seen = now
-		t.For = k.leavingFor(now, before, t)
-		present[t.ID] = t
+		t.For = leavingFor(now, t, former, known)
+		present[t.ID] = true
 		list = append(list, t)
 	}
-	if now.Before(k.until) {
-		for id, t := range k.kept {
-			if _, ok := present[id]; !ok && !t.Leaving {
-				present[id] = t
+	if former != nil && now.Before(k.until) {
+		for id, t := range former.targets {
+			if !present[id] && !t.Leaving {
 				list = append(list, t)
 			}
 		}
 	}
-	k.kept = present
-	for id := range k.leaving {
-		if t, ok := present[id]; !ok || !t.Leaving {
-			delete(k.leaving, id)
-		}
-	}
 	return New(list)
 }
 
-// forever is the time for which a target may have been leaving that was leaving when it was first seen.
-const forever = time.Hour
-
 // leavingFor returns the longest time for which the target may have been leaving at now.
-func (k *Tracker) leavingFor(now, before time.Time, t Target) time.Duration {
+func leavingFor(now time.Time, t Target, former *Catalog, known time.Time) time.Duration {
 	if !t.Leaving {
 		return 0
 	}
-	since, ok := k.leaving[t.ID]
-	if !ok {
-		since = now.Add(-forever)
-		if old, seen := k.kept[t.ID]; seen && !old.Leaving {
-			since = before
-		}
-		k.leaving[t.ID] = since
+	if former == nil {
+		return forever
+	}
+	old, ok := former.targets[t.ID]
+	switch {
+	case !ok:
+		return forever
+	case old.Leaving:
+		return old.For + now.Sub(old.Seen)
+	default:
+		return now.Sub(known)
 	}
-	return now.Sub(since)
 }
--- /dev/null
+++ b/pkg/fulmarcatalog/tracker_test.go
@@ -0,0 +1,90 @@
+package fulmarcatalog_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func target(id string, leaving bool) fulmarcatalog.Target {
+	return fulmarcatalog.Target{ID: id, Born: 1, Service: "board", Slots: 3, Leaving: leaving}
+}
+
+func expectIDs(c *fulmarcatalog.Catalog, ids ...string) {
+	GinkgoHelper()
+	var got []string
+	for _, t := range c.Service("board") {
+		got = append(got, t.ID)
+	}
+	Expect(got).To(Equal(ids))
+}
+
+var _ = Describe("Tracker", func() {
+	var (
+		tracker *fulmarcatalog.Tracker
+		first   *fulmarcatalog.Catalog
+	)
+	BeforeEach(func() {
+		tracker = fulmarcatalog.NewTracker()
+		first = tracker.Read(start, []fulmarcatalog.Target{target("a", false), target("b", false)}, nil, time.Time{})
+		expectIDs(first, "a", "b")
+	})
+
+	// Guards against requests to targets that left long ago: a daemon that had not read for long because it
+	// followed a leader took its own pause for an outage of the store.
+	It("drops a target that is missing after a pause without failures", func() {
+		expectIDs(tracker.Read(at(time.Minute), []fulmarcatalog.Target{target("a", false)}, first, start), "a")
+	})
+
+	// Guards against keys that move, and requests that are refused, because entries ended while the store was away.
+	It("keeps missing targets for a while after an outage", func() {
+		tracker.Failed(at(500 * time.Millisecond))
+		tracker.Failed(at(4 * time.Second))
+		one := []fulmarcatalog.Target{target("a", false)}
+		c := tracker.Read(at(5*time.Second), one, first, start)
+		expectIDs(c, "a", "b")
+		c = tracker.Read(at(5*time.Second+fulmarcatalog.Returning-time.Millisecond), one, c, at(5*time.Second))
+		expectIDs(c, "a", "b")
+		expectIDs(tracker.Read(at(5*time.Second+fulmarcatalog.Returning), one, c, at(6*time.Second)), "a")
+	})
+
+	It("drops a missing target after a single failed read", func() {
+		tracker.Failed(at(500 * time.Millisecond))
+		expectIDs(tracker.Read(at(time.Second), []fulmarcatalog.Target{target("a", false)}, first, start), "a")
+	})
+
+	// Guards against requests that reach a leaving target after the time that it grants for them.
+	DescribeTable("bounds the time for which a target may have been leaving",
+		func(read func() *fulmarcatalog.Catalog, open bool) {
+			t, ok := read().Target("b")
+			Expect(ok).To(BeTrue())
+			Expect(t.Leaving).To(BeTrue())
+			Expect(t.Open(at(2*time.Second), 2*time.Second)).To(Equal(open))
+		},
+		Entry("by the last read at which it was not", func() *fulmarcatalog.Catalog {
+			return tracker.Read(at(time.Second), []fulmarcatalog.Target{target("b", true)}, first, at(100*time.Millisecond))
+		}, true),
+		Entry("over several reads", func() *fulmarcatalog.Catalog {
+			c := tracker.Read(at(time.Second), []fulmarcatalog.Target{target("b", true)}, first, start)
+			return tracker.Read(at(1500*time.Millisecond), []fulmarcatalog.Target{target("b", true)}, c, at(time.Second))
+		}, false),
+		Entry("not at all if it was leaving when it was first seen", func() *fulmarcatalog.Catalog {
+			return tracker.Read(at(time.Second), []fulmarcatalog.Target{target("b", true)}, nil, time.Time{})
+		}, false),
+	)
+
+	It("tells how times have passed since the read", func() {
+		cold := target("a", false)
+		cold.Cold = time.Second
+		c := tracker.Read(start, []fulmarcatalog.Target{cold}, nil, time.Time{})
+		Expect(c.At(at(300 * time.Millisecond))[0].Cold).To(Equal(700 * time.Millisecond))
+		Expect(c.Same(fulmarcatalog.New(c.At(at(time.Second))))).To(BeTrue())
+	})
+})
