Send daemons only the differences of owners and targets

Cause: each change of an owner sent the whole table and each change of a target the whole list to all daemons; at 123 daemons that was over half of the bytes between zones. Change: the leader keeps the last 32 versions and answers with what differs.

--- a/internal/fulmarfollow/follower.go
+++ b/internal/fulmarfollow/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -223,14 +224,22 @@
 		}
 		s.routes = routes
 	}
-	if u.HasTargets {
-		for i := range u.Targets {
-			u.Targets[i].Seen = now
-		}
-		s.catalog = fulmarcatalog.New(u.Targets)
+	for i := range u.Targets {
+		u.Targets[i].Seen = now
 	}
-	if u.HasOwners {
-		s.owners = u.Owners
+	if u.All || s.catalog == nil {
+		s.catalog, s.owners = fulmarcatalog.New(u.Targets), u.Owners
+	} else {
+		if len(u.Targets) > 0 || len(u.Gone) > 0 {
+			s.catalog = s.catalog.With(u.Targets, u.Gone)
+		}
+		if len(u.Owners) > 0 {
+			owners := maps.Clone(s.owners)
+			for name, changes := range u.Owners {
+				owners[name] = owners[name].With(changes)
+			}
+			s.owners = owners
+		}
 	}
 	s.have = u.Have
 	return nil
--- a/internal/fulmarfollow/follower_test.go
+++ b/internal/fulmarfollow/follower_test.go
@@ -130,7 +130,7 @@
 func (l *frozen) Sync(ctx context.Context, r *fulmarsync.Report) (*fulmarsync.Update, error) {
 	u := &fulmarsync.Update{Have: fulmarsync.Versions{Term: 1, Config: 1, Targets: 1}, Age: time.Since(l.since), Daemons: 2}
 	if r.Have != u.Have {
-		u.Config, u.Targets, u.HasTargets = &l.config, l.targets, true
+		u.Config, u.Targets, u.All = &l.config, l.targets, true
 		return u, nil
 	}
 	select {
--- a/internal/fulmarlead/publish.go
+++ b/internal/fulmarlead/publish.go
@@ -7,6 +7,7 @@
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsync"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 )
 
 // longPoll is how long a report waits for a change before it is answered without one.
@@ -25,10 +26,12 @@
 	if next.catalog == nil || !next.catalog.Same(t.snapshot.Catalog) {
 		next.catalog = t.snapshot.Catalog
 		next.have.Targets++
+		t.catalogs.add(next.have.Targets, next.catalog)
 	}
 	if owners := t.spans(now); !equal(owners, next.owners) {
 		next.owners = owners
 		next.have.Owners++
+		t.owned.add(next.have.Owners, next.owners)
 	}
 	woken := next.have != t.state.have
 	t.state = next
@@ -48,12 +51,7 @@
 	for name, s := range t.shards {
 		var spans fulmarview.Spans
 		for _, g := range s.book.Table().Segments() {
-			next := fulmarview.Span{From: g.From, To: g.To, Target: g.Owner.Life.ID, Ready: s.book.Holds(now, g)}
-			if n := len(spans); n > 0 && spans[n-1].Target == next.Target && spans[n-1].Ready == next.Ready {
-				spans[n-1].To = next.To
-				continue
-			}
-			spans = append(spans, next)
+			spans = spans.Join(fulmarview.Span{From: g.From, To: g.To, Target: g.Owner.Life.ID, Ready: s.book.Holds(now, g)})
 		}
 		out[name] = spans
 	}
@@ -127,10 +125,12 @@
 		}
 		s, changed := t.state, t.changed
 		daemons := t.count(now)
-		t.mu.Unlock()
 		if s.have != r.Have {
-			return update(now, s, r.Have, daemons), nil
+			u := t.update(now, r.Have, daemons)
+			t.mu.Unlock()
+			return u, nil
 		}
+		t.mu.Unlock()
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -144,19 +144,51 @@
 	}
 }
 
-// update returns the parts of s that have does not contain.
-func update(now time.Time, s state, have fulmarsync.Versions, daemons int) *fulmarsync.Update {
+// update returns what is newer than have; mu is held.
+func (t *Term) update(now time.Time, have fulmarsync.Versions, daemons int) *fulmarsync.Update {
+	s := t.state
 	u := &fulmarsync.Update{Have: s.have, Age: now.Sub(s.known), Daemons: daemons}
 	other := have.Term != s.have.Term
 	if s.routes != nil && (other || have.Config != s.have.Config) {
 		c := s.routes.Config()
 		u.Config = &c
 	}
-	if other || have.Targets != s.have.Targets {
-		u.Targets, u.HasTargets = s.catalog.At(now), true
+	catalog, hasTargets := t.catalogs.get(have.Targets)
+	owners, hasOwners := t.owned.get(have.Owners)
+	if other || !hasTargets || !hasOwners {
+		u.All = true
+		catalog, owners = fulmarcatalog.New(nil), nil
 	}
-	if other || have.Owners != s.have.Owners {
-		u.Owners, u.HasOwners = s.owners, true
+	u.Targets, u.Gone = s.catalog.Diff(catalog)
+	for i := range u.Targets {
+		u.Targets[i] = u.Targets[i].At(now)
+	}
+	u.Owners = make(map[string]fulmarview.Spans)
+	for name, spans := range s.owners {
+		if changes := spans.Diff(owners[name]); len(changes) > 0 {
+			u.Owners[name] = changes
+		}
 	}
 	return u
 }
+
+// kept is the number of states of before that daemons get only the differences to.
+const kept = 32
+
+// history holds the latest versions of a state.
+type history[T any] struct {
+	versions [kept]int64
+	values   [kept]T
+}
+
+func (h *history[T]) add(version int64, value T) {
+	h.versions[version%kept], h.values[version%kept] = version, value
+}
+
+// get returns the state of a version; ok is false if it is no longer held. Versions begin with 1.
+func (h *history[T]) get(version int64) (value T, ok bool) {
+	if version <= 0 || h.versions[version%kept] != version {
+		return value, false
+	}
+	return h.values[version%kept], true
+}
--- a/internal/fulmarlead/term.go
+++ b/internal/fulmarlead/term.go
@@ -84,6 +84,8 @@
 	times    map[string]map[string]time.Duration // by target and daemon: time of a request
 	daemons  map[string]time.Time                // last report of each daemon
 	state    state
+	catalogs history[*fulmarcatalog.Catalog]
+	owned    history[map[string]fulmarview.Spans]
 	changed  chan struct{} // closed when state changes
 	group    sync.WaitGroup
 }
--- a/internal/fulmarsync/message.go
+++ b/internal/fulmarsync/message.go
@@ -36,15 +36,15 @@
 	Targets []TargetLoad          `cbor:"targets,omitempty"`
 }
 
-// Update is the leader's answer. Parts that the daemon has already are left out.
+// Update is the leader's answer. What the daemon has already is left out.
 type Update struct {
 	Have    Versions                    `cbor:"have"`
 	Age     time.Duration               `cbor:"age"` // of the read of the store that the leader's state follows from
 	Daemons int                         `cbor:"daemons"`
 	Config  *fulmarroute.Config         `cbor:"config,omitempty"`
-	Targets []fulmarcatalog.Target      `cbor:"targets,omitempty"`
-	Owners  map[string]fulmarview.Spans `cbor:"owners,omitempty"`
-	// Parts say which of the two above are contained, as both may be empty.
-	HasTargets bool `cbor:"hastargets,omitempty"`
-	HasOwners  bool `cbor:"hasowners,omitempty"`
+	Targets []fulmarcatalog.Target      `cbor:"targets,omitempty"` // that are new or have changed
+	Gone    []string                    `cbor:"gone,omitempty"`    // ids of targets that are no longer there
+	Owners  map[string]fulmarview.Spans `cbor:"owners,omitempty"`  // keys that are routed differently, by service
+	// All says that targets and owners are complete; what the daemon had before is void.
+	All bool `cbor:"all,omitempty"`
 }
--- /dev/null
+++ b/internal/fulmarview/spans_test.go
@@ -0,0 +1,42 @@
+package fulmarview_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
+)
+
+const last = 63
+
+func drawSpans(t *rapid.T, name string) fulmarview.Spans {
+	var out fulmarview.Spans
+	for from := 0; from <= last; {
+		to := min(last, from+rapid.IntRange(0, 20).Draw(t, name+" length"))
+		target := fmt.Sprintf("t%d", rapid.IntRange(0, 3).Draw(t, name+" target"))
+		out = out.Join(fulmarview.Span{From: from, To: to, Target: target, Ready: rapid.Bool().Draw(t, name+" ready")})
+		from = to + 1
+	}
+	return out
+}
+
+// Guards against daemons that route keys differently from their leader after they got only the differences.
+func TestDiff(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		old, next := drawSpans(t, "old"), drawSpans(t, "next")
+		changes := next.Diff(old)
+		got := old.With(changes)
+		for key := range last + 1 {
+			want, _ := next.Find(key)
+			have, ok := got.Find(key)
+			if !ok || have.Target != want.Target || have.Ready != want.Ready {
+				t.Fatalf("key %d: got %+v, want %+v", key, have, want)
+			}
+		}
+		if fmt.Sprint(got) != fmt.Sprint(next) {
+			t.Fatalf("got %v, want %v", got, next)
+		}
+	})
+}
--- a/internal/fulmarview/view.go
+++ b/internal/fulmarview/view.go
@@ -1,7 +1,6 @@
 package fulmarview
 
 import (
-	"sort"
 	"sync"
 	"time"
 
@@ -9,26 +8,6 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
 
-// Span is a range of keys as requests are routed.
-type Span struct {
-	From   int    `cbor:"from"`
-	To     int    `cbor:"to"` // inclusive
-	Target string `cbor:"target,omitempty"`
-	Ready  bool   `cbor:"ready,omitempty"` // the target holds the keys; otherwise they are on the move
-}
-
-// Spans cover the key space in order.
-type Spans []Span
-
-// Find returns the span of a key; ok is false if there is none.
-func (s Spans) Find(key int) (Span, bool) {
-	i := sort.Search(len(s), func(i int) bool { return s[i].To >= key })
-	if i == len(s) || s[i].From > key {
-		return Span{}, false
-	}
-	return s[i], true
-}
-
 // View is a snapshot of the fleet; it is immutable. Routes and Catalog are nil until they are known.
 type View struct {
 	Routes  *fulmarroute.Table
--- a/pkg/fulmarcatalog/catalog.go
+++ b/pkg/fulmarcatalog/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -82,19 +83,15 @@
 	return out
 }
 
-// At returns all targets with the times that they have at now.
-func (c *Catalog) At(now time.Time) []Target {
-	out := c.All()
-	for i := range out {
-		t := &out[i]
-		passed := max(now.Sub(t.Seen), 0)
-		t.Cold = max(t.Cold-passed, 0)
-		if t.Leaving {
-			t.For += passed
-		}
-		t.Seen = now
+// At returns the target with the times that it has at now.
+func (t Target) At(now time.Time) Target {
+	passed := max(now.Sub(t.Seen), 0)
+	t.Cold = max(t.Cold-passed, 0)
+	if t.Leaving {
+		t.For += passed
 	}
-	return out
+	t.Seen = now
+	return t
 }
 
 // Len returns the number of targets.
@@ -113,3 +110,30 @@
 	}
 	return true
 }
+
+// Diff returns the targets that differ from those of old, and the ids that are no longer there.
+func (c *Catalog) Diff(old *Catalog) (changed []Target, gone []string) {
+	for id, t := range c.targets {
+		if u, ok := old.targets[id]; !ok || !same(t, u) {
+			changed = append(changed, t)
+		}
+	}
+	for id := range old.targets {
+		if _, ok := c.targets[id]; !ok {
+			gone = append(gone, id)
+		}
+	}
+	return changed, gone
+}
+
+// With returns a catalog in which the targets are added or replaced and those with the ids gone are left out.
+func (c *Catalog) With(changed []Target, gone []string) *Catalog {
+	targets := maps.Clone(c.targets)
+	for _, id := range gone {
+		delete(targets, id)
+	}
+	for _, t := range changed {
+		targets[t.ID] = t
+	}
+	return New(slices.Collect(maps.Values(targets)))
+}
--- a/pkg/fulmarcatalog/tracker_test.go
+++ b/pkg/fulmarcatalog/tracker_test.go
@@ -84,7 +84,8 @@
 		cold := target("a", false)
 		cold.Cold = time.Second
 		c := tracker.Read(start, []fulmarcatalog.Target{cold}, nil, time.Time{})
-		Expect(c.At(at(300 * time.Millisecond))[0].Cold).To(Equal(700 * time.Millisecond))
-		Expect(c.Same(fulmarcatalog.New(c.At(at(time.Second))))).To(BeTrue())
+		t, _ := c.Target("a")
+		Expect(t.At(at(300 * time.Millisecond)).Cold).To(Equal(700 * time.Millisecond))
+		Expect(c.Same(fulmarcatalog.New([]fulmarcatalog.Target{t.At(at(time.Second))}))).To(BeTrue())
 	})
 })
