--- a/internal/fulmarlead/publish.go
+++ b/internal/fulmarlead/publish.go
@@ -26,7 +26,7 @@
 	if next.catalog == nil || !next.catalog.Same(t.snapshot.Catalog) {
 		next.catalog = t.snapshot.Catalog
 		next.have.Targets++
-		t.catalogs.add(next.have.Targets, next.catalog)
+		t.lists.add(next.have.Targets, next.catalog)
 	}
 	if owners := t.spans(now); !equal(owners, next.owners) {
 		next.owners = owners
@@ -102,12 +102,10 @@
 		}
 	}
 	for _, l := range r.Targets {
-		m := t.times[l.Target]
-		if m == nil {
-			m = make(map[string]time.Duration)
-			t.times[l.Target] = m
+		target, ok := t.snapshot.Catalog.Target(l.Target)
+		if s := t.shards[target.Service]; ok && s != nil {
+			s.times.Add(now, l.Target, l.Sum, l.Count)
 		}
-		m[r.ID] = l.Time
 	}
 }
 
@@ -153,7 +151,7 @@
 		c := s.routes.Config()
 		u.Config = &c
 	}
-	catalog, hasTargets := t.catalogs.get(have.Targets)
+	catalog, hasTargets := t.lists.get(have.Targets)
 	owners, hasOwners := t.owned.get(have.Owners)
 	if other || !hasTargets || !hasOwners {
 		u.All = true
--- a/internal/fulmarlead/term.go
+++ b/internal/fulmarlead/term.go
@@ -29,7 +29,6 @@
 	hold      = 1900 * time.Millisecond
 	renew     = 450 * time.Millisecond
 	retry     = 100 * time.Millisecond
-	rateSpan  = 800 * time.Millisecond // over which request rates are estimated
 	settle    = 100 * time.Millisecond // in which earlier owners are dropped from the tables together
 	present   = 3 * time.Second        // a daemon counts for that long after its last report
 	farewell  = 5 * time.Second        // a target that is no longer listed can still be told to release keys
@@ -63,6 +62,7 @@
 type shard struct {
 	book    *fulmarorder.Book
 	rates   *fulmarassign.Rates
+	times   *fulmarassign.Times
 	settled time.Time // since when earlier owners wait to be dropped
 	reach   map[fulmarrange.Life]bool
 }
@@ -81,10 +81,9 @@
 	revision int64 // of the tables
 	shards   map[string]*shard
 	workers  map[fulmarrange.Life]*worker
-	times    map[string]map[string]time.Duration // by target and daemon: time of a request
-	daemons  map[string]time.Time                // last report of each daemon
+	daemons  map[string]time.Time // last report of each daemon
 	state    state
-	catalogs history[*fulmarcatalog.Catalog]
+	lists history[*fulmarcatalog.Catalog]
 	owned    history[map[string]fulmarview.Spans]
 	changed  chan struct{} // closed when state changes
 	group    sync.WaitGroup
@@ -109,7 +108,7 @@
 	return &Term{
 		deps: d, reader: reader, seat: acquired, valid: acquired.valid, kept: d.Now(), snapshot: s,
 		shards: make(map[string]*shard), workers: make(map[fulmarrange.Life]*worker),
-		times: make(map[string]map[string]time.Duration), daemons: make(map[string]time.Time),
+		daemons: make(map[string]time.Time),
 		changed: make(chan struct{}),
 	}, nil
 }
@@ -284,8 +283,8 @@
 		}
 		timing := fulmarorder.Timing{Hold: hold, Renew: renew, Retry: retry, HoldMax: t.deps.HoldMax}
 		t.shards[svc.Name] = &shard{
-			book: fulmarorder.New(now, table, timing), rates: fulmarassign.NewRates(now, rateSpan),
-			reach: make(map[fulmarrange.Life]bool),
+			book: fulmarorder.New(now, table, timing), rates: fulmarassign.NewRates(now),
+			times: fulmarassign.NewTimes(), reach: make(map[fulmarrange.Life]bool),
 		}
 	}
 }
@@ -392,27 +391,11 @@
 		if target.Leaving || !reachable {
 			continue
 		}
-		out = append(out, fulmarassign.Target{Life: life, Slots: target.Slots, Time: t.time(target.ID)})
+		out = append(out, fulmarassign.Target{Life: life, Slots: target.Slots, Time: s.times.Get(now, target.ID)})
 	}
 	return out
 }
 
-// usualTime is assumed of a target before any request was seen, in seconds.
-const usualTime = 0.1
-
-// time returns the mean of what the daemons see of a target, in seconds; mu is held.
-func (t *Term) time(target string) float64 {
-	sum, n := 0.0, 0
-	for _, d := range t.times[target] {
-		sum += d.Seconds()
-		n++
-	}
-	if n == 0 || sum == 0 {
-		return usualTime
-	}
-	return sum / float64(n)
-}
-
 // write stores the tables on the condition that this daemon leads and nobody else has written them.
 func (t *Term) write(ctx context.Context, tables map[string]fulmarrange.Table) (int64, error) {
 	t.mu.Lock()
--- a/internal/fulmarloads/loads.go
+++ b/internal/fulmarloads/loads.go
@@ -53,8 +53,8 @@
 		out[service] = list
 	}
 	var targets []fulmarsync.TargetLoad
-	for id, mean := range l.board.Times() {
-		targets = append(targets, fulmarsync.TargetLoad{Target: id, Time: mean})
+	for id, s := range l.board.Samples() {
+		targets = append(targets, fulmarsync.TargetLoad{Target: id, Count: s.Count, Sum: s.Sum})
 	}
 	return out, targets
 }
--- a/internal/fulmarsync/message.go
+++ b/internal/fulmarsync/message.go
@@ -25,7 +25,8 @@
 // TargetLoad is what a daemon sees of one target.
 type TargetLoad struct {
 	Target string        `cbor:"target"`
-	Time   time.Duration `cbor:"time"` // usual time of a request
+	Count  int           `cbor:"count"` // requests answered since the last report
+	Sum    time.Duration `cbor:"sum"`   // of their times without the wait for others
 }
 
 // Report is what a daemon tells the leader.
--- a/pkg/fulmarassign/plan.go
+++ b/pkg/fulmarassign/plan.go
@@ -1,6 +1,8 @@
 package fulmarassign
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
@@ -15,16 +17,20 @@
 
 // Policy bounds the moves of a plan.
 type Policy struct {
-	Busy     float64 // utilisation of slots above which a target gives keys away
-	Factor   float64 // and by which it must exceed the mean utilisation
-	Moves    int     // most ranges moved by one plan for load
-	Pieces   int     // ranges into which the keys of a lost target are divided
-	Uniform  float64 // share of the load that is taken to lie evenly on all keys, as rates are noisy
-	Segments int     // segments for each target beyond which load moves nothing
+	// Factor is by how much the marginal time of a request must be lower at another target for keys to move.
+	Factor float64
+	// Delay and Change are what a move must save at least, in seconds of requests' time a second: Delay for each
+	// request a second that is moved, as moved keys wait, and Change for the whole key space.
+	Delay, Change float64
+	Hot           float64 // utilisation by a single key from which on its target is kept for it
+	Moves         int     // most ranges moved by one plan for load
+	Pieces        int     // ranges into which the keys of a lost target are divided
+	Uniform       float64 // share of the load that is taken to lie evenly on all keys, as rates are noisy
+	Segments      int     // segments for each target beyond which load moves nothing
 }
 
 // Standard is the policy for targets with few slots and requests of about a tenth of a second.
-var Standard = Policy{Busy: 0.6, Factor: 1.35, Moves: 12, Pieces: 4, Uniform: 0.2, Segments: 24}
+var Standard = Policy{Factor: 1.4, Delay: 0.05, Change: 20, Hot: 0.6, Moves: 16, Pieces: 4, Uniform: 0.05, Segments: 24}
 
 // planner is the state of one plan.
 type planner struct {
@@ -32,11 +38,9 @@
 	table   fulmarrange.Table
 	targets []Target
 	index   map[fulmarrange.Life]int
-	keys    []Rate
-	prefix  []float64 // sums of the rates before each key of keys
-	uniform float64   // rate of each key besides
-	load    []float64 // requests a second by target
-	mean    float64   // utilisation if all targets were equally used
+	profile *Profile
+	load    []float64   // requests a second by target
+	hot     map[int]int // by target: the key for which it is kept
 }
 
 // Plan returns the table that should be in force; it is the present one if nothing has to change.
@@ -48,28 +52,16 @@
 	for i, t := range targets {
 		p.index[t.Life] = i
 	}
-	p.keys = rates.Keys()
-	p.prefix = make([]float64, len(p.keys)+1)
-	for i, k := range p.keys {
-		p.prefix[i+1] = p.prefix[i] + k.Second*(1-policy.Uniform)
-	}
-	total := max(rates.Total(), 1)
-	p.uniform = total * policy.Uniform / (fulmarrange.Last + 1)
-	if len(p.keys) == 0 {
-		p.uniform = total / (fulmarrange.Last + 1)
-	}
+	p.profile = rates.Profile(policy.Uniform)
 	p.measure()
 	p.adopt()
+	p.keep()
 	p.balance()
 	return p.table
 }
 
 // rate returns the request rate of the keys from from to to.
-func (p *planner) rate(from, to int) float64 {
-	i := sort.Search(len(p.keys), func(i int) bool { return p.keys[i].Key >= from })
-	j := sort.Search(len(p.keys), func(i int) bool { return p.keys[i].Key > to })
-	return p.prefix[j] - p.prefix[i] + p.uniform*float64(to-from+1)
-}
+func (p *planner) rate(from, to int) float64 { return p.profile.Rate(from, to) }
 
 // measure sums the load of each target.
 func (p *planner) measure() {
@@ -79,29 +71,41 @@
 			p.load[i] += p.rate(s.From, s.To)
 		}
 	}
-	power := 0.0
-	for _, t := range p.targets {
-		power += float64(max(t.Slots, 1)) / t.Time
-	}
-	p.mean = p.rate(0, fulmarrange.Last) / power
 }
 
-// use returns the utilisation of a target's slots at the given rate.
-func (p *planner) use(i int, rate float64) float64 {
-	return rate * p.targets[i].Time / float64(max(p.targets[i].Slots, 1))
+// power returns the rate at which a target uses all of its slots.
+func (p *planner) power(i int) float64 {
+	return float64(max(p.targets[i].Slots, 1)) / p.targets[i].Time
 }
 
-// room returns the rate that fits between a target's load and the mean utilisation.
-func (p *planner) room(i int) float64 {
-	return p.mean*float64(max(p.targets[i].Slots, 1))/p.targets[i].Time - p.load[i]
+// marginal returns the marginal time of a request at a target with the given rate.
+func (p *planner) marginal(i int, rate float64) float64 {
+	return marginal(p.targets[i].Slots, p.targets[i].Time, rate)
 }
 
-// idlest returns the target with the most room relative to its power.
-func (p *planner) idlest() int {
-	best := 0
+// cheapest returns the target at which a request costs least, among those that are not kept for a key.
+func (p *planner) cheapest() int {
+	best, least := -1, 0.0
 	for i := range p.targets {
-		if p.use(i, p.load[i]) < p.use(best, p.load[best]) {
-			best = i
+		if _, kept := p.hot[i]; kept {
+			continue
+		}
+		if m := p.marginal(i, p.load[i]); best < 0 || m < least {
+			best, least = i, m
+		}
+	}
+	return best
+}
+
+// dearest returns the target at which a request costs most, among those that are not kept for a key.
+func (p *planner) dearest() int {
+	best, most := -1, 0.0
+	for i := range p.targets {
+		if _, kept := p.hot[i]; kept {
+			continue
+		}
+		if m := p.marginal(i, p.load[i]); best < 0 || m > most {
+			best, most = i, m
 		}
 	}
 	return best
@@ -135,7 +139,7 @@
 	for _, s := range orphans {
 		for from := s.From; from <= s.To; {
 			to := p.reach(from, s.To, piece)
-			p.give(from, to, p.idlest())
+			p.give(from, to, p.cheapest())
 			from = to + 1
 		}
 	}
@@ -144,12 +148,12 @@
 // spread divides the whole key space in proportion to the power of the targets.
 func (p *planner) spread() {
 	power := 0.0
-	for _, t := range p.targets {
-		power += float64(max(t.Slots, 1)) / t.Time
+	for i := range p.targets {
+		power += p.power(i)
 	}
 	from, done := 0, 0.0
-	for i, t := range p.targets {
-		done += float64(max(t.Slots, 1)) / t.Time
+	for i := range p.targets {
+		done += p.power(i)
 		to := int(float64(fulmarrange.Last+1)*done/power) - 1
 		if i == len(p.targets)-1 {
 			to = fulmarrange.Last
@@ -187,7 +191,84 @@
 	p.table = p.table.WithOwner(from, to, p.targets[i].Life)
 }
 
-// balance moves load from the busiest targets to those with room.
+// keep finds keys that use a target nearly alone. Such a key cannot be divided: it goes to the fastest target,
+// and all other keys of that target go elsewhere.
+func (p *planner) keep() {
+	p.hot = make(map[int]int)
+	moves := p.policy.Moves
+	for _, k := range p.busyKeys() {
+		s := p.table.Find(k.Key)
+		owner, ok := p.index[s.Owner.Life]
+		if !ok || len(s.Prior) > 0 {
+			continue
+		}
+		if _, kept := p.hot[owner]; kept {
+			continue
+		}
+		if best := p.fastest(); best >= 0 && p.power(best) > p.power(owner)*1.15 && moves > 0 {
+			p.give(k.Key, k.Key, best)
+			owner = best
+			moves--
+		}
+		p.hot[owner] = k.Key
+	}
+	for owner, key := range p.hot {
+		p.clear(owner, key, &moves)
+	}
+}
+
+// busyKeys returns the keys that would use a large part of a usual target, the busiest first.
+func (p *planner) busyKeys() []Rate {
+	power := 0.0
+	for i := range p.targets {
+		power += p.power(i)
+	}
+	least := p.policy.Hot * power / float64(len(p.targets))
+	var out []Rate
+	for _, k := range p.profile.Spikes() {
+		if k.Second >= least {
+			out = append(out, k)
+		}
+	}
+	slices.SortFunc(out, func(a, b Rate) int { return cmp.Compare(b.Second, a.Second) })
+	// Most targets must stay for the other keys.
+	return out[:min(len(out), len(p.targets)/4)]
+}
+
+// fastest returns the fastest target that is not kept for a key.
+func (p *planner) fastest() int {
+	best := -1
+	for i := range p.targets {
+		if _, kept := p.hot[i]; !kept && (best < 0 || p.power(i) > p.power(best)) {
+			best = i
+		}
+	}
+	return best
+}
+
+// clear moves all keys but one away from a target.
+func (p *planner) clear(owner, key int, moves *int) {
+	for _, s := range p.table.Segments() {
+		if s.Owner.Life != p.targets[owner].Life || len(s.Prior) > 0 {
+			continue
+		}
+		for _, part := range [...][2]int{{s.From, min(s.To, key-1)}, {max(s.From, key+1), s.To}} {
+			from, to := part[0], part[1]
+			if from > to || *moves <= 0 {
+				continue
+			}
+			if best := p.cheapest(); best >= 0 {
+				p.give(from, to, best)
+				*moves--
+			}
+			if key < s.From || key > s.To {
+				break // both parts are the same
+			}
+		}
+	}
+}
+
+// balance moves load to where requests take less time.
 func (p *planner) balance() {
 	for range p.policy.Moves {
 		if p.table.Len() > p.policy.Segments*len(p.targets) {
@@ -211,56 +292,73 @@
 		if owns[i] {
 			continue
 		}
-		return p.move(p.busiest(), i, p.room(i))
-	}
-	return false
-}
-
-func (p *planner) busiest() int {
-	best := 0
-	for i := range p.targets {
-		if p.use(i, p.load[i]) > p.use(best, p.load[best]) {
-			best = i
+		from := p.dearest()
+		if from < 0 || from == i {
+			return false
+		}
+		first, last, ok := p.choose(from, max(p.amount(from, i), p.load[from]/4))
+		if ok {
+			p.give(first, last, i)
 		}
+		return ok
 	}
-	return best
+	return false
 }
 
-// relieve moves a part of the busiest target's load to the idlest one.
+// relieve moves a part of the load from the target at which requests cost most to the one at which they cost
+// least.
 func (p *planner) relieve() bool {
-	from, to := p.busiest(), p.idlest()
-	use := p.use(from, p.load[from])
-	if use < p.policy.Busy || use < p.policy.Factor*p.mean {
+	from, to := p.dearest(), p.cheapest()
+	if from < 0 || to < 0 || p.marginal(from, p.load[from]) < p.policy.Factor*p.marginal(to, p.load[to]) {
 		return false
 	}
-	excess := -p.room(from)
-	want := min(excess, p.room(to))
-	if want < excess/16 {
+	first, last, ok := p.choose(from, p.amount(from, to))
+	if !ok {
 		return false
 	}
-	return p.move(from, to, want)
+	rate := p.rate(first, last)
+	saved := p.time(from, p.load[from]) - p.time(from, p.load[from]-rate) + p.time(to, p.load[to]) - p.time(to, p.load[to]+rate)
+	if saved < p.policy.Delay*rate+p.policy.Change*float64(last-first+1)/keySpace {
+		return false
+	}
+	p.give(first, last, to)
+	return true
 }
 
-// move gives target to the narrowest range of from's keys that carries about want.
-func (p *planner) move(from, to int, want float64) bool {
-	if from == to || want <= 0 {
-		return false
+// time returns the total time of all requests at a target with the given rate, in seconds a second.
+func (p *planner) time(i int, rate float64) float64 {
+	return rate * response(p.targets[i].Slots, p.targets[i].Time, rate)
+}
+
+// amount returns the rate whose move makes requests cost the same at both targets.
+func (p *planner) amount(from, to int) float64 {
+	low, high := 0.0, p.load[from]
+	for range 20 {
+		mid := (low + high) / 2
+		if p.marginal(from, p.load[from]-mid) > p.marginal(to, p.load[to]+mid) {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	return low
+}
+
+// choose returns the narrowest range of a target's keys that carries about want.
+func (p *planner) choose(from int, want float64) (first, last int, found bool) {
+	if want <= 0 {
+		return 0, 0, false
 	}
-	first, last := -1, -1
 	for _, s := range p.table.Segments() {
 		if s.Owner.Life != p.targets[from].Life || len(s.Prior) > 0 {
 			continue // keys that are on the move already stay with their new owner
 		}
 		f, l, ok := p.window(s, want)
-		if ok && (first < 0 || l-f < last-first) {
-			first, last = f, l
+		if ok && (!found || l-f < last-first) {
+			first, last, found = f, l, true
 		}
 	}
-	if first < 0 {
-		return false
-	}
-	p.give(first, last, to)
-	return true
+	return first, last, found
 }
 
 // window returns the narrowest range of the segment whose rate reaches want. Of a segment that carries less,
@@ -271,17 +369,13 @@
 		return s.From, s.To, whole >= want/3
 	}
 	first, last = s.From, s.To
-	lo := sort.Search(len(p.keys), func(i int) bool { return p.keys[i].Key >= s.From })
-	hi := sort.Search(len(p.keys), func(i int) bool { return p.keys[i].Key > s.To })
-	for i, j := lo, lo; i < hi; i++ {
-		for j < hi && p.rate(p.keys[i].Key, p.keys[j].Key) < want {
-			j++
-		}
-		if j == hi {
+	for _, from := range p.starts(s) {
+		if p.rate(from, s.To) < want {
 			break
 		}
-		if p.keys[j].Key-p.keys[i].Key < last-first {
-			first, last = p.keys[i].Key, p.keys[j].Key
+		to := from + sort.Search(s.To-from, func(n int) bool { return p.rate(from, from+n) >= want })
+		if to-from < last-first {
+			first, last = from, to
 		}
 	}
 	if last-first == s.To-s.From {
@@ -289,7 +383,25 @@
 		first = s.To - p.span(s, want) + 1
 	}
 	// A range that carries much more than wanted, such as one very busy key, would only move the problem.
-	return first, last, p.rate(first, last) <= 2*want || first < last
+	return first, last, p.rate(first, last) <= 2*want
+}
+
+// starts returns the keys of the segment at which the rates change.
+func (p *planner) starts(s fulmarrange.Segment) []int {
+	out := []int{s.From}
+	for key := (s.From/binKeys + 1) * binKeys; key <= s.To; key += binKeys {
+		out = append(out, key)
+	}
+	for _, k := range p.profile.Spikes() {
+		if k.Key > s.From && k.Key <= s.To {
+			out = append(out, k.Key)
+		}
+		if k.Key >= s.From && k.Key < s.To {
+			out = append(out, k.Key+1)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
 }
 
 // span returns the number of keys at the end of the segment that carry about want.
--- /dev/null
+++ b/pkg/fulmarassign/plan_test.go
@@ -0,0 +1,234 @@
+package fulmarassign_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarassign"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// targets returns n targets with 3 slots; the time of the ith is times[i modulo the number of times].
+func targets(n int, times ...float64) []fulmarassign.Target {
+	out := make([]fulmarassign.Target, n)
+	for i := range out {
+		out[i] = fulmarassign.Target{Life: fulmarrange.Life{ID: fmt.Sprintf("t%02d", i), Born: 1}, Slots: 3, Time: times[i%len(times)]}
+	}
+	return out
+}
+
+// random draws the keys of requests.
+var random = rand.New(rand.NewPCG(1, 2))
+
+// load adds requests for random ones of the keys at the given rate and for the given time.
+func load(r *fulmarassign.Rates, from, span time.Duration, rate float64, keys ...int) {
+	const step = 50 * time.Millisecond
+	due := 0.0
+	for at := from; at < from+span; at += step {
+		r.Advance(start.Add(at))
+		for due += rate * step.Seconds(); due >= 1; due-- {
+			r.Add(keys[random.IntN(len(keys))], 1)
+		}
+	}
+}
+
+func evenly(n int) []int {
+	keys := make([]int, n)
+	for i := range keys {
+		keys[i] = i * (fulmarrange.Last + 1) / n
+	}
+	return keys
+}
+
+// shares returns the rate of each target under the table.
+func shares(table fulmarrange.Table, rates *fulmarassign.Rates) map[string]float64 {
+	out := make(map[string]float64)
+	profile := rates.Profile(0)
+	for _, s := range table.Segments() {
+		out[s.Owner.Life.ID] += profile.Rate(s.From, s.To)
+	}
+	return out
+}
+
+// moved returns the number of keys whose owner differs.
+func moved(a, b fulmarrange.Table) int {
+	n := 0
+	for key := range fulmarrange.Last + 1 {
+		if a.Find(key).Owner.Life != b.Find(key).Owner.Life {
+			n++
+		}
+	}
+	return n
+}
+
+// settle plans until nothing changes, as after moves that have ended.
+func settle(table fulmarrange.Table, all []fulmarassign.Target, rates *fulmarassign.Rates) fulmarrange.Table {
+	for range 50 {
+		next := fulmarassign.Plan(table, all, rates, fulmarassign.Standard)
+		if next.Fence() == table.Fence() {
+			return next
+		}
+		for _, s := range next.Segments() {
+			for _, p := range s.Prior {
+				next = next.WithoutPrior(s.From, s.To, p)
+			}
+		}
+		table = next
+	}
+	return table
+}
+
+func TestPlan(t *testing.T) {
+	t.Run("divides the keys by the power of the targets", func(t *testing.T) {
+		g := NewWithT(t)
+		table := fulmarassign.Plan(fulmarrange.New(), targets(4, 0.1, 0.05), fulmarassign.NewRates(start), fulmarassign.Standard)
+		g.Expect(table.Len()).To(Equal(4))
+		g.Expect(table.Segments()[1].Keys()).To(BeNumerically("~", 2*table.Segments()[0].Keys(), 2))
+	})
+
+	t.Run("moves nothing under an even load", func(t *testing.T) {
+		g := NewWithT(t)
+		all := targets(20, 0.1)
+		rates := fulmarassign.NewRates(start)
+		table := fulmarassign.Plan(fulmarrange.New(), all, rates, fulmarassign.Standard)
+		load(rates, 0, 8*time.Second, 300, evenly(4000)...)
+		g.Expect(fulmarassign.Plan(table, all, rates, fulmarassign.Standard).Fence()).To(Equal(table.Fence()))
+	})
+
+	// Replays a few hundred neighbouring keys that take 40% of the traffic within a second.
+	t.Run("spreads neighbouring keys that have become busy", func(t *testing.T) {
+		g := NewWithT(t)
+		all := targets(20, 0.1)
+		rates := fulmarassign.NewRates(start)
+		table := fulmarassign.Plan(fulmarrange.New(), all, rates, fulmarassign.Standard)
+		background, hot := evenly(4000), make([]int, 200)
+		for i := range hot {
+			hot[i] = 30000 + i
+		}
+		load(rates, 0, 8*time.Second, 300, background...)
+		for at := 8 * time.Second; at < 9*time.Second; at += 50 * time.Millisecond {
+			load(rates, at, 50*time.Millisecond, 180, background...)
+			load(rates, at, 50*time.Millisecond, 120, hot...)
+		}
+		after := settle(table, all, rates)
+		most := 0.0
+		for _, rate := range shares(after, rates) {
+			most = max(most, rate)
+		}
+		g.Expect(most).To(BeNumerically("<", 28), "a target can do 30 requests a second")
+		g.Expect(moved(table, after)).To(BeNumerically("<", fulmarrange.Last/5), "keys that change hands are priced")
+	})
+
+	// Replays one key that takes more than any target can do.
+	t.Run("keeps the fastest target for a single busy key", func(t *testing.T) {
+		g := NewWithT(t)
+		all := targets(20, 0.12, 0.12, 0.12, 0.06)
+		rates := fulmarassign.NewRates(start)
+		table := fulmarassign.Plan(fulmarrange.New(), all, rates, fulmarassign.Standard)
+		load(rates, 0, 8*time.Second, 200, evenly(4000)...)
+		load(rates, 8*time.Second, time.Second, 160, 20001)
+		after := settle(table, all, rates)
+		owner := after.Find(20001).Owner.Life
+		var time float64
+		for _, a := range all {
+			if a.Life == owner {
+				time = a.Time
+			}
+		}
+		g.Expect(time).To(Equal(0.06))
+		for _, s := range after.Segments() {
+			if s.Owner.Life == owner {
+				g.Expect([]int{s.From, s.To}).To(Equal([]int{20001, 20001}), "other keys share the target")
+			}
+		}
+	})
+
+	t.Run("gives the keys of a lost target to several others", func(t *testing.T) {
+		g := NewWithT(t)
+		all := targets(8, 0.1)
+		rates := fulmarassign.NewRates(start)
+		load(rates, 0, 8*time.Second, 100, evenly(4000)...)
+		table := settle(fulmarrange.New(), all, rates)
+		after := fulmarassign.Plan(table, all[1:], rates, fulmarassign.Standard)
+		heirs := make(map[string]bool)
+		for key := range fulmarrange.Last + 1 {
+			if table.Find(key).Owner.Life == all[0].Life {
+				heirs[after.Find(key).Owner.Life.ID] = true
+			}
+		}
+		g.Expect(heirs).NotTo(HaveKey("t00"))
+		g.Expect(len(heirs)).To(BeNumerically(">=", 3))
+		g.Expect(moved(table, after)).To(BeNumerically("<", fulmarrange.Last/7))
+	})
+
+	t.Run("gives a new target a share", func(t *testing.T) {
+		g := NewWithT(t)
+		all := targets(8, 0.1)
+		rates := fulmarassign.NewRates(start)
+		load(rates, 0, 8*time.Second, 100, evenly(4000)...)
+		table := settle(fulmarrange.New(), all[:7], rates)
+		after := fulmarassign.Plan(table, all, rates, fulmarassign.Standard)
+		g.Expect(shares(after, rates)["t07"]).To(BeNumerically(">", 3))
+	})
+}
+
+// Guards against keys without an owner, or with one that is absent, whatever targets come and go.
+func TestPlanOwnsAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := targets(8, 0.05, 0.1, 0.2)
+		rates := fulmarassign.NewRates(start)
+		table := fulmarrange.New()
+		for step := range 6 {
+			var present []fulmarassign.Target
+			for i, a := range all {
+				if rapid.IntRange(0, 3).Draw(t, "present") > 0 || i == step {
+					present = append(present, a)
+				}
+			}
+			key := rapid.IntRange(0, fulmarrange.Last).Draw(t, "key")
+			load(rates, time.Duration(step)*time.Second, time.Second, float64(rapid.IntRange(0, 300).Draw(t, "rate")), key, (key+100)%65536)
+			table = fulmarassign.Plan(table, present, rates, fulmarassign.Standard)
+			ids := make(map[fulmarrange.Life]bool)
+			for _, p := range present {
+				ids[p.Life] = true
+			}
+			for _, s := range table.Segments() {
+				if !ids[s.Owner.Life] {
+					t.Fatalf("keys %d to %d belong to %v", s.From, s.To, s.Owner.Life)
+				}
+			}
+		}
+	})
+}
+
+func TestTimes(t *testing.T) {
+	t.Run("takes unknown targets to be like the others", func(t *testing.T) {
+		g := NewWithT(t)
+		times := fulmarassign.NewTimes()
+		times.Add(start, "a", 20*time.Second, 200)
+		g.Expect(times.Get(start, "b")).To(BeNumerically("~", 0.1, 0.01))
+	})
+	// Replays targets that turn slow within a second.
+	t.Run("notices a target that has turned slow", func(t *testing.T) {
+		g := NewWithT(t)
+		times := fulmarassign.NewTimes()
+		now := start
+		for range 25 {
+			now = now.Add(200 * time.Millisecond)
+			times.Add(now, "a", 400*time.Millisecond, 4)
+		}
+		g.Expect(times.Get(now, "a")).To(BeNumerically("~", 0.1, 0.01))
+		for range 8 {
+			now = now.Add(200 * time.Millisecond)
+			times.Add(now, "a", 1500*time.Millisecond, 3)
+		}
+		g.Expect(times.Get(now, "a")).To(BeNumerically(">", 0.25))
+	})
+}
--- a/pkg/fulmarpick/board.go
+++ b/pkg/fulmarpick/board.go
@@ -35,7 +35,8 @@
 	mean     float64 // seconds of a request
 	failures float64
 	failedAt time.Time
-	fresh    bool // answered since the last call of Times
+	ahead    float64 // rounds of requests that waited at the last report
+	sample   Sample  // since the last call of Samples
 }
 
 // Board holds the state of all targets; it is safe for concurrent use.
@@ -164,7 +165,9 @@
 	t := b.target(id)
 	t.mean += weight * (took.Seconds() - t.mean)
 	t.failures *= 1 - weight
-	t.fresh = true
+	// A request that had to wait took the time of those ahead besides its own.
+	t.sample.Count++
+	t.sample.Sum += time.Duration(float64(took) / (1 + t.ahead))
 }
 
 // Failed records a request that the target failed or turned away.
@@ -183,17 +186,25 @@
 	t := b.target(id)
 	t.load = float64(max(l.Running+l.Waiting-t.own, 0))
 	t.at = now
+	t.ahead = float64(l.Waiting) / float64(max(l.Slots, 1))
 }
 
-// Times returns the usual time of a request at each target that answered since the last call.
-func (b *Board) Times() map[string]time.Duration {
+// Sample is the number of requests and the sum of their times.
+type Sample struct {
+	Count int
+	Sum   time.Duration
+}
+
+// Samples returns the requests that each target answered since the last call, with the time that they took
+// without the wait for others, as far as reports tell.
+func (b *Board) Samples() map[string]Sample {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make(map[string]time.Duration)
+	out := make(map[string]Sample)
 	for id, t := range b.targets {
-		if t.fresh {
-			t.fresh = false
-			out[id] = time.Duration(t.mean * float64(time.Second))
+		if t.sample.Count > 0 {
+			out[id] = t.sample
+			t.sample = Sample{}
 		}
 	}
 	return out
