Move from any busy target, count from the first request, join segments

Cause: a plan ended when the dearest target had nothing to give, so 60% of the load stayed on one target for a second; rates were too low after a silence; segments grew to six a target in three seconds, each a grant to renew. Change: all dear targets are tried in turn; counts start with the first request; ends of ranges have a price and small segments are joined.

--- a/pkg/fulmarassign/load.go
+++ b/pkg/fulmarassign/load.go
@@ -15,7 +15,9 @@
 	bins      = keySpace / binKeys
 	shortSpan = 700 * time.Millisecond // notices a change
 	longSpan  = 5 * time.Second        // tells the usual rate from chance
-	forgotten = 0.02                   // weight below which a key is dropped
+	// firstSpan is the time in which the first requests are taken to have come.
+	firstSpan = 200 * time.Millisecond
+	forgotten = 0.02 // weight below which a key is dropped
 	// change is the factor between the short and the long rate that counts as a change, if the short rate or the
 	// one that was expected rests on that many requests.
 	change    = 2.0
@@ -52,13 +54,15 @@
 
 // Rates estimates the request rates of keys from counts; it is not safe for concurrent use.
 type Rates struct {
-	start, last time.Time
-	short, long aging
+	start time.Time // from which requests were counted; zero before the first
+	last  time.Time
+	short aging
+	long  aging
 }
 
 // NewRates returns rates without requests.
 func NewRates(now time.Time) *Rates {
-	return &Rates{start: now, last: now, short: newAging(shortSpan), long: newAging(longSpan)}
+	return &Rates{last: now, short: newAging(shortSpan), long: newAging(longSpan)}
 }
 
 // Advance lets the counts age up to now.
@@ -72,8 +76,11 @@
 	r.long.advance(passed)
 }
 
-// Add counts n requests for a key.
+// Add counts n requests for a key that came shortly before the time of the last Advance.
 func (r *Rates) Add(key int, n float64) {
+	if r.start.IsZero() {
+		r.start = r.last.Add(-firstSpan)
+	}
 	r.short.counts[key] += n
 	r.long.counts[key] += n
 }
@@ -124,7 +131,10 @@
 // The rates over some seconds count, as those over a fraction of a second are mostly chance. Where neighbouring
 // keys together have surely become busier or calmer than the load as a whole, the latest rate counts.
 func (r *Rates) Profile(uniform float64) *Profile {
-	since := r.last.Sub(r.start)
+	since := longSpan
+	if !r.start.IsZero() {
+		since = r.last.Sub(r.start)
+	}
 	short, long := r.short.covered(since), r.long.covered(since)
 	var seen [bins]observed
 	var all observed
--- a/pkg/fulmarassign/plan.go
+++ b/pkg/fulmarassign/plan.go
@@ -22,15 +22,17 @@
 	// Delay and Change are what a move must save at least, in seconds of requests' time a second: Delay for each
 	// request a second that is moved, as moved keys wait, and Change for the whole key space.
 	Delay, Change float64
-	Hot           float64 // utilisation by a single key from which on its target is kept for it
-	Moves         int     // most ranges moved by one plan for load
-	Pieces        int     // ranges into which the keys of a lost target are divided
-	Uniform       float64 // share of the load that is taken to lie evenly on all keys, as rates are noisy
-	Segments      int     // segments for each target beyond which load moves nothing
+	// Segment is what a segment costs for its grants, in the same measure.
+	Segment  float64
+	Segments int     // for each target, from which on segments are joined
+	Hot      float64 // utilisation by a single key from which on its target is kept for it
+	Moves    int     // most ranges moved by one plan for load
+	Pieces   int     // ranges into which the keys of a lost target are divided
+	Uniform  float64 // share of the load that is taken to lie evenly on all keys, as rates are noisy
 }
 
 // Standard is the policy for targets with few slots and requests of about a tenth of a second.
-var Standard = Policy{Factor: 1.4, Delay: 0.05, Change: 20, Hot: 0.6, Moves: 16, Pieces: 4, Uniform: 0.05, Segments: 24}
+var Standard = Policy{Factor: 1.4, Delay: 0.05, Change: 30, Segment: 0.03, Segments: 8, Hot: 0.6, Moves: 16, Pieces: 4, Uniform: 0.05}
 
 // planner is the state of one plan.
 type planner struct {
@@ -57,6 +59,9 @@
 	p.adopt()
 	p.keep()
 	p.balance()
+	if p.table.Fence() != table.Fence() {
+		p.unite()
+	}
 	return p.table
 }
 
@@ -97,18 +102,18 @@
 	return best
 }
 
-// dearest returns the target at which a request costs most, among those that are not kept for a key.
-func (p *planner) dearest() int {
-	best, most := -1, 0.0
+// dearest returns the targets that are not kept for a key, those first at which a request costs most.
+func (p *planner) dearest() []int {
+	costs := make(map[int]float64, len(p.targets))
+	out := make([]int, 0, len(p.targets))
 	for i := range p.targets {
-		if _, kept := p.hot[i]; kept {
-			continue
-		}
-		if m := p.marginal(i, p.load[i]); best < 0 || m > most {
-			best, most = i, m
+		if _, kept := p.hot[i]; !kept {
+			costs[i] = p.marginal(i, p.load[i])
+			out = append(out, i)
 		}
 	}
-	return best
+	slices.SortFunc(out, func(a, b int) int { return cmp.Compare(costs[b], costs[a]) })
+	return out
 }
 
 // adopt gives the keys of absent owners to present targets.
@@ -271,10 +276,7 @@
 // balance moves load to where requests take less time.
 func (p *planner) balance() {
 	for range p.policy.Moves {
-		if p.table.Len() > p.policy.Segments*len(p.targets) {
-			return
-		}
-		if !p.fill() && !p.relieve() {
+		if !p.fill() && !p.relieve() && !p.mend() {
 			return
 		}
 	}
@@ -292,39 +294,110 @@
 		if owns[i] {
 			continue
 		}
-		from := p.dearest()
-		if from < 0 || from == i {
-			return false
-		}
-		first, last, ok := p.choose(from, max(p.amount(from, i), p.load[from]/4))
-		if ok {
-			p.give(first, last, i)
+		for _, from := range p.dearest() {
+			if first, last, ok := p.choose(from, max(p.amount(from, i), p.load[from]/4)); ok && from != i {
+				p.give(first, last, i)
+				return true
+			}
 		}
-		return ok
 	}
 	return false
 }
 
-// relieve moves a part of the load from the target at which requests cost most to the one at which they cost
-// least.
+// relieve moves a part of the load from a target at which requests cost much to the one at which they cost least.
 func (p *planner) relieve() bool {
-	from, to := p.dearest(), p.cheapest()
-	if from < 0 || to < 0 || p.marginal(from, p.load[from]) < p.policy.Factor*p.marginal(to, p.load[to]) {
+	to := p.cheapest()
+	if to < 0 {
 		return false
 	}
+	least := p.marginal(to, p.load[to])
+	for _, from := range p.dearest() {
+		if p.marginal(from, p.load[from]) < p.policy.Factor*least {
+			return false
+		}
+		if p.shift(from, to) {
+			return true
+		}
+	}
+	return false
+}
+
+// shift moves load between two targets if that saves more than it costs.
+func (p *planner) shift(from, to int) bool {
 	first, last, ok := p.choose(from, p.amount(from, to))
 	if !ok {
 		return false
 	}
-	rate := p.rate(first, last)
-	saved := p.time(from, p.load[from]) - p.time(from, p.load[from]-rate) + p.time(to, p.load[to]) - p.time(to, p.load[to]+rate)
-	if saved < p.policy.Delay*rate+p.policy.Change*float64(last-first+1)/keySpace {
+	if !p.worth(first, last, from, to) {
 		return false
 	}
 	p.give(first, last, to)
 	return true
 }
 
+// worth reports whether a move of keys saves more than it costs.
+func (p *planner) worth(first, last, from, to int) bool {
+	rate := p.rate(first, last)
+	saved := p.time(from, p.load[from]) - p.time(from, p.load[from]-rate) + p.time(to, p.load[to]) - p.time(to, p.load[to]+rate)
+	saved -= p.policy.Segment * float64(p.bounds(first, last, p.targets[to].Life)-p.bounds(first, last, p.targets[from].Life))
+	return saved >= p.policy.Delay*rate+p.policy.Change*float64(last-first+1)/keySpace
+}
+
+// bounds returns the number of ends of a range at which the owner would change if life owned it.
+func (p *planner) bounds(first, last int, life fulmarrange.Life) int {
+	n := 0
+	if first > 0 && p.table.Find(first-1).Owner.Life != life {
+		n++
+	}
+	if last < fulmarrange.Last && p.table.Find(last+1).Owner.Life != life {
+		n++
+	}
+	return n
+}
+
+// unite gives neighbouring segments of one life a common fence, so that one grant covers them.
+func (p *planner) unite() {
+	segments := p.table.Segments()
+	for i := 0; i < len(segments); {
+		j := i
+		for j+1 < len(segments) && segments[j+1].Owner.Life == segments[i].Owner.Life && len(segments[j+1].Prior) == 0 {
+			j++
+		}
+		if j > i && len(segments[i].Prior) == 0 && segments[i].Owned() {
+			p.table = p.table.WithRenewedFence(segments[i].From, segments[j].To)
+		}
+		i = j + 1
+	}
+}
+
+// mend gives a segment to the owner of a neighbouring one if that saves more than it costs.
+func (p *planner) mend() bool {
+	segments := p.table.Segments()
+	if len(segments) <= p.policy.Segments*len(p.targets) {
+		return false
+	}
+	for i, s := range segments {
+		from, ok := p.index[s.Owner.Life]
+		if _, kept := p.hot[from]; !ok || kept || len(s.Prior) > 0 {
+			continue
+		}
+		for _, j := range [...]int{i - 1, i + 1} {
+			if j < 0 || j >= len(segments) || len(segments[j].Prior) > 0 {
+				continue
+			}
+			to, ok := p.index[segments[j].Owner.Life]
+			if _, kept := p.hot[to]; !ok || kept || from == to {
+				continue
+			}
+			if p.worth(s.From, s.To, from, to) {
+				p.give(s.From, s.To, to)
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // time returns the total time of all requests at a target with the given rate, in seconds a second.
 func (p *planner) time(i int, rate float64) float64 {
 	return rate * response(p.targets[i].Slots, p.targets[i].Time, rate)
