Answer each request that is started while idle connections are closed

Change: closing only interrupts the wait for the first byte. The tests of the server found two more faults: after a body over 64 KB the next request of the connection hung, and a slow long body was cut off after the header timeout. Ruled out: the time of the shutdown (the request came 2.26 s after SIGTERM).

--- a/internal/fulmarserve/conn.go
+++ b/internal/fulmarserve/conn.go
@@ -46,13 +46,19 @@
 	ended    bool // the last answer was written or the connection broke
 }
 
-// bound is a reader that fails after a number of bytes.
+// bound is a reader that fails after a number of bytes, or if a read takes longer than pace, unless that is 0.
 type bound struct {
 	net.Conn
 	left int64
+	pace time.Duration
 }
 
 func (b *bound) Read(p []byte) (int, error) {
+	if b.pace > 0 {
+		if err := b.SetReadDeadline(time.Now().Add(b.pace)); err != nil {
+			return 0, err
+		}
+	}
 	if b.left <= 0 {
 		return 0, errHeader
 	}
@@ -119,7 +125,7 @@
 	if err := c.await(limits); err != nil {
 		return nil, err
 	}
-	c.bound.left = int64(limits.Header) + readBuffer
+	c.bound.left = int64(limits.Header + readBuffer - c.reader.Buffered())
 	r, err := http.ReadRequest(c.reader)
 	if err != nil {
 		return nil, c.reject(previous, headFault(err))
@@ -147,7 +153,7 @@
 		// The rest of the body belongs to this request, or no other request follows.
 		<-done
 		if !req.Payload.Whole() {
-			return nil, c.skip(r.Body)
+			return done, c.skip(r.Body)
 		}
 	}
 	return done, nil
@@ -155,6 +161,7 @@
 
 // await waits for the first byte of a request.
 func (c *conn) await(limits Limits) error {
+	c.bound.pace = 0
 	if c.reader.Buffered() > 0 {
 		return c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	}
@@ -195,6 +202,10 @@
 			return err
 		}
 	}
+	if r.ContentLength != 0 {
+		// A long body may take its time as long as it arrives.
+		c.bound.pace = limits.HeaderTimeout
+	}
 	if r.ContentLength < 0 {
 		r.Body = http.MaxBytesReader(nil, r.Body, limits.Body)
 	}
@@ -321,12 +332,12 @@
 	c.cancel()
 }
 
-// closeIfIdle closes the connection if no request is in flight on it.
+// closeIfIdle closes the connection if no request is in flight on it. A request whose first byte is being read
+// at that moment is still served.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.awaiting && c.inFlight == 0 && !c.ended {
-		c.ended = true
 		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	}
 }
--- /dev/null
+++ b/internal/fulmarserve/server_test.go
@@ -0,0 +1,337 @@
+package fulmarserve_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarserve"
+)
+
+// handler answers with the path; requests for /wait... wait until they are let go.
+type handler struct {
+	mu      sync.Mutex
+	gates   map[string]chan struct{}
+	started chan string
+	left    chan string
+	served  atomic.Int64
+	answer  func(r *fulmarserve.Request) *fulmarserve.Answer
+}
+
+func newHandler() *handler {
+	return &handler{gates: map[string]chan struct{}{}, started: make(chan string, 64), left: make(chan string, 64)}
+}
+
+func (h *handler) gate(path string) chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.gates[path] == nil {
+		h.gates[path] = make(chan struct{})
+	}
+	return h.gates[path]
+}
+
+func (h *handler) Repeatable(r *fulmarserve.Request) bool { return r.Method == http.MethodGet }
+
+func (h *handler) Serve(ctx context.Context, r *fulmarserve.Request) *fulmarserve.Answer {
+	h.served.Add(1)
+	h.started <- r.RequestURI
+	if strings.HasPrefix(r.RequestURI, "/wait") {
+		select {
+		case <-h.gate(r.RequestURI):
+		case <-ctx.Done():
+			h.left <- r.RequestURI
+			return nil
+		}
+	}
+	if h.answer != nil {
+		return h.answer(r)
+	}
+	body := r.RequestURI
+	if reader := r.Payload.Reader(); reader != nil {
+		b, err := io.ReadAll(reader)
+		if err != nil {
+			return nil
+		}
+		body += fmt.Sprintf(" %d", len(b))
+	}
+	return &fulmarserve.Answer{Status: http.StatusOK, Header: http.Header{}, Body: []byte(body)}
+}
+
+type fixture struct {
+	*handler
+	server  *fulmarserve.Server
+	address string
+}
+
+func start(limits fulmarserve.Limits) *fixture {
+	f := &fixture{handler: newHandler()}
+	f.server = fulmarserve.New(f.handler, func() fulmarserve.Limits { return limits }, slog.New(slog.DiscardHandler))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	f.address = listener.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer GinkgoRecover()
+		defer close(done)
+		Expect(f.server.Serve(ctx, listener)).To(Succeed())
+	}()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(done, 5*time.Second).Should(BeClosed())
+	})
+	return f
+}
+
+var limits = fulmarserve.Limits{Header: 4096, Body: 100 << 10, HeaderTimeout: 2 * time.Second, IdleTimeout: 5 * time.Second}
+
+// caller is a raw connection.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (f *fixture) dial() *caller {
+	GinkgoHelper()
+	c, err := net.Dial("tcp", f.address)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { c.Close() })
+	Expect(c.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	return &caller{c, bufio.NewReader(c)}
+}
+
+func (c *caller) send(text string) {
+	GinkgoHelper()
+	_, err := io.WriteString(c, text)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func (c *caller) get(path string) {
+	GinkgoHelper()
+	c.send("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n")
+}
+
+// receive reads an answer whole.
+func (c *caller) receive() (*http.Response, string, error) {
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+func (c *caller) expect(status int, body string) *http.Response {
+	GinkgoHelper()
+	resp, text, err := c.receive()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(resp.StatusCode).To(Equal(status))
+	if body != "" {
+		Expect(text).To(Equal(body))
+	}
+	return resp
+}
+
+func (c *caller) expectEnd() {
+	GinkgoHelper()
+	_, err := c.reader.ReadByte()
+	Expect(err).To(HaveOccurred())
+}
+
+var _ = Describe("Server", func() {
+	It("serves several requests on a connection", func() {
+		c := start(limits).dial()
+		c.get("/a")
+		c.expect(200, "/a")
+		c.send("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello")
+		c.expect(200, "/b 5")
+		c.send("PUT /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+		c.expect(200, "/c 3")
+	})
+
+	// Guards against pipelined requests that wait for one another.
+	It("runs pipelined idempotent requests side by side and answers in order", func() {
+		f := start(limits)
+		c := f.dial()
+		c.get("/wait1")
+		c.get("/wait2")
+		c.get("/three")
+		for range 3 {
+			Eventually(f.started).Should(Receive())
+		}
+		close(f.gate("/wait2"))
+		close(f.gate("/wait1"))
+		c.expect(200, "/wait1")
+		c.expect(200, "/wait2")
+		c.expect(200, "/three")
+	})
+
+	// Guards against a request that runs although an earlier answer closes the connection, so that its caller
+	// sends it again.
+	It("starts a request that is not idempotent only when the earlier ones are answered", func() {
+		f := start(limits)
+		c := f.dial()
+		c.get("/wait1")
+		c.send("POST /two HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+		Eventually(f.started).Should(Receive(Equal("/wait1")))
+		Consistently(f.started, 100*time.Millisecond).ShouldNot(Receive())
+		f.server.Drain()
+		close(f.gate("/wait1"))
+		Expect(c.expect(200, "/wait1").Close).To(BeTrue())
+		c.expectEnd()
+		Consistently(f.started, 100*time.Millisecond).ShouldNot(Receive())
+	})
+
+	// Guards against work for callers that have left.
+	It("cancels the requests of a caller that leaves", func() {
+		f := start(limits)
+		c := f.dial()
+		c.get("/wait1")
+		c.get("/wait2")
+		Eventually(f.started).Should(Receive())
+		Eventually(f.started).Should(Receive())
+		c.Close()
+		Eventually(f.left).Should(Receive())
+		Eventually(f.left).Should(Receive())
+	})
+
+	DescribeTable("refuses what is over the limits or not valid, and ends the connection",
+		func(text string, status int) {
+			f := start(fulmarserve.Limits{Header: 1024, Body: 1000, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: time.Second})
+			c := f.dial()
+			c.send(text)
+			c.expect(status, "")
+			c.expectEnd()
+			Expect(f.served.Load()).To(BeZero())
+		},
+		Entry("a large head", "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 8000)+"\r\n\r\n", 431),
+		Entry("a slow head", "GET / HTTP/1.1\r\nHost:", 408),
+		Entry("a large body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n", 413),
+		Entry("a large chunked body", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n"+
+			strings.Repeat("x", 2000)+"\r\n0\r\n\r\n", 413),
+		Entry("a slow body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc", 408),
+		Entry("no host", "GET / HTTP/1.1\r\n\r\n", 400),
+		Entry("no path", "GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n", 400),
+		Entry("two lengths", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\na", 400),
+		Entry("no request", "hello\r\n\r\n", 400),
+	)
+
+	It("asks for the body of a request that waits to be asked", func() {
+		c := start(limits).dial()
+		c.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n")
+		line, err := c.reader.ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		Expect(line).To(HavePrefix("HTTP/1.1 100"))
+		_, err = c.reader.ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		c.send("ab")
+		c.expect(200, "/a 2")
+	})
+
+	It("passes long bodies on while they arrive", func() {
+		c := start(limits).dial()
+		c.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n" + strings.Repeat("x", 90000))
+		c.expect(200, "/a 90000")
+		c.get("/b")
+		c.expect(200, "/b")
+	})
+
+	It("streams answers of unknown length", func() {
+		f := start(limits)
+		f.answer = func(*fulmarserve.Request) *fulmarserve.Answer {
+			return &fulmarserve.Answer{
+				Status: 200, Header: http.Header{}, Body: []byte("ab"), Rest: io.NopCloser(strings.NewReader("cd")), Length: -1,
+			}
+		}
+		c := f.dial()
+		c.get("/a")
+		Expect(c.expect(200, "abcd").TransferEncoding).To(Equal([]string{"chunked"}))
+		c.get("/b")
+		c.expect(200, "abcd")
+	})
+
+	// Guards against an answer that ends early and looks complete.
+	DescribeTable("breaks the connection off when an answer breaks off",
+		func(length int64) {
+			f := start(limits)
+			f.answer = func(*fulmarserve.Request) *fulmarserve.Answer {
+				broken := io.MultiReader(strings.NewReader("cd"), errReader{})
+				return &fulmarserve.Answer{Status: 200, Header: http.Header{}, Body: []byte("ab"), Rest: io.NopCloser(broken), Length: length}
+			}
+			c := f.dial()
+			c.get("/a")
+			_, _, err := c.receive()
+			Expect(err).To(HaveOccurred())
+		},
+		Entry("of known length", int64(10)),
+		Entry("of unknown length", int64(-1)),
+	)
+
+	It("closes idle connections when it is told to", func() {
+		f := start(limits)
+		c := f.dial()
+		c.get("/a")
+		c.expect(200, "/a")
+		Eventually(func() int { f.server.CloseIdle(); return f.server.Connections() }).Should(BeZero())
+		c.expectEnd()
+	})
+
+	// Guards against a request that reaches a target and is not answered because its connection was taken to be
+	// idle: a caller of a daemon that was shutting down lost one so.
+	It("answers every request that it starts while idle connections are closed", func() {
+		f := start(limits)
+		f.answer = func(*fulmarserve.Request) *fulmarserve.Answer {
+			<-f.started
+			return &fulmarserve.Answer{Status: 200, Header: http.Header{}, Body: []byte("x")}
+		}
+		stop := make(chan struct{})
+		var group sync.WaitGroup
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					f.server.CloseIdle()
+				}
+			}
+		})
+		var answered atomic.Int64
+		var callers sync.WaitGroup
+		for range 8 {
+			callers.Go(func() {
+				defer GinkgoRecover()
+				for range 200 {
+					c := f.dial()
+					if _, err := io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+						continue
+					}
+					if resp, _, err := c.receive(); err == nil && resp.StatusCode == 200 {
+						answered.Add(1)
+					}
+					c.Close()
+				}
+			})
+		}
+		callers.Wait()
+		close(stop)
+		group.Wait()
+		Expect(f.served.Load()).To(Equal(answered.Load()))
+	})
+})
+
+type errReader struct{}
+
+func (errReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
