Prefer targets of the own data centre, in an order of the daemon's own

Change: a daemon orders them by data centre and by a hash of its own and looks further only while a request would have to wait; another data centre counts as half as slow again.

--- a/internal/fulmarfront/front.go
+++ b/internal/fulmarfront/front.go
@@ -105,7 +105,7 @@
 		return fulmarsync.Dial(ctx, address)
 	})
 	relay := fulmarrelay.New(fulmarrelay.Deps{
-		Names: p.Names, DC: s.DC, Views: f.views, Pool: f.pool, Board: board,
+		Names: p.Names, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.pool, Board: board,
 		Splitter: fulmarroute.NewSplitter(), Allowance: f.allowance, Loads: loads,
 		Metrics: metrics, Log: log, Now: time.Now, Clock: fulmarclock.Now, Drain: func() time.Duration { return f.current.Load().Drain - drainMargin },
 	})
--- a/internal/fulmarlead/term.go
+++ b/internal/fulmarlead/term.go
@@ -83,7 +83,7 @@
 	workers  map[fulmarrange.Life]*worker
 	daemons  map[string]time.Time // last report of each daemon
 	state    state
-	lists history[*fulmarcatalog.Catalog]
+	lists    history[*fulmarcatalog.Catalog]
 	owned    history[map[string]fulmarview.Spans]
 	changed  chan struct{} // closed when state changes
 	group    sync.WaitGroup
--- a/internal/fulmarrelay/attempt.go
+++ b/internal/fulmarrelay/attempt.go
@@ -87,18 +87,16 @@
 		return x.owner(ctx)
 	}
 	d := &x.relay.deps
-	targets := x.view.Catalog.Service(x.service.Name)
+	now, clock := d.Now(), d.Clock()
+	targets := x.relay.near.targets(x.view.Catalog, x.service.Name)
 	usable := make([]fulmarcatalog.Target, 0, len(targets))
 	candidates := make([]fulmarpick.Candidate, 0, len(targets))
-	now, clock := d.Now(), d.Clock()
 	for _, t := range targets {
 		if t.Leaving || x.tried[t.ID] {
 			continue
 		}
 		usable = append(usable, t)
-		candidates = append(candidates, fulmarpick.Candidate{
-			ID: t.ID, Slots: t.Slots, Remote: t.DC != d.DC, Cold: t.IsCold(clock),
-		})
+		candidates = append(candidates, fulmarpick.Candidate{ID: t.ID, Slots: t.Slots, Remote: t.DC != d.DC, Cold: t.IsCold(clock)})
 	}
 	if len(usable) == 0 {
 		return fulmarcatalog.Target{}, NoTarget
--- a/internal/fulmarrelay/relay.go
+++ b/internal/fulmarrelay/relay.go
@@ -31,6 +31,7 @@
 // Deps are what a relay works with.
 type Deps struct {
 	Names     Names
+	ID        string // of the daemon
 	DC        string
 	Views     *fulmarview.Holder
 	Pool      *fulmarlink.Pool
@@ -46,10 +47,13 @@
 }
 
 // Relay serves callers' requests; it is safe for concurrent use.
-type Relay struct{ deps Deps }
+type Relay struct {
+	deps Deps
+	near near
+}
 
 // New returns a relay.
-func New(d Deps) *Relay { return &Relay{deps: d} }
+func New(d Deps) *Relay { return &Relay{deps: d, near: near{id: d.ID, dc: d.DC}} }
 
 // Repeatable reports whether the request's route allows it to run more than once.
 func (y *Relay) Repeatable(r *fulmarserve.Request) bool {
--- a/pkg/fulmarpick/board.go
+++ b/pkg/fulmarpick/board.go
@@ -13,8 +13,10 @@
 	usual        = 80 * time.Millisecond  // assumed time of a request before any was seen
 	failureDecay = 2 * time.Second        // time in which a failure loses 63% of its weight
 	failureCost  = 1.0                    // share by which a full failure score raises the cost
-	remoteCost   = 0.1                    // share by which another data centre raises the cost
+	remoteCost   = 0.5                    // share by which another data centre raises the cost
 	coldCost     = 1.0                    // share by which a target that has just started is slower
+	roomy        = 1.5                    // a cost up to that many times the time of a request means no wait
+	jitter       = 0.05
 )
 
 // Candidate is a target that can serve the request.
@@ -47,7 +49,7 @@
 	samples int
 }
 
-// New returns a board that compares samples random candidates. It uses src alone.
+// New returns a board that compares at least samples candidates. It uses src alone.
 func New(samples int, src rand.Source) *Board {
 	if samples < 1 {
 		panic("fulmarpick: samples must be positive")
@@ -64,48 +66,34 @@
 	return t
 }
 
-// Choose returns the index of the cheapest of some random candidates with fewer than limit own requests
-// in flight, or -1 if there is none.
+// Choose returns the index of the cheapest candidate with fewer than limit own requests in flight, or -1 if there
+// is none. Candidates are looked at in their order: after the first few, the search ends as soon as a request
+// would not have to wait at the best one so far. So a daemon keeps to the targets that come first in its order as
+// long as they have room, and needs few connections.
 func (b *Board) Choose(now time.Time, candidates []Candidate, limit int) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	best, bestCost := -1, math.Inf(1)
+	best, bestCost, idle := -1, math.Inf(1), 0.0
 	seen := 0
-	n := len(candidates)
-	if n == 0 {
-		return -1
-	}
-	// A random start and a random odd stride visit candidates in an order that differs between calls.
-	start, stride := b.random.IntN(n), 1
-	if n > 2 {
-		stride = 1 + b.random.IntN(n-1)
-		for gcd(stride, n) != 1 {
-			stride = 1 + b.random.IntN(n-1)
+	for i, c := range candidates {
+		if seen >= b.samples && best >= 0 && bestCost <= idle*roomy {
+			break
 		}
-	}
-	for i := range n {
-		j := (start + i*stride) % n
-		t := b.target(candidates[j].ID)
+		t := b.target(c.ID)
 		if t.own >= limit {
 			continue
 		}
-		if cost := t.cost(now, candidates[j]); cost < bestCost {
-			best, bestCost = j, cost
-		}
-		if seen++; seen >= b.samples {
-			break
+		seen++
+		cost := t.cost(now, c)
+		// Equal costs are frequent while targets are little known; the jitter keeps daemons from choosing alike.
+		cost *= 1 + jitter*b.random.Float64()
+		if cost < bestCost {
+			best, bestCost, idle = i, cost, t.mean
 		}
 	}
 	return best
 }
 
-func gcd(a, b int) int {
-	for b != 0 {
-		a, b = b, a%b
-	}
-	return a
-}
-
 // cost returns the expected time until a new request is answered, in seconds.
 func (t *target) cost(now time.Time, c Candidate) float64 {
 	others := t.load * math.Exp(-now.Sub(t.at).Seconds()/decay.Seconds())
