--- a/internal/fulmarfront/front.go
+++ b/internal/fulmarfront/front.go
@@ -38,7 +38,7 @@
 	// wholeAnswer bounds the answers that are held until they are complete, in bytes.
 	wholeAnswer = 256 << 10
 	sweepEvery  = time.Second
-	samples     = 3 // targets that are compared for a request
+	samples     = 2 // targets that are compared for a request
 
 	// noticed is the time after SIGTERM until callers are led to other daemons: the status check has
 	// failed twice, a second apart.
