Open a connection for each request to an ended server

Cause: the test closed the server's end and asked over one client; a request that was accepted just before the listener closed left a kept connection, over which the test's server, which never ends, went on answering for 5 s. Change: each request of that test opens its own connection.

--- a/internal/fulmarfleet/fleet_test.go
+++ b/internal/fulmarfleet/fleet_test.go
@@ -115,7 +115,9 @@
 	// Guards against a lost server that still seems to accept connections.
 	It("refuses connections to a server that has ended", func() {
 		close(ended)
-		Eventually(func() error { return get(client, url, time.Second) }, "5s").Should(MatchError(ContainSubstring("refused")))
+		// A request that is accepted just before the listener closes leaves a connection to a server that the test
+		// keeps running, so each request opens one of its own.
+		Eventually(func() error { return get(from("127.0.1.1"), url, time.Second) }, "5s").Should(MatchError(ContainSubstring("refused")))
 	})
 })
 
