--- /dev/null
+++ b/internal/fulmarrelay/relay_test.go
@@ -0,0 +1,366 @@
+package fulmarrelay_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarbody"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarlink"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarrelay"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarserve"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarallowance"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarpick"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
+)
+
+var names = fulmarrelay.Names{
+	RequestID: "Id", Deadline: "Left", Signature: "Sign", Expect: "Target", Load: "Load", NotRun: "Not-Run", Key: "Key",
+	RetryAfter: "Retry-After",
+}
+
+// Answers that a target of the tests gives, apart from an ordinary one.
+const (
+	notRun   = "HTTP/1.1 503 x\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	other    = "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n"
+	unsigned = "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok"
+	short    = "HTTP/1.1 200 x\r\nSign: s\r\nContent-Length: 20\r\n\r\nok"
+	failed   = "HTTP/1.1 500 x\r\nSign: s\r\nContent-Length: 3\r\n\r\nbad"
+	late     = "HTTP/1.1 200 x\r\nSign: s\r\nId: former\r\nContent-Length: 6\r\n\r\nformer"
+	closing  = "" // the connection ends without an answer
+	silent   = "silent"
+)
+
+// target is a scripted target; each request takes the next answer of the script, and the last one stays.
+type target struct {
+	id       string
+	listener net.Listener
+	mu       sync.Mutex
+	script   []string
+	seen     []*http.Request
+}
+
+func newTarget(t *testing.T, id string, script ...string) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &target{id: id, listener: l, script: script}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *target) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.seen = append(s.seen, req)
+		answer := "HTTP/1.1 200 x\r\nSign: s\r\nId: " + req.Header.Get("Id") + "\r\nContent-Length: 4\r\n\r\nfrom"
+		if len(s.script) > 0 {
+			answer = s.script[0]
+			if len(s.script) > 1 {
+				s.script = s.script[1:]
+			}
+		}
+		s.mu.Unlock()
+		switch answer {
+		case closing:
+			return
+		case silent:
+			_, _ = io.Copy(io.Discard, r)
+			return
+		}
+		if strings.HasPrefix(answer, late) {
+			answer += "HTTP/1.1 200 x\r\nSign: s\r\nId: " + req.Header.Get("Id") + "\r\nContent-Length: 4\r\n\r\nfrom"
+		}
+		if _, err := io.WriteString(c, answer); err != nil || answer == short {
+			return
+		}
+	}
+}
+
+func (s *target) requests() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen
+}
+
+func (s *target) entry(service string) fulmarcatalog.Target {
+	return fulmarcatalog.Target{ID: s.id, Born: 1, Service: service, Address: s.listener.Addr().String(), DC: "a", Slots: 3}
+}
+
+type fixture struct {
+	relay *fulmarrelay.Relay
+	views *fulmarview.Holder
+	rule  fulmarallowance.Rule
+}
+
+type noMetrics struct{}
+
+func (noMetrics) Served(string, string, time.Duration) {}
+func (noMetrics) Count(string)                         {}
+
+type noLoads struct{}
+
+func (noLoads) Note(string, int) {}
+
+// start returns a relay before the targets, which serve "free" without keys and, the first one, all keys of "keyed".
+func start(t *testing.T, idempotent bool, targets ...*target) *fixture {
+	t.Helper()
+	routes, err := fulmarroute.New(fulmarroute.Config{
+		Version:  1,
+		Services: []fulmarroute.Service{{Name: "free"}, {Name: "keyed", Keyed: true}},
+		Routes: []fulmarroute.Route{
+			{
+				Name: "f", Host: "h", Prefix: "/f/", Idempotent: idempotent, Timeout: 400 * time.Millisecond,
+				Goal: 200 * time.Millisecond, Attempts: 2, Parts: []fulmarroute.Part{{Service: "free", Weight: 1}},
+			},
+			{
+				Name: "k", Host: "h", Prefix: "/k/", Idempotent: idempotent, Timeout: 400 * time.Millisecond,
+				Goal: 200 * time.Millisecond, Attempts: 2, Parts: []fulmarroute.Part{{Service: "keyed", Weight: 1}},
+			},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{views: fulmarview.New(), rule: fulmarallowance.Rule{Ratio: 1, Extra: 10, Window: 10 * time.Second}}
+	list := make([]fulmarcatalog.Target, 0, len(targets)+1)
+	for _, s := range targets {
+		list = append(list, s.entry("free"))
+	}
+	owner := targets[0].entry("keyed")
+	owner.ID = "owner"
+	f.views.Update(func(v *fulmarview.View) {
+		v.Routes, v.Catalog = routes, fulmarcatalog.New(append(list, owner))
+		v.Owners = map[string]fulmarview.Spans{"keyed": {{From: 0, To: fulmarrange.Last, Target: "owner", Ready: true}}}
+	})
+	pool := fulmarlink.New(fulmarlink.Settings{
+		Dial: time.Second, Lost: time.Second, Idle: time.Minute, Body: 1 << 20, ID: names.RequestID,
+	})
+	t.Cleanup(pool.Close)
+	f.relay = fulmarrelay.New(fulmarrelay.Deps{
+		Names: names, ID: "d", DC: "a", Views: f.views, Pool: pool, Board: fulmarpick.New(1, rand.NewPCG(1, 2)),
+		Splitter: fulmarroute.NewSplitter(), Allowance: fulmarallowance.New(f.rule), Loads: noLoads{}, Metrics: noMetrics{},
+		Log: slog.New(slog.DiscardHandler), Now: time.Now, Clock: time.Now, Drain: func() time.Duration { return time.Second },
+	})
+	return f
+}
+
+// request returns a request with the headers, which are pairs of name and value.
+func request(t *testing.T, path, body string, headers ...string) *fulmarserve.Request {
+	t.Helper()
+	head := "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(head + body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Id", "one")
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	payload, err := fulmarbody.Read(r.Body, int64(len(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &fulmarserve.Request{Request: r, Payload: payload, Arrived: time.Now(), Remote: "caller"}
+}
+
+func expectStatus(g Gomega, a *fulmarserve.Answer, status int) {
+	g.Expect(a).NotTo(BeNil())
+	g.Expect(a.Status).To(Equal(status), string(a.Body))
+}
+
+// sends returns how many requests reached the targets.
+func sends(targets ...*target) int {
+	n := 0
+	for _, s := range targets {
+		n += len(s.requests())
+	}
+	return n
+}
+
+// Guards against requests that run twice, refusals of requests that may have run, and answers that are not the
+// target's whole own one.
+func TestOutcome(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		idempotent bool
+		script     []string // of both targets
+		status     int
+		sends      int
+	}{
+		{"answer", false, nil, 200, 1},
+		{"failure of the target is passed on", false, []string{failed}, 500, 1},
+		{"not idempotent, connection ends", false, []string{closing}, 502, 1},
+		{"not idempotent, answer cut short", false, []string{short}, 502, 1},
+		{"not idempotent, answer without a signature", false, []string{unsigned}, 502, 1},
+		{"not idempotent, no answer", false, []string{silent}, 504, 1},
+		{"not idempotent, turned away everywhere", false, []string{notRun}, 503, 2},
+		{"not idempotent, other targets at the addresses", false, []string{other}, 503, 2},
+		{"idempotent, connection ends everywhere", true, []string{closing}, 502, 2},
+		{"idempotent, answer without a signature", true, []string{unsigned}, 502, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			x, y := newTarget(t, "x", c.script...), newTarget(t, "y", c.script...)
+			f := start(t, c.idempotent, x, y)
+			a := f.relay.Serve(t.Context(), request(t, "/f/1", "body"))
+			expectStatus(g, a, c.status)
+			g.Expect(sends(x, y)).To(Equal(c.sends))
+			if c.status == http.StatusServiceUnavailable {
+				after, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(after).To(BeNumerically(">", 0))
+			}
+		})
+	}
+}
+
+// Guards against a request that is given up although another target may run it.
+func TestRepeat(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		idempotent bool
+		script     string
+	}{
+		{"not idempotent, turned away", false, notRun},
+		{"not idempotent, another target at the address", false, other},
+		{"idempotent, connection ends", true, closing},
+		{"idempotent, answer cut short", true, short},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			// Both targets fail their first request of each connection's script and then answer.
+			x, y := newTarget(t, "x", c.script), newTarget(t, "y")
+			f := start(t, c.idempotent, x, y)
+			for range 4 {
+				expectStatus(g, f.relay.Serve(t.Context(), request(t, "/f/1", "body")), 200)
+			}
+			g.Expect(len(y.requests())).To(Equal(4))
+		})
+	}
+}
+
+// Guards against a target that runs a request for another, that works longer than the caller waits, or that gets
+// a request changed.
+func TestForwarded(t *testing.T) {
+	g := NewWithT(t)
+	x := newTarget(t, "x")
+	f := start(t, false, x)
+	expectStatus(g, f.relay.Serve(t.Context(), request(t, "/f/1?q=%2f", "body", "Left", "250", "Other", "o", "Connection", "Gone", "Gone", "1")), 200)
+	r := x.requests()[0]
+	g.Expect(r.Header.Get("Target")).To(Equal("x"))
+	left, err := strconv.Atoi(r.Header.Get("Left"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(left).To(And(BeNumerically(">", 0), BeNumerically("<=", 250)))
+	g.Expect(r.RequestURI).To(Equal("/f/1?q=%2f"))
+	g.Expect(r.Header.Get("Id")).To(Equal("one"))
+	g.Expect(r.Header.Get("Other")).To(Equal("o"))
+	g.Expect(r.Header).NotTo(HaveKey("Gone"))
+}
+
+// Guards against an answer to an earlier request that reaches the caller of the next one.
+func TestLateAnswer(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t, false, newTarget(t, "x", late))
+	a := f.relay.Serve(t.Context(), request(t, "/f/1", ""))
+	expectStatus(g, a, 200)
+	g.Expect(string(a.Body)).To(Equal("from"))
+}
+
+// Guards against a connection that its target has closed and that costs a request which is not idempotent.
+func TestClosedConnection(t *testing.T) {
+	g := NewWithT(t)
+	x := newTarget(t, "x", "HTTP/1.1 200 x\r\nSign: s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	f := start(t, false, x)
+	for range 5 {
+		expectStatus(g, f.relay.Serve(t.Context(), request(t, "/f/1", "")), 200)
+	}
+}
+
+// Guards against keyed requests to a target that does not own the key, and against requests without a valid key.
+func TestKeys(t *testing.T) {
+	x, y := newTarget(t, "x"), newTarget(t, "y")
+	f := start(t, false, x, y)
+	for _, c := range []struct {
+		key    string
+		status int
+	}{{"0", 200}, {"65535", 200}, {"65536", 400}, {"-1", 400}, {"", 400}, {"a", 400}} {
+		t.Run("key "+c.key, func(t *testing.T) {
+			g := NewWithT(t)
+			expectStatus(g, f.relay.Serve(t.Context(), request(t, "/k/1", "", "Key", c.key)), c.status)
+		})
+	}
+	NewWithT(t).Expect(y.requests()).To(BeEmpty())
+}
+
+// Guards against a request that waits to its end for keys whose owner is gone.
+func TestNoOwner(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t, true, newTarget(t, "x"))
+	f.views.Update(func(v *fulmarview.View) { v.Owners = nil })
+	began := time.Now()
+	expectStatus(g, f.relay.Serve(t.Context(), request(t, "/k/1", "", "Key", "7")), 503)
+	g.Expect(time.Since(began)).To(BeNumerically("<", 200*time.Millisecond))
+}
+
+// Guards against a daemon that answers 404 before it knows any route.
+func TestNotReady(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t, true, newTarget(t, "x"))
+	expectStatus(g, f.relay.Serve(t.Context(), request(t, "/other", "")), 404)
+	none := fulmarrelay.New(fulmarrelay.Deps{
+		Names: names, Views: fulmarview.New(), Metrics: noMetrics{}, Log: slog.New(slog.DiscardHandler), Now: time.Now, Clock: time.Now,
+	})
+	expectStatus(g, none.Serve(t.Context(), request(t, "/f/1", "")), 503)
+}
+
+// Guards against work for a caller that has left.
+func TestCallerLeaves(t *testing.T) {
+	g := NewWithT(t)
+	x, y := newTarget(t, "x", silent), newTarget(t, "y", silent)
+	f := start(t, true, x, y)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.relay.Serve(ctx, request(t, "/f/1", ""))
+	}()
+	g.Eventually(func() int { return sends(x, y) }).Should(Equal(1))
+	cancel()
+	g.Eventually(done, "200ms").Should(BeClosed())
+	g.Expect(sends(x, y)).To(Equal(1))
+}
