Give new targets their share from the owner of most load

Cause: targets that were listed after the first plan took a quarter of the load of the target with the dearest requests; without load all cost the same, so the choice was arbitrary and one target kept up to 16 times its share until the first requests came. Change: the owner with most load for its power gives a fair share. Ruled out: late plans (the most busy daemon used less than it has).

--- a/pkg/fulmarassign/plan.go
+++ b/pkg/fulmarassign/plan.go
@@ -290,20 +290,47 @@
 			owns[i] = true
 		}
 	}
-	for i := range p.targets {
-		if owns[i] {
-			continue
-		}
-		for _, from := range p.dearest() {
-			if first, last, ok := p.choose(from, max(p.amount(from, i), p.load[from]/4)); ok && from != i {
-				p.give(first, last, i)
-				return true
-			}
+	to := slices.Index(owns, false)
+	if to < 0 {
+		return false
+	}
+	fair := p.fair()
+	for _, from := range p.fullest() {
+		want := min(fair[to], max(p.amount(from, to), p.load[from]-fair[from], p.load[from]/4))
+		if first, last, ok := p.choose(from, want); ok && from != to {
+			p.give(first, last, to)
+			return true
 		}
 	}
 	return false
 }
 
+// fair returns each target's part of the load by its power.
+func (p *planner) fair() []float64 {
+	power, total := 0.0, 0.0
+	for i := range p.targets {
+		power += p.power(i)
+		total += p.load[i]
+	}
+	out := make([]float64, len(p.targets))
+	for i := range p.targets {
+		out[i] = total * p.power(i) / power
+	}
+	return out
+}
+
+// fullest returns the targets that are not kept for a key, those first that have most load for their power.
+func (p *planner) fullest() []int {
+	out := make([]int, 0, len(p.targets))
+	for i := range p.targets {
+		if _, kept := p.hot[i]; !kept {
+			out = append(out, i)
+		}
+	}
+	slices.SortFunc(out, func(a, b int) int { return cmp.Compare(p.load[b]/p.power(b), p.load[a]/p.power(a)) })
+	return out
+}
+
 // relieve moves a part of the load from a target at which requests cost much to the one at which they cost least.
 func (p *planner) relieve() bool {
 	to := p.cheapest()
--- /dev/null
+++ b/pkg/fulmarassign/start_test.go
@@ -0,0 +1,53 @@
+package fulmarassign_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarassign"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
+)
+
+// released drops all earlier owners, as if every move had ended.
+func released(t fulmarrange.Table) fulmarrange.Table {
+	for _, s := range t.Segments() {
+		for _, p := range s.Prior {
+			t = t.WithoutPrior(s.From, s.To, p)
+		}
+	}
+	return t
+}
+
+// Guards against targets that hold most of the keys when the first requests come, because they were listed first.
+func TestTargetsThatComeLater(t *testing.T) {
+	for _, n := range []int{21, 131, 218} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			g := NewWithT(t)
+			targets := make([]fulmarassign.Target, n)
+			for i := range targets {
+				targets[i] = fulmarassign.Target{Life: fulmarrange.Life{ID: fmt.Sprint(i), Born: 1}, Slots: 3, Time: 0.1}
+			}
+			now := time.Unix(1000, 0)
+			rates := fulmarassign.NewRates(now)
+			table := fulmarassign.Plan(fulmarrange.New(), targets[:3], rates, fulmarassign.Standard)
+			for range 25 {
+				now = now.Add(200 * time.Millisecond)
+				rates.Advance(now)
+				table = released(fulmarassign.Plan(table, targets, rates, fulmarassign.Standard))
+			}
+			keys := make(map[fulmarrange.Life]int)
+			for _, s := range table.Segments() {
+				keys[s.Owner.Life] += s.Keys()
+			}
+			most := 0
+			for _, k := range keys {
+				most = max(most, k)
+			}
+			g.Expect(keys).To(HaveLen(n))
+			g.Expect(float64(most) * float64(n) / (fulmarrange.Last + 1)).To(BeNumerically("<", 2.0))
+		})
+	}
+}
