Refuse as not run only what no target may have run

Ruled out: requests that are not idempotent, which end at the first break. Figures: TestRefusedAfterLoss fails before and passes after.

--- a/internal/fulmarrelay/attempt.go
+++ b/internal/fulmarrelay/attempt.go
@@ -46,11 +46,11 @@
 			if x.sends > 0 {
 				reason = last
 			}
-			return x.refuse(reason)
+			return x.giveUp(reason)
 		}
 		if x.sends > 0 && !x.relay.deps.Allowance.Take(x.relay.deps.Now(), x.service.Name, x.view.Daemons) {
 			x.relay.deps.Board.End(target.ID)
-			return x.refuse(last)
+			return x.giveUp(last)
 		}
 		answer, res := x.send(ctx, target)
 		switch res {
@@ -59,15 +59,16 @@
 		case unsent:
 			last = Unsent
 			if dials++; dials >= unsentTries {
-				return x.refuse(last)
+				return x.giveUp(last)
 			}
 		case notRun:
 			last = Rejected
 			if x.sends >= x.route.Attempts {
-				return x.refuse(last)
+				return x.giveUp(last)
 			}
 		case broken:
 			last = Broken
+			x.doubtful = true
 			if ctx.Err() != nil {
 				return x.fail(http.StatusGatewayTimeout, Late)
 			}
@@ -76,11 +77,19 @@
 			}
 		}
 		if ctx.Err() != nil {
-			return x.refuse(last)
+			return x.giveUp(last)
 		}
 	}
 }
 
+// giveUp answers a request that no target answered. It is refused as not run only if no target may have run it.
+func (x *exchange) giveUp(reason Reason) *fulmarserve.Answer {
+	if x.doubtful {
+		return x.fail(http.StatusBadGateway, Broken)
+	}
+	return x.refuse(reason)
+}
+
 // choose returns a target with room and counts the request there, or the reason why there is none.
 func (x *exchange) choose(ctx context.Context) (fulmarcatalog.Target, Reason) {
 	if x.key >= 0 {
--- a/internal/fulmarrelay/relay.go
+++ b/internal/fulmarrelay/relay.go
@@ -80,7 +80,8 @@
 	id       string
 	key      int // -1 if the request has none
 	deadline time.Time
-	sends    int // targets that the request reached
+	sends    int  // targets that the request reached
+	doubtful bool // a target may have run it
 	tried    map[string]bool
 	target   string
 	reason   Reason
--- a/internal/fulmarrelay/relay_test.go
+++ b/internal/fulmarrelay/relay_test.go
@@ -111,6 +111,13 @@
 	}
 }
 
+// next replaces the script.
+func (s *target) next(script ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.script = script
+}
+
 func (s *target) requests() []*http.Request {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -249,6 +256,35 @@
 	}
 }
 
+// Guards against a refusal that says that the request has not run, although an earlier target may have run it.
+func TestRefusedAfterLoss(t *testing.T) {
+	for _, c := range []struct{ name, script string }{
+		{"turned away by the next target", notRun},
+		{"another target at the next address", other},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			x, y := newTarget(t, "x", closing, c.script), newTarget(t, "y", closing, c.script)
+			f := start(t, true, x, y)
+			// Whichever target comes first ends the connection, and the other one turns the request away.
+			first := f.relay.Serve(t.Context(), request(t, "/f/1", ""))
+			expectStatus(g, first, 502)
+			x.next(c.script)
+			y.next(closing)
+			for range 3 {
+				a := f.relay.Serve(t.Context(), request(t, "/f/1", ""))
+				g.Expect(a.Status).NotTo(Equal(503), string(a.Body))
+				y.next(closing)
+			}
+		})
+	}
+	t.Run("no owner any more", func(t *testing.T) {
+		g := NewWithT(t)
+		f := start(t, true, newTarget(t, "x", closing))
+		expectStatus(g, f.relay.Serve(t.Context(), request(t, "/k/1", "", "Key", "7")), 502)
+	})
+}
+
 // Guards against a request that is given up although another target may run it.
 func TestRepeat(t *testing.T) {
 	for _, c := range []struct {
