Publish the leader's changes together and share its updates

Cause: each answered grant woke all daemons, and each of them got an update that was made and compared for it alone: at 145 daemons several thousand a second. Change: changes within 300 us for each daemon are published together; daemons with the same versions share an update for 20 ms. Ruled out: fewer reports (they carry the load that plans need).

--- a/internal/fulmarlead/publish.go
+++ b/internal/fulmarlead/publish.go
@@ -13,6 +13,39 @@
 // longPoll is how long a report waits for a change before it is answered without one.
 const longPoll = 250 * time.Millisecond
 
+const (
+	// Each change wakes all daemons, so changes wait for one another: publishPace for each daemon, within bounds.
+	publishPace = 300 * time.Microsecond
+	publishMin  = 5 * time.Millisecond
+	publishMax  = 250 * time.Millisecond
+)
+
+// announce lets publishLoop publish what has changed.
+func (t *Term) announce() {
+	select {
+	case t.stale <- struct{}{}:
+	default:
+	}
+}
+
+// publishLoop publishes changes, those that come shortly after one another together.
+func (t *Term) publishLoop(ctx context.Context) {
+	for {
+		select {
+		case <-t.stale:
+		case <-ctx.Done():
+			return
+		}
+		t.mu.Lock()
+		t.publish()
+		daemons, _ := t.daemons(t.deps.Now())
+		t.mu.Unlock()
+		if !sleep(ctx, min(max(time.Duration(daemons)*publishPace, publishMin), publishMax)) {
+			return
+		}
+	}
+}
+
 // publish makes what the leader knows its own view and wakes the reports that wait; mu is held.
 func (t *Term) publish() {
 	now := t.deps.Now()
@@ -35,6 +68,7 @@
 	}
 	woken := next.have != t.state.have
 	t.state = next
+	clear(t.answers)
 	daemons, _ := t.daemons(now)
 	t.deps.Views.Update(func(v *fulmarview.View) {
 		v.Routes, v.Catalog, v.Owners, v.Daemons, v.Known = next.routes, next.catalog, next.owners, daemons, next.known
@@ -133,8 +167,30 @@
 	}
 }
 
+// answerFor is how long an update serves all daemons that have the same versions. The times of its targets are at
+// most that old.
+const answerFor = 20 * time.Millisecond
+
+// answer is an update that was made lately.
+type answer struct {
+	*fulmarsync.Update
+	made time.Time
+}
+
 // update returns what is newer than have; mu is held.
 func (t *Term) update(now time.Time, have fulmarsync.Versions) *fulmarsync.Update {
+	a, ok := t.answers[have]
+	if !ok || now.Sub(a.made) > answerFor {
+		a = answer{t.differences(now, have), now}
+		t.answers[have] = a
+	}
+	u := *a.Update
+	u.Age = now.Sub(t.state.known)
+	return &u
+}
+
+// differences returns what is newer than have; mu is held.
+func (t *Term) differences(now time.Time, have fulmarsync.Versions) *fulmarsync.Update {
 	s := t.state
 	u := t.brief(now, s.have)
 	other := have.Term != s.have.Term
--- a/internal/fulmarlead/term.go
+++ b/internal/fulmarlead/term.go
@@ -86,6 +86,8 @@
 	lists    history[*fulmarcatalog.Catalog]
 	owned    history[map[string]fulmarview.Spans]
 	changed  chan struct{} // closed when state changes
+	stale    chan struct{} // holds a value while there are changes to publish
+	answers  map[fulmarsync.Versions]answer
 	group    sync.WaitGroup
 }
 
@@ -109,7 +111,7 @@
 		deps: d, reader: reader, seat: acquired, valid: acquired.valid, kept: d.Now(), snapshot: s,
 		shards: make(map[string]*shard), workers: make(map[fulmarrange.Life]*worker),
 		fleet:   newFleet(),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), stale: make(chan struct{}, 1), answers: make(map[fulmarsync.Versions]answer),
 	}, nil
 }
 
@@ -127,6 +129,7 @@
 		return
 	}
 	t.group.Go(func() { t.readLoop(ctx) })
+	t.group.Go(func() { t.publishLoop(ctx) })
 	t.planLoop(ctx, cancel)
 	cancel()
 	t.dismiss()
@@ -264,7 +267,11 @@
 	now := t.deps.Now()
 	t.openShards(now)
 	t.staff(now)
-	t.publish()
+	if first {
+		t.publish()
+	} else {
+		t.announce()
+	}
 	return true
 }
 
@@ -326,7 +333,7 @@
 		t.shards[name].book.Commit(table)
 	}
 	t.staff(t.deps.Now())
-	t.publish()
+	t.announce()
 	t.wake()
 	return nil
 }
--- a/internal/fulmarlead/worker.go
+++ b/internal/fulmarlead/worker.go
@@ -126,7 +126,7 @@
 			"fence", o.Fence, "hold", o.Hold, "took", now.Sub(began), "error", err)
 	}
 	if changed {
-		t.publish()
+		t.announce()
 	}
 	if o.Kind == fulmarorder.Release && err == nil {
 		t.wake()
