Bound the unused connections that daemons keep to a target

Cause: targets accept a number of connections from all callers; 145 daemons kept every connection for 8 s, over 200 to a busy target. Change: a daemon keeps at most its part of 70% of that number unused.

--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -48,6 +48,7 @@
 	Body   io.Reader   // nil for none
 	Length int64       // of the body, -1 if unknown
 	Kept   bool        // send over a connection of an earlier request, or not at all
+	Unused int         // most unused connections to the address that are kept afterwards, 0 for no bound
 }
 
 // Answer is the answer of a target.
@@ -186,11 +187,18 @@
 	}
 }
 
-func (p *Pool) put(address string, c *conn, now time.Time) {
+// put keeps a connection for later requests unless there are unused ones already.
+func (p *Pool) put(address string, c *conn, now time.Time, unused int) {
 	c.used = now
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.idle[address] = append(p.idle[address], c)
+	full := unused > 0 && len(p.idle[address]) >= unused
+	if !full {
+		p.idle[address] = append(p.idle[address], c)
+	}
+	p.mu.Unlock()
+	if full {
+		p.discard(address, c)
+	}
 }
 
 // connect returns an unused connection or a new one.
@@ -236,7 +244,7 @@
 			p.abandon(address, c)
 			return
 		}
-		p.put(address, c, time.Now())
+		p.put(address, c, time.Now(), r.Unused)
 	}
 	if a.Rest != nil {
 		a.Rest = &rest{ReadCloser: a.Rest, finish: finish}
--- a/internal/fulmarlink/pool_test.go
+++ b/internal/fulmarlink/pool_test.go
@@ -253,3 +253,22 @@
 	g.Expect(p.Idle(s.Addr().String())).To(BeZero())
 	g.Expect(p.Open(s.Addr().String())).To(BeZero())
 }
+
+// Guards against unused connections that take up what a target accepts from all daemons.
+func TestUnused(t *testing.T) {
+	g := NewWithT(t)
+	s, p := start(t, "HTTP/1.1 200 x\r\nContent-Length: 100\r\n\r\n"+strings.Repeat("a", 100)), pool(t)
+	var open []*fulmarlink.Answer
+	for range 3 {
+		r := request("one", "")
+		r.Unused = 2
+		a, err := p.Do(t.Context(), s.Addr().String(), r)
+		g.Expect(err).NotTo(HaveOccurred())
+		open = append(open, a)
+	}
+	g.Expect(p.Open(s.Addr().String())).To(Equal(3))
+	for _, a := range open {
+		expectBody(g, a, nil, strings.Repeat("a", 100))
+	}
+	g.Expect(p.Open(s.Addr().String())).To(Equal(2))
+}
--- a/internal/fulmarrelay/attempt.go
+++ b/internal/fulmarrelay/attempt.go
@@ -23,6 +23,8 @@
 	// perTarget bounds the requests of one daemon in flight at one target. Targets run few requests at once,
 	// and what is sent beyond their queue is turned away or lost.
 	perTarget = 4
+	// unusedShare is the part of the connections that a target accepts which all daemons together keep unused.
+	unusedShare = 0.7
 	// unsentTries bounds the targets that are dialled in vain for one request.
 	unsentTries = 3
 )
@@ -164,7 +166,7 @@
 	header[http.CanonicalHeaderKey(d.Names.Expect)] = []string{t.ID}
 	a, err := d.Pool.Do(ctx, t.Address, &fulmarlink.Request{
 		Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header,
-		ID: x.id, Body: x.request.Payload.Reader(), Length: x.request.Payload.Length(),
+		ID: x.id, Body: x.request.Payload.Reader(), Length: x.request.Payload.Length(), Unused: x.unused(),
 	})
 	if errors.Is(err, fulmarlink.ErrUnsent) {
 		d.Board.Failed(d.Now(), t.ID)
@@ -205,6 +207,14 @@
 	}, delivered
 }
 
+// unused returns the daemon's part of the unused connections that a target of the service can bear.
+func (x *exchange) unused() int {
+	if x.service.Connections <= 0 {
+		return 0
+	}
+	return max(1, int(unusedShare*float64(x.service.Connections))/x.view.Daemons)
+}
+
 // parseLoad reads the load that a target reports: running, waiting and slots.
 func parseLoad(text string) (fulmarpick.Load, bool) {
 	parts := strings.Split(text, ",")
