Move the network and the processes of tests into packages of their own

Cause: the fault soak of the platform path needs both, and they were parts of the fleet of the product's own interface. Change: fulmarnetwork and fulmarprocess, with the tests that they had. Ruled out: copies in the soak. Conclusion: one copy of each.

--- a/internal/fulmarfleet/fleet.go
+++ b/internal/fulmarfleet/fleet.go
@@ -17,6 +17,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmaradmin"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarnetwork"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarprocess"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarconfig"
 )
 
@@ -52,19 +54,19 @@
 
 // Daemon is a daemon of a fleet.
 type Daemon struct {
-	*Process       // nil until it was started
-	ID, DC         string
-	Callers, Admin string
-	data, control  string // of the listeners
-	peerData       string // as peers reach them
-	peerControl    string
-	source         string
-	store          string // address of the platform
+	*fulmarprocess.Process // nil until it was started
+	ID, DC                 string
+	Callers, Admin         string
+	data, control          string // of the listeners
+	peerData               string // as peers reach them
+	peerControl            string
+	source                 string
+	store                  string // address of the platform
 }
 
 // Target is a target of a fleet.
 type Target struct {
-	*Process
+	*fulmarprocess.Process
 	ID, DC  string
 	Service Service
 	History string // path
@@ -74,7 +76,7 @@
 
 // Fleet is one deployment.
 type Fleet struct {
-	Network  *Network
+	Network  *fulmarnetwork.Network
 	Platform *Platform
 	Daemons  []*Daemon
 	Targets  []*Target
@@ -87,7 +89,7 @@
 
 // New returns a fleet without processes.
 func New(settings Settings) *Fleet {
-	return &Fleet{settings: settings, Network: newNetwork(), peerKey: hex.EncodeToString(secret()), adminKey: secret()}
+	return &Fleet{settings: settings, Network: fulmarnetwork.New(), peerKey: hex.EncodeToString(secret()), adminKey: secret()}
 }
 
 func secret() []byte {
@@ -122,11 +124,11 @@
 // Stop ends all processes, asking first if grace is positive, and the forwarders.
 func (f *Fleet) Stop(grace time.Duration) {
 	f.processes.stop(grace)
-	f.Network.close()
+	f.Network.Close()
 }
 
 // lab starts a stand-in.
-func (f *Fleet) lab(name string, args ...string) (*Process, error) {
+func (f *Fleet) lab(name string, args ...string) (*fulmarprocess.Process, error) {
 	return f.processes.spawn(filepath.Join(f.settings.Folder, name+".log"), f.settings.Programs.Lab, args...)
 }
 
@@ -213,7 +215,7 @@
 	if err != nil {
 		return "", err
 	}
-	return address, f.Network.forward(name, address, to, ended)
+	return address, f.Network.Forward(name, address, to, ended)
 }
 
 // planDaemons gives the daemons their addresses and registers them.
@@ -227,7 +229,7 @@
 		addresses := []*string{&d.Callers, &d.data, &d.control, &d.Admin}
 		if f.settings.Forward {
 			d.source = fmt.Sprintf("127.0.1.%d", i+1)
-			f.Network.know(d.source, d.ID)
+			f.Network.Know(d.source, d.ID)
 			addresses = append(addresses, &d.peerData, &d.peerControl)
 		}
 		for _, address := range addresses {
@@ -261,10 +263,10 @@
 	if err != nil || !f.settings.Forward {
 		return err
 	}
-	if err := f.Network.forward(d.ID, d.peerData, d.data, d.Done()); err != nil {
+	if err := f.Network.Forward(d.ID, d.peerData, d.data, d.Done()); err != nil {
 		return err
 	}
-	return f.Network.forward(d.ID, d.peerControl, d.control, d.Done())
+	return f.Network.Forward(d.ID, d.peerControl, d.control, d.Done())
 }
 
 // daemonSettings returns a daemon's settings file.
@@ -302,7 +304,7 @@
 
 // Cut puts the connections between the server name and all servers but those
 // in except into the mode.
-func (f *Fleet) Cut(mode Mode, name string, except ...string) {
+func (f *Fleet) Cut(mode fulmarnetwork.Mode, name string, except ...string) {
 	others := []string{PlatformName}
 	for _, d := range f.Daemons {
 		others = append(others, d.ID)
--- a/internal/fulmarfleet/platform.go
+++ b/internal/fulmarfleet/platform.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarplatform"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarprocess"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarstore"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarconfig"
 )
@@ -27,12 +28,12 @@
 
 // Platform is the stand-in for the platform, without its faults in between.
 type Platform struct {
-	*Process
+	*fulmarprocess.Process
 	Address string
 	store   *fulmarstore.Client
 }
 
-func newPlatform(p *Process, address string) *Platform {
+func newPlatform(p *fulmarprocess.Process, address string) *Platform {
 	return &Platform{Process: p, Address: address, store: fulmarstore.New("http://"+address, storeTimeout, http.DefaultClient)}
 }
 
--- a/internal/fulmarfleet/process.go
+++ b/internal/fulmarfleet/process.go
@@ -4,16 +4,16 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarprocess"
 )
 
 // module is the path of the module whose programs are built.
@@ -37,64 +37,18 @@
 	return p, nil
 }
 
-// Process is a server that a fleet started.
-type Process struct {
-	Log  string // path of its output
-	cmd  *exec.Cmd
-	done chan struct{}
-}
-
-// Done returns a channel that is closed when the process has ended.
-func (p *Process) Done() <-chan struct{} { return p.done }
-
-// ExitCode returns the exit code of a process that has ended, -1 if a signal ended it.
-func (p *Process) ExitCode() int {
-	<-p.done
-	return p.cmd.ProcessState.ExitCode()
-}
-
-// Kill ends the process without notice and waits for its end.
-func (p *Process) Kill() {
-	_ = p.cmd.Process.Kill()
-	<-p.done
-}
-
-// Terminate asks the process to end.
-func (p *Process) Terminate() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
-
-// Freeze stops the process until Resume.
-func (p *Process) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
-
-// Resume lets a frozen process go on.
-func (p *Process) Resume() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
-
 // processes are the servers that were started, in order.
 type processes struct {
 	mu   sync.Mutex
-	list []*Process
+	list []*fulmarprocess.Process
 }
 
 // spawn starts a process whose output goes to the file named log.
-func (l *processes) spawn(log, path string, args ...string) (*Process, error) {
-	file, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+func (l *processes) spawn(log, path string, args ...string) (*fulmarprocess.Process, error) {
+	p, err := fulmarprocess.Start(log, nil, path, args...)
 	if err != nil {
-		return nil, errors.Wrap(err, "fulmarfleet: open log")
-	}
-	defer func() { _ = file.Close() }()
-	// The context is not tied to the caller's, so that stop can end the
-	// processes in order after an interrupt.
-	cmd := exec.CommandContext(context.Background(), path, args...)
-	cmd.Stdout, cmd.Stderr = file, file
-	// A process group of its own keeps a terminal's interrupt from the process.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	if err := cmd.Start(); err != nil {
-		return nil, errors.Wrap(err, "fulmarfleet: start process")
+		return nil, errors.Wrap(err, "fulmarfleet")
 	}
-	p := &Process{Log: log, cmd: cmd, done: make(chan struct{})}
-	go func() {
-		_ = cmd.Wait()
-		close(p.done)
-	}()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.list = append(l.list, p)
@@ -113,7 +67,7 @@
 	}
 	for _, p := range l.list {
 		select {
-		case <-p.done:
+		case <-p.Done():
 		case <-limit:
 			p.Kill()
 			limit = time.After(0)
--- a/internal/fulmarfleet/network.go
+++ b/internal/fulmarnetwork/network.go
@@ -1,4 +1,4 @@
-package fulmarfleet
+package fulmarnetwork
 
 import (
 	"context"
@@ -58,20 +58,21 @@
 	links map[pair]*link
 }
 
-func newNetwork() *Network {
+// New returns a network without servers.
+func New() *Network {
 	n := &Network{names: map[string]string{}, links: map[pair]*link{}}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
 
-// close ends the forwarders and their connections.
-func (n *Network) close() {
+// Close ends the forwarders and their connections.
+func (n *Network) Close() {
 	n.cancel()
 	n.group.Wait()
 }
 
-// know names the server that opens connections from source.
-func (n *Network) know(source, name string) {
+// Know names the server that opens connections from source.
+func (n *Network) Know(source, name string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.names[source] = name
@@ -118,12 +119,13 @@
 	}
 }
 
-// forward passes connections to address on to the server name at the address to
+// Forward passes connections to address on to the server name at the address to
 // until the server ends, after which address refuses connections.
-func (n *Network) forward(name, address, to string, ended <-chan struct{}) error {
-	l, err := listen(n.ctx, address)
+func (n *Network) Forward(name, address, to string, ended <-chan struct{}) error {
+	var config net.ListenConfig
+	l, err := config.Listen(n.ctx, "tcp", address)
 	if err != nil {
-		return err
+		return errors.Wrap(err, "fulmarnetwork: listen")
 	}
 	n.group.Go(func() {
 		select {
--- /dev/null
+++ b/internal/fulmarnetwork/network_test.go
@@ -0,0 +1,107 @@
+package fulmarnetwork_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarnetwork"
+)
+
+var _ = Describe("Network", func() {
+	var (
+		n      *fulmarnetwork.Network
+		client *http.Client
+		url    string
+		ended  chan struct{}
+	)
+	BeforeEach(func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) }))
+		DeferCleanup(server.Close)
+		n = fulmarnetwork.New()
+		DeferCleanup(n.Close)
+		n.Know("127.0.1.1", "a")
+		n.Know("127.0.1.2", "b")
+		address, err := freeAddress()
+		Expect(err).NotTo(HaveOccurred())
+		ended = make(chan struct{})
+		Expect(n.Forward("t", address, server.Listener.Addr().String(), ended)).To(Succeed())
+		client, url = from("127.0.1.1"), "http://"+address
+	})
+
+	// Guards against faults that reach another pair, or that outlast their end.
+	It("breaks the connections of one pair and restores them", func() {
+		expectAnswer(client, url)
+		n.Set(fulmarnetwork.Refuse, "t", "a")
+		expectNoAnswer(client, url, time.Second)
+		expectAnswer(from("127.0.1.2"), url)
+		n.Restore()
+		expectAnswer(client, url)
+	})
+
+	// Guards against a cut that the sender notices, and against bytes that are lost by it.
+	It("holds bytes back and delivers them late", func() {
+		expectAnswer(client, url)
+		n.Set(fulmarnetwork.Swallow, "a", "t")
+		expectNoAnswer(client, url, 100*time.Millisecond)
+		answers := make(chan error, 1)
+		go func() { answers <- get(client, url, 5*time.Second) }()
+		Consistently(answers, "100ms").ShouldNot(Receive())
+		n.Restore()
+		Eventually(answers, "5s").Should(Receive(BeNil()))
+	})
+
+	// Guards against a lost server that still seems to accept connections.
+	It("refuses connections to a server that has ended", func() {
+		close(ended)
+		// A request that is accepted just before the listener closes leaves a connection to a server that the test
+		// keeps running, so each request opens one of its own.
+		Eventually(func() error { return get(from("127.0.1.1"), url, time.Second) }, "5s").Should(MatchError(ContainSubstring("refused")))
+	})
+})
+
+func from(source string) *http.Client {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}
+}
+
+func get(client *http.Client, url string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	return err
+}
+
+func expectAnswer(client *http.Client, url string) {
+	GinkgoHelper()
+	Expect(get(client, url, 5*time.Second)).To(Succeed())
+}
+
+func expectNoAnswer(client *http.Client, url string, timeout time.Duration) {
+	GinkgoHelper()
+	Expect(get(client, url, timeout)).NotTo(Succeed())
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
--- /dev/null
+++ b/internal/fulmarprocess/doc.go
@@ -0,0 +1,3 @@
+// Package fulmarprocess starts the servers of tests as processes and sends them
+// signals.
+package fulmarprocess
