Soak the platform's daemon under random faults, and survive SIGHUP at the end

Cause: a daemon that was told to reload its settings while it shut down was ended by the signal, with its requests: watching for SIGHUP stopped with SIGTERM. Change: SIGHUP is watched from the start of the process to its end. Ruled out: the kills of the same run, which came seconds later.

--- a/cmd/fulmarbend/front.go
+++ b/cmd/fulmarbend/front.go
@@ -39,6 +39,9 @@
 	if path == "" {
 		return fmt.Errorf("fulmarbend: neither --boot nor %s names a settings file", fulmarboot.Variable)
 	}
+	// From here to the end of the process, as SIGHUP would otherwise end it, also while it shuts down.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	settings, err := fulmarboot.Load(path)
 	if err != nil {
 		return err
@@ -60,7 +63,7 @@
 	}
 	stop, cancel := untilSignal(ctx, log)
 	defer cancel()
-	go watchSettings(stop, path, settings, daemon, log)
+	go watchSettings(stop, reload, path, settings, daemon, log)
 	return daemon.Run(stop)
 }
 
@@ -68,10 +71,9 @@
 const fileEvery = 2 * time.Second
 
 // watchSettings reloads the settings on SIGHUP and when their file has changed.
-func watchSettings(ctx context.Context, path string, old fulmarfront.Settings, daemon *fulmarfront.Front, log *slog.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func watchSettings(
+	ctx context.Context, signals <-chan os.Signal, path string, old fulmarfront.Settings, daemon *fulmarfront.Front, log *slog.Logger,
+) {
 	ticker := time.NewTicker(fileEvery)
 	defer ticker.Stop()
 	var written time.Time
--- a/cmd/fulmarlab/doc.go
+++ b/cmd/fulmarlab/doc.go
@@ -7,4 +7,5 @@
 //	fulmarlab load      callers
 //	fulmarlab bench     experiments on the cores in virtual time
 //	fulmarlab trial     measurements on processes
+//	fulmarlab soak      the daemon of the platform under random faults
 package main
