Let requests wait for the first view of a daemon that starts

Change: a daemon reads the store at once when it starts, waits only before it stands for election, and requests wait up to 400 ms for the first view. Ruled out: a later readiness check: the platform's balancer uses all daemons when fewer than half are ready.

--- a/internal/fulmarfollow/follower.go
+++ b/internal/fulmarfollow/follower.go
@@ -29,7 +29,7 @@
 	syncTimeout = 700 * time.Millisecond // covers the leader's wait for a change
 	// stale is the age of the leader's knowledge at which the daemon reads the store itself.
 	stale      = 1200 * time.Millisecond
-	startDelay = 200 * time.Millisecond // longest random wait before the first election
+	startDelay = 200 * time.Millisecond // longest random wait before the first election, besides the handicap
 	reportSelf = 200 * time.Millisecond // between the leader's own reports
 
 	// ample is the share of a core with which a daemon stands for the first election at once; startHandicap is
@@ -102,9 +102,6 @@
 
 // Run follows or leads until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	if !pause(ctx, rand.N(startDelay)) {
-		return
-	}
 	for ctx.Err() == nil {
 		wait := lookEvery + rand.N(lookEvery/4)
 		if err := f.step(ctx); err != nil {
@@ -172,7 +169,7 @@
 func (f *Follower) handicap() time.Duration {
 	switch {
 	case f.strongest == 0: // nobody has led yet
-		return time.Duration(float64(startHandicap) * max(0, 1-f.lead.Power/ample))
+		return time.Duration(float64(startHandicap)*max(0, 1-f.lead.Power/ample)) + rand.N(startDelay)
 	case f.lead.Power < similar*f.strongest:
 		return lossHandicap
 	}
--- a/internal/fulmarrelay/relay.go
+++ b/internal/fulmarrelay/relay.go
@@ -16,6 +16,9 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
 
+// viewWait covers the first read of the store by a daemon that starts together with all others.
+const viewWait = 400 * time.Millisecond
+
 // Metrics counts what the relay decides.
 type Metrics interface {
 	Served(service, group string, took time.Duration)
@@ -97,7 +100,7 @@
 
 func (x *exchange) serve(ctx context.Context) *fulmarserve.Answer {
 	d := &x.relay.deps
-	if !x.view.Ready() {
+	if !x.awaitView(ctx) {
 		return x.refuse(NoView)
 	}
 	route, ok := x.view.Routes.Match(x.request.Host, path(x.request.RequestURI))
@@ -126,6 +129,26 @@
 	return x.attempts(ctx)
 }
 
+// awaitView waits a short time for the fleet's configuration, which a daemon that has just started lacks.
+func (x *exchange) awaitView(ctx context.Context) bool {
+	timer := time.NewTimer(viewWait)
+	defer timer.Stop()
+	for {
+		view, changed := x.relay.deps.Views.Watch()
+		if view.Ready() {
+			x.view = view
+			return true
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // record writes the line and the counters of a request that has ended.
 func (x *exchange) record(a *fulmarserve.Answer) {
 	d := &x.relay.deps
--- a/internal/fulmarrelay/relay_test.go
+++ b/internal/fulmarrelay/relay_test.go
@@ -130,6 +130,8 @@
 
 type fixture struct {
 	relay *fulmarrelay.Relay
+	deps  fulmarrelay.Deps
+	over  func(*fulmarview.Holder) *fulmarrelay.Relay // with another view
 	views *fulmarview.Holder
 	rule  fulmarallowance.Rule
 }
@@ -178,11 +180,17 @@
 		Dial: time.Second, Lost: time.Second, Idle: time.Minute, Body: 1 << 20, ID: names.RequestID,
 	})
 	t.Cleanup(pool.Close)
-	f.relay = fulmarrelay.New(fulmarrelay.Deps{
+	f.over = func(views *fulmarview.Holder) *fulmarrelay.Relay {
+		d := f.deps
+		d.Views = views
+		return fulmarrelay.New(d)
+	}
+	f.deps = fulmarrelay.Deps{
 		Names: names, ID: "d", DC: "a", Views: f.views, Pool: pool, Board: fulmarpick.New(1, rand.NewPCG(1, 2)),
 		Splitter: fulmarroute.NewSplitter(), Allowance: fulmarallowance.New(f.rule), Loads: noLoads{}, Metrics: noMetrics{},
 		Log: slog.New(slog.DiscardHandler), Now: time.Now, Clock: time.Now, Drain: func() time.Duration { return time.Second },
-	})
+	}
+	f.relay = fulmarrelay.New(f.deps)
 	return f
 }
 
@@ -384,6 +392,17 @@
 	expectStatus(g, none.Serve(t.Context(), request(t, "/f/1", "")), 503)
 }
 
+// Guards against requests that are turned away although the daemon will know the fleet in a moment.
+func TestStarting(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t, true, newTarget(t, "x"))
+	known := f.views.Get()
+	starting := fulmarview.New()
+	r := f.over(starting)
+	time.AfterFunc(50*time.Millisecond, func() { starting.Update(func(v *fulmarview.View) { *v = *known }) })
+	expectStatus(g, r.Serve(t.Context(), request(t, "/f/1", "")), 200)
+}
+
 // Guards against work for a caller that has left.
 func TestCallerLeaves(t *testing.T) {
 	g := NewWithT(t)
