--- a/internal/fulmarrelay/attempt.go
+++ b/internal/fulmarrelay/attempt.go
@@ -52,8 +52,12 @@
 		}
 		if x.sends > 0 && !x.relay.deps.Allowance.Take(x.relay.deps.Now(), x.service.Name, x.view.Daemons) {
 			x.relay.deps.Board.End(target.ID)
+			x.relay.deps.Metrics.Count("relay.retry_denied")
 			return x.giveUp(last)
 		}
+		if x.sends > 0 || dials > 0 {
+			x.relay.deps.Metrics.Count("relay.retry_" + label(last))
+		}
 		answer, res := x.send(ctx, target)
 		switch res {
 		case delivered:
@@ -71,6 +75,9 @@
 		case broken:
 			last = Broken
 			x.doubtful = true
+			if errors.Is(ctx.Err(), context.Canceled) {
+				return x.fail(http.StatusGatewayTimeout, LeftCaller)
+			}
 			if ctx.Err() != nil {
 				return x.fail(http.StatusGatewayTimeout, Late)
 			}
@@ -168,6 +175,7 @@
 		Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header,
 		ID: x.id, Body: x.request.Payload.Reader(), Length: x.request.Payload.Length(), Unused: x.unused(),
 	})
+	x.cause = err
 	if errors.Is(err, fulmarlink.ErrUnsent) {
 		d.Board.Failed(d.Now(), t.ID)
 		return nil, unsent
@@ -188,6 +196,7 @@
 			a.Rest.Close()
 		}
 		d.Board.Failed(now, t.ID)
+		x.cause = errors.Errorf("status %d", a.Status)
 		return nil, notRun
 	}
 	if a.Status < http.StatusMultipleChoices && a.Header.Get(d.Names.Signature) == "" {
@@ -195,6 +204,7 @@
 			a.Rest.Close()
 		}
 		d.Board.Failed(now, t.ID)
+		x.cause = errors.Errorf("status %d without a signature", a.Status)
 		return nil, broken
 	}
 	if a.Status < http.StatusInternalServerError {
--- a/internal/fulmarrelay/outcome.go
+++ b/internal/fulmarrelay/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarserve"
 )
@@ -21,11 +22,13 @@
 	Rejected   Reason = "rejected"  // targets turned it away
 	Unsent     Reason = "unsent"    // no target could be reached
 	Broken     Reason = "broken"    // sent, without a complete answer
-	Unsigned   Reason = "unsigned"  // the answer carried no signature
 	Late       Reason = "late"      // no answer within the time of the request
 	LeftCaller Reason = "caller-left"
 )
 
+// label returns the reason as a part of a metric's name.
+func label(r Reason) string { return strings.ReplaceAll(string(r), "-", "_") }
+
 // refuse answers that the request has not run and never will, and when to come back.
 func (x *exchange) refuse(reason Reason) *fulmarserve.Answer {
 	x.reason = reason
--- a/internal/fulmarrelay/relay.go
+++ b/internal/fulmarrelay/relay.go
@@ -83,8 +83,9 @@
 	id       string
 	key      int // -1 if the request has none
 	deadline time.Time
-	sends    int  // targets that the request reached
-	doubtful bool // a target may have run it
+	sends    int   // targets that the request reached
+	doubtful bool  // a target may have run it
+	cause    error // why the last send was not answered
 	tried    map[string]bool
 	target   string
 	reason   Reason
@@ -156,13 +157,19 @@
 	if x.reason == "" {
 		d.Metrics.Served(x.service.Name, x.route.Name, took)
 	} else {
-		d.Metrics.Count("relay." + strings.ReplaceAll(string(x.reason), "-", "_"))
+		d.Metrics.Count("relay." + label(x.reason))
 	}
 	version := uint64(0)
 	if x.view.Routes != nil {
 		version = x.view.Routes.Version()
 	}
-	d.Log.Info("request", "id", x.id, "route", x.route.Name, "service", x.service.Name, "key", x.key,
-		"target", x.target, "sends", x.sends, "status", a.Status, "reason", string(x.reason),
-		"ms", took.Milliseconds(), "config", version, "age", d.Clock().Sub(x.view.Known).Milliseconds())
+	fields := []any{
+		"id", x.id, "route", x.route.Name, "service", x.service.Name, "key", x.key, "target", x.target, "sends", x.sends,
+		"status", a.Status, "reason", string(x.reason), "ms", took.Milliseconds(), "config", version,
+		"age", d.Clock().Sub(x.view.Known).Milliseconds(),
+	}
+	if x.cause != nil {
+		fields = append(fields, "cause", x.cause)
+	}
+	d.Log.Info("request", fields...)
 }
