Take keys over at once from a target whose address is given away

Change: such an answer shows that the former life has ended, unless its id is listed elsewhere; its grants no longer count, apart from calls under way. Ruled out: refused connections as such a sign: a cut refuses them as well.

--- a/internal/fulmarlead/worker.go
+++ b/internal/fulmarlead/worker.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarledger"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarorder"
@@ -119,6 +121,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.deps.Now()
+	if errors.Is(err, fulmarorder.ErrMisdirected) && !t.moved(w.target) {
+		// An address is given to another target only after its former one has ended.
+		err = errors.Wrap(fulmarorder.ErrEnded, err.Error())
+	}
 	book := t.shards[w.target.Service].book
 	changed := book.Sent(now, o, entry, handover, err)
 	if err != nil || changed {
@@ -128,7 +134,13 @@
 	if changed {
 		t.announce()
 	}
-	if o.Kind == fulmarorder.Release && err == nil {
+	if o.Kind == fulmarorder.Release && (err == nil || errors.Is(err, fulmarorder.ErrEnded)) {
 		t.wake()
 	}
 }
+
+// moved reports whether another life with the target's id is listed, to which earlier grants may have gone; mu is held.
+func (t *Term) moved(target fulmarcatalog.Target) bool {
+	listed, ok := t.snapshot.Catalog.Target(target.ID)
+	return ok && (listed.Born != target.Born || listed.Address != target.Address)
+}
--- a/pkg/fulmarledger/ledger.go
+++ b/pkg/fulmarledger/ledger.go
@@ -98,6 +98,17 @@
 	l.set(target, out)
 }
 
+// Ended records that the target has ended. Grants whose calls are under way count until they are settled.
+func (l *Ledger) Ended(target string) {
+	var open []entry
+	for _, e := range l.entries[target] {
+		if e.open {
+			open = append(open, e)
+		}
+	}
+	l.set(target, open)
+}
+
 // Inherit records grants of an earlier sender that is not able to send any more. Answered ones last at
 // most until answered, unanswered ones at most until unanswered.
 func (l *Ledger) Inherit(target string, from, to int, answered, unanswered time.Time) {
--- a/pkg/fulmarorder/book.go
+++ b/pkg/fulmarorder/book.go
@@ -242,6 +242,10 @@
 	} else if err == nil {
 		b.ledger.Released(o.Life.ID, o.From, o.To)
 	}
+	ended := errors.Is(err, ErrEnded)
+	if ended {
+		b.ledger.Ended(o.Life.ID)
+	}
 	if err == nil || errors.Is(err, ErrRefused) {
 		delete(b.stalls, o.Life.ID)
 	} else {
@@ -257,6 +261,10 @@
 		return false // the table has changed meanwhile
 	}
 	st.sent = false
+	if ended && o.Kind == Release {
+		st.done = true
+		return true
+	}
 	if err != nil {
 		st.next = now.Add(b.timing.Retry)
 		if o.Kind == Grant && (errors.Is(err, ErrUnanswered) || errors.Is(err, ErrUnsent) && o.Kept) {
--- a/pkg/fulmarorder/book_test.go
+++ b/pkg/fulmarorder/book_test.go
@@ -75,6 +75,36 @@
 		b.g.Expect(second.Fence).To(Equal(first.Fence))
 	})
 
+	// Guards against keys that wait for a grant to lapse although its target has surely ended.
+	t.Run("takes keys over at once from a target that has ended", func(t *testing.T) {
+		b := newBook(t, fulmarrange.New())
+		b.Commit(owned)
+		b.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", nil)
+		b.Commit(owned.WithOwner(100, 200, lifeB).WithOwner(500, 600, lifeB))
+		b.idle(lifeB)
+		b.next(lifeA, fulmarorder.Release, 100, 200, "", fulmarorder.ErrEnded)
+		b.next(lifeB, fulmarorder.Grant, 100, 200, "", nil)
+		b.next(lifeB, fulmarorder.Grant, 500, 600, "", nil)
+		b.next(lifeA, fulmarorder.Release, 500, 600, "", fulmarorder.ErrEnded)
+		b.g.Expect(b.holds(150)).To(BeTrue())
+	})
+
+	// Guards against a grant under way that is forgotten when its target seems to have ended.
+	t.Run("waits for a grant under way to a target that has ended", func(t *testing.T) {
+		b := newBook(t, fulmarrange.New())
+		b.Commit(owned)
+		o, _, ok := b.Next(b.now, lifeA)
+		b.g.Expect(ok).To(BeTrue())
+		entry := b.Sending(o)
+		b.Commit(owned.WithOwner(100, 200, lifeB))
+		b.next(lifeA, fulmarorder.Release, 100, 200, "", fulmarorder.ErrEnded)
+		b.idle(lifeB)
+		b.Sent(b.now, o, entry, "", fulmarorder.ErrUnanswered)
+		b.idle(lifeB)
+		b.now = b.now.Add(2 * modelTiming.Hold)
+		b.next(lifeB, fulmarorder.Grant, 100, 200, "", nil)
+	})
+
 	// Guards against keys of a silent target that go to another one while it may still hold them.
 	t.Run("waits until the grant of a silent target has lapsed", func(t *testing.T) {
 		b := newBook(t, fulmarrange.New())
--- a/pkg/fulmarorder/order.go
+++ b/pkg/fulmarorder/order.go
@@ -14,6 +14,8 @@
 	ErrUnsent = errors.New("fulmarorder: order not sent")
 	// ErrRefused states that the target has seen a greater fence on one of the keys.
 	ErrRefused = errors.New("fulmarorder: a greater fence was seen")
+	// ErrEnded states that the target's life has ended, so that it holds no keys any more.
+	ErrEnded = errors.New("fulmarorder: target has ended")
 	// ErrMisdirected states that the address belongs to another target.
 	ErrMisdirected = errors.New("fulmarorder: address belongs to another target")
 	// ErrUnanswered states that the order may be carried out, now or later.
