Do not follow a silent leader again while its lease runs out

Cause: daemons that lost a frozen leader by a timeout followed it again 0.3 s later, as its record still stood, and waited for another timeout of 0.7 s while its lease ran out; elections came 0.6 s late. Change: a leader that fell silent is not followed again for the time of a lease. Ruled out: old answers of the cheap reads (others found the new leader within 0.4 s).

--- a/internal/fulmarfollow/follower.go
+++ b/internal/fulmarfollow/follower.go
@@ -69,6 +69,8 @@
 	strongest float64   // power of the strongest daemon that the last leader knew
 	deferred  bool      // this daemon has left the election to stronger ones
 	taken     time.Time // when the daemon last read the whole store
+	silent    uint64    // nonce of the leader that did not answer last
+	ignore    time.Time // until which that leader is not followed again
 
 	mu   sync.Mutex
 	term *fulmarlead.Term
@@ -129,9 +131,13 @@
 		return err
 	case leader == nil:
 		return f.stand(ctx, s)
+	case leader.Nonce == f.silent && f.lead.Now().Before(f.ignore):
+		// It would hold this daemon up for another timeout while its lease runs out.
 	case leader.ID != f.lead.ID:
 		f.deferred = false
-		f.follow(ctx, leader.Address, f.taken)
+		if f.follow(ctx, leader.Address, f.taken) {
+			f.silent, f.ignore = leader.Nonce, f.lead.Now().Add(fulmarlead.LeaseTime)
+		}
 	}
 	return nil
 }
@@ -243,13 +249,13 @@
 	return &fulmarsync.Report{ID: f.lead.ID, Power: f.lead.Power, Have: have, Keys: keys, Targets: targets}
 }
 
-// follow exchanges reports with the leader until it fails or its knowledge is stale. read is when the store
-// was last read here: what the leader knows of before must not replace that.
-func (f *Follower) follow(ctx context.Context, address string, read time.Time) {
+// follow exchanges reports with the leader until it fails or its knowledge is stale, and reports whether it fell
+// silent. read is when the store was last read here: what the leader knows of before must not replace that.
+func (f *Follower) follow(ctx context.Context, address string, read time.Time) (silent bool) {
 	leader, err := f.dial(ctx, address)
 	if err != nil {
 		f.log.Info("leader not reached", "address", address, "error", err)
-		return
+		return false
 	}
 	defer leader.Close()
 	f.log.Info("following", "address", address)
@@ -258,26 +264,28 @@
 		began := f.lead.Now()
 		callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
 		u, err := leader.Sync(callCtx, f.report(state.have))
+		silent = callCtx.Err() != nil
 		cancel()
 		if err != nil {
-			f.log.Info("leader lost", "address", address, "error", err)
-			return
+			f.log.Info("leader lost", "address", address, "silent", silent, "error", err)
+			return silent
 		}
 		// The answer was made after the call began, so what it says is at most that much older.
 		known := began.Add(-u.Age)
 		if f.lead.Now().Sub(known) > stale {
 			f.log.Warn("leader does not reach the store", "address", address, "age", u.Age)
-			return
+			return false
 		}
 		f.strongest = max(u.Strongest, f.lead.Power)
 		if err := state.take(f.lead.Now(), u); err != nil {
 			f.log.Error("configuration of the leader is not valid", "error", err)
-			return
+			return false
 		}
 		if !known.Before(read) {
 			f.adopt(state, u.Daemons, known)
 		}
 	}
+	return false
 }
 
 // told is what a leader has told so far.
--- a/internal/fulmarfollow/follower_test.go
+++ b/internal/fulmarfollow/follower_test.go
@@ -18,6 +18,7 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsync"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarorder"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
@@ -225,3 +226,39 @@
 		synctest.Wait()
 	})
 }
+
+// hung is a leader that accepts reports and never answers.
+type hung struct{}
+
+func (hung) Sync(ctx context.Context, _ *fulmarsync.Report) (*fulmarsync.Update, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (hung) Close() {}
+
+// Guards against daemons that wait for a frozen leader again while its lease has run out: an election came 0.9 s
+// late, and keys lost their owners meanwhile.
+func TestFrozenLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := fulmarmemory.New(time.Now)
+		store.Set("config", encode(t, config(1)))
+		store.Set("targets/x", encode(t, target("x", false)))
+		record, err := fulmarsnapshot.Leader{ID: "a", Address: "a", Nonce: 1}.Encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		lease, err := store.Open(ctx, fulmarlead.LeaseTime)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = store.Commit(ctx, fulmarkv.Change{Write: []fulmarkv.Write{{Key: fulmarsnapshot.LeaderKey, Value: record, Lease: lease}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		f := &fleet{}
+		f.set("a", hung{})
+		f.strong(ctx, "b", 0.5, fulmarmemory.NewClient(store))
+		time.Sleep(fulmarlead.LeaseTime + 600*time.Millisecond)
+		g.Expect(leader(t, store)).To(Equal("b"))
+		cancel()
+		synctest.Wait()
+	})
+}
