Keep keys at targets that can be reached while orders are not answered

Cause: two unanswered orders within 250 ms took a target's keys away; with half of the grants unanswered, keys wandered between targets and waited 2 s for the lapse of each unanswered grant (key 762: six owners from 7.0 to 13.7 s). Change: only orders that cannot be sent count that soon; a target that can be reached keeps its keys until 1.5 s of unanswered orders. Ruled out: the answers of requests as a sign of life (a target without keys gets none), the order of grants, the longest hold after a change of leader.

--- a/internal/fulmarlead/term.go
+++ b/internal/fulmarlead/term.go
@@ -33,6 +33,9 @@
 	farewell  = 5 * time.Second        // a target that is no longer listed can still be told to release keys
 	stallTime = 250 * time.Millisecond // of failed orders, after which a target loses its keys
 	stallMin  = 2
+	// silentTime replaces stallTime for a target that can be reached and does not answer orders: it may have taken
+	// them, so its keys could not go to another one sooner anyway.
+	silentTime = 1500 * time.Millisecond
 	// bridgeAfter is the time without an answer of the store after which grants are extended, so that keys
 	// keep their owners while nobody can lead.
 	bridgeAfter = 500 * time.Millisecond
@@ -389,11 +392,15 @@
 	var out []fulmarassign.Target
 	for _, target := range t.snapshot.Catalog.Service(service) {
 		life := target.Life()
-		stalled, count := s.book.Stalled(now, life)
-		reachable := stalled < stallTime || count < stallMin
+		stall := s.book.Stalled(now, life)
+		limit := silentTime
+		if stall.Unsent {
+			limit = stallTime
+		}
+		reachable := stall.Since < limit || stall.Count < stallMin
 		if s.reach[life] != reachable {
 			s.reach[life] = reachable
-			t.deps.Log.Info("target judged", "target", life.ID, "reachable", reachable, "failures", count, "since", stalled)
+			t.deps.Log.Info("target judged", "target", life.ID, "reachable", reachable, "failures", stall.Count, "since", stall.Since, "unsent", stall.Unsent)
 		}
 		if target.Leaving || !reachable {
 			continue
--- a/pkg/fulmarorder/book.go
+++ b/pkg/fulmarorder/book.go
@@ -47,8 +47,9 @@
 
 // stall describes orders to a life that fail one after another.
 type stall struct {
-	since time.Time
-	count int
+	since  time.Time
+	count  int
+	unsent bool // the last one could not be sent
 }
 
 // New returns a book of a table that an earlier sender may have acted on up to now.
@@ -254,6 +255,7 @@
 			s.since = now
 		}
 		s.count++
+		s.unsent = !errors.Is(err, ErrUnanswered)
 		b.stalls[o.Life.ID] = s
 	}
 	st := b.spans[b.key(o)]
@@ -282,13 +284,20 @@
 	return changed
 }
 
-// Stalled returns how long orders to the life have failed without one that succeeded, and how many did.
-func (b *Book) Stalled(now time.Time, life fulmarrange.Life) (time.Duration, int) {
+// Stall describes orders to a life that fail one after another.
+type Stall struct {
+	Since  time.Duration // the first one failed
+	Count  int
+	Unsent bool // the last one could not be sent, so that the target cannot be reached at all
+}
+
+// Stalled returns the orders to the life that failed since one succeeded.
+func (b *Book) Stalled(now time.Time, life fulmarrange.Life) Stall {
 	s, ok := b.stalls[life.ID]
 	if !ok {
-		return 0, 0
+		return Stall{}
 	}
-	return now.Sub(s.since), s.count
+	return Stall{Since: now.Sub(s.since), Count: s.count, Unsent: s.unsent}
 }
 
 // Uncertain reports whether the life may have been granted keys over a connection that is no longer used, so
--- a/pkg/fulmarorder/book_test.go
+++ b/pkg/fulmarorder/book_test.go
@@ -162,8 +162,15 @@
 			b.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", fulmarorder.ErrUnsent)
 			b.now = b.now.Add(modelTiming.Retry)
 		}
-		since, count := b.Stalled(b.now, lifeA)
-		b.g.Expect(count).To(Equal(2))
-		b.g.Expect(since).To(Equal(2 * modelTiming.Retry))
+		b.g.Expect(b.Stalled(b.now, lifeA)).To(Equal(fulmarorder.Stall{Since: 2 * modelTiming.Retry, Count: 2, Unsent: true}))
+	})
+
+	// Guards against keys that wander from target to target, because each is taken to be gone when it leaves two
+	// orders unanswered.
+	t.Run("tells a target that does not answer from one that cannot be reached", func(t *testing.T) {
+		b := newBook(t, fulmarrange.New())
+		b.Commit(owned)
+		b.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", fulmarorder.ErrUnanswered)
+		b.g.Expect(b.Stalled(b.now, lifeA)).To(Equal(fulmarorder.Stall{Count: 1}))
 	})
 }
