Give the replays a command and tests of what they show

Cause: the replays ran only as a test that is skipped without a variable. Change: fulmarlab replay prints the choice beside no moves, a dispatcher with exact knowledge, and a bound without owners; tests compare them.

--- a/cmd/fulmarlab/doc.go
+++ b/cmd/fulmarlab/doc.go
@@ -7,5 +7,6 @@
 //	fulmarlab load      callers
 //	fulmarlab bench     experiments on the cores in virtual time
 //	fulmarlab trial     measurements on processes
+//	fulmarlab replay    loads of keyed services against the decisions in virtual time
 //	fulmarlab soak      the daemon of the platform under random faults
 package main
--- a/cmd/fulmarlab/main.go
+++ b/cmd/fulmarlab/main.go
@@ -33,7 +33,7 @@
 	app := &cli.Command{
 		Name:     "fulmarlab",
 		Usage:    "run stand-ins for the platform, targets and callers",
-		Commands: []*cli.Command{platformCommand(), targetCommand(), loadCommand(), demoCommand(), trialCommand(), benchCommand(), soakCommand()},
+		Commands: []*cli.Command{platformCommand(), targetCommand(), loadCommand(), demoCommand(), trialCommand(), benchCommand(), replayCommand(), soakCommand()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/fulmarreplay/sim_test.go
+++ b/internal/fulmarreplay/sim_test.go
@@ -1,28 +1,73 @@
 package fulmarreplay_test
 
 import (
-	"fmt"
-	"os"
 	"testing"
 
+	. "github.com/onsi/gomega"
+
 	"github.com/fulmarbend/fulmarbend/internal/fulmarreplay"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarassign"
 )
 
-func TestTable(t *testing.T) {
-	if os.Getenv("REPLAY") == "" {
-		t.Skip()
-	}
+const seed = 1
+
+// pattern returns the load with the name.
+func pattern(t *testing.T, name string) fulmarreplay.Pattern {
+	t.Helper()
 	for _, p := range fulmarreplay.Patterns() {
-		var w, m, again float64
-		const n = 8
-		var last fulmarreplay.Result
-		for seed := range uint64(n) {
-			last = fulmarreplay.New(p, fulmarassign.Standard, fulmarreplay.NewBlind(4), seed+1).Run()
-			w += last.Worth / n
-			m += last.Moved / n
-			again += float64(last.Again) / float64(last.Asked) / n
+		if p.Name == name {
+			return p
 		}
-		fmt.Printf("%-24s %.4f moved %.2f again %.3f   %s\n", p.Name, w, m, again, last)
 	}
+	t.Fatalf("no load %q", name)
+	return fulmarreplay.Pattern{}
+}
+
+func worth(p fulmarreplay.Pattern, policy fulmarassign.Policy, a fulmarreplay.Admission) float64 {
+	return fulmarreplay.New(p, policy, a, seed).Run().Worth
+}
+
+// Guards against hot neighbouring keys that stay with one owner. Half of what even ranges lose must be won.
+func TestMoves(t *testing.T) {
+	still := fulmarassign.Standard
+	still.Moves = 0
+	for _, name := range []string{"rota-quiet-range", "rota-crest-range", "catalogue-crest-range"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := pattern(t, name)
+			before := worth(p, still, fulmarreplay.NewBlind(4))
+			after := worth(p, fulmarassign.Standard, fulmarreplay.NewBlind(4))
+			g.Expect(1 - after).To(BeNumerically("<", (1-before)/2))
+		})
+	}
+}
+
+// Guards against a key that uses a target nearly alone and shares it with others.
+func TestHotKey(t *testing.T) {
+	g := NewWithT(t)
+	shared := fulmarassign.Standard
+	shared.Hot = 1e9
+	p := pattern(t, "catalogue-crest-key")
+	g.Expect(worth(p, fulmarassign.Standard, fulmarreplay.NewBlind(4))).To(BeNumerically(">", worth(p, shared, fulmarreplay.NewBlind(4))))
+}
+
+// Guards against a model that is easier than its bound, which would make all comparisons void.
+func TestBound(t *testing.T) {
+	for _, p := range fulmarreplay.Patterns()[:3] {
+		t.Run(p.Name, func(t *testing.T) {
+			g := NewWithT(t)
+			choice := worth(p, fulmarassign.Standard, fulmarreplay.NewBlind(4))
+			g.Expect(worth(p, fulmarassign.Standard, fulmarreplay.NewIdeal())).To(BeNumerically(">", choice))
+		})
+	}
+}
+
+// Guards against results that a seed does not repeat.
+func TestRepeatable(t *testing.T) {
+	g := NewWithT(t)
+	p := pattern(t, "rota-quiet")
+	run := func() fulmarreplay.Result {
+		return fulmarreplay.New(p, fulmarassign.Standard, fulmarreplay.NewBlind(4), seed).Run()
+	}
+	g.Expect(run()).To(Equal(run()))
 }
