Lead through a store that answers slowly

Change: calls that extend the lease overlap, the first one beside the write of the leader's record; calls have 0.9 s; the time of a read counts within its interval, so that views do not age. Ruled out: a longer lease, which delays each takeover from a lost leader.

--- a/internal/fulmarfollow/follower.go
+++ b/internal/fulmarfollow/follower.go
@@ -25,7 +25,7 @@
 	failEvery = time.Second
 	// refresh is the age of the view from which the daemon reads the whole store itself while it has no leader.
 	refresh     = 1100 * time.Millisecond
-	readTimeout = 500 * time.Millisecond
+	readTimeout = 900 * time.Millisecond // bears a slow store
 	syncTimeout = 700 * time.Millisecond // covers the leader's wait for a change
 	// stale is the age of the leader's knowledge at which the daemon reads the store itself.
 	stale      = 1200 * time.Millisecond
--- a/internal/fulmarlead/election.go
+++ b/internal/fulmarlead/election.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
@@ -19,7 +20,10 @@
 	keepEvery = 200 * time.Millisecond
 	// leaseMargin is kept before the end of the lease in which no order is sent.
 	leaseMargin = 100 * time.Millisecond
-	callTimeout = 500 * time.Millisecond
+	// callTimeout bears a store that takes a quarter of a second for an answer and has other calls to answer.
+	callTimeout = 900 * time.Millisecond
+	// keepsOpen is the number of calls that extend the lease at the same time, so that a slow one does not end it.
+	keepsOpen = 4
 )
 
 // seat is a lease that was acquired.
@@ -43,6 +47,10 @@
 	if err != nil {
 		return seat{}, err
 	}
+	var group errgroup.Group
+	// The lease is extended at once, as the calls of an election take most of its time if the store is slow.
+	extended := d.Now()
+	group.Go(func() error { return d.Store.Keep(ctx, lease) })
 	revision, err := d.Store.Commit(ctx, fulmarkv.Change{
 		If:    []fulmarkv.Condition{{Key: fulmarsnapshot.LeaderKey}},
 		Write: []fulmarkv.Write{{Key: fulmarsnapshot.LeaderKey, Value: value, Lease: lease}},
@@ -50,6 +58,9 @@
 	if errors.Is(err, fulmarkv.ErrAmbiguous) {
 		revision, err = confirm(ctx, d, value)
 	}
+	if group.Wait() == nil {
+		started = extended
+	}
 	if err != nil {
 		return seat{}, errors.Wrap(err, "fulmarlead: leader's record")
 	}
--- a/internal/fulmarlead/term.go
+++ b/internal/fulmarlead/term.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsync"
@@ -24,6 +25,7 @@
 // Timing of the leader's duties.
 const (
 	readEvery = 500 * time.Millisecond
+	readPause = 100 * time.Millisecond // after a read that took long
 	planEvery = 200 * time.Millisecond
 	// hold is the time of a grant. Keys of a target that fell silent are owned again about that long after.
 	hold      = 1900 * time.Millisecond
@@ -79,6 +81,7 @@
 	mu       sync.Mutex
 	valid    time.Time // the lease surely holds until then
 	kept     time.Time // when the call began that last extended the lease
+	ended    bool      // the lease is known to have ended
 	bridged  bool
 	snapshot *fulmarsnapshot.Snapshot
 	revision int64 // of the tables
@@ -178,32 +181,46 @@
 	return now.Before(t.valid)
 }
 
-// keepLoop extends the lease until it is lost.
+// keepLoop extends the lease until it is lost. Calls that are not answered soon do not hold up the next ones.
 func (t *Term) keepLoop(ctx context.Context) {
-	for sleep(ctx, keepEvery) {
-		now := t.deps.Now()
-		if !t.leads(now) {
+	var calls errgroup.Group
+	calls.SetLimit(keepsOpen)
+	defer func() { _ = calls.Wait() }() // the calls return no errors
+	for next := time.Duration(0); sleep(ctx, next); next = keepEvery {
+		if !t.leads(t.deps.Now()) {
 			t.deps.Log.Warn("lease not extended in time", "term", t.seat.revision)
 			return
 		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := t.deps.Store.Keep(callCtx, t.seat.lease)
-		cancel()
-		if errors.Is(err, fulmarkv.ErrNoLease) {
-			t.deps.Log.Warn("lease has ended", "term", t.seat.revision)
-			t.mu.Lock()
-			t.valid = time.Time{}
-			t.mu.Unlock()
-			return
-		}
-		t.keptLease(now, err)
+		calls.TryGo(func() error {
+			t.keep(ctx)
+			return nil
+		})
 	}
 }
 
+// keep extends the lease once.
+func (t *Term) keep(ctx context.Context) {
+	began := t.deps.Now()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := t.deps.Store.Keep(ctx, t.seat.lease)
+	if errors.Is(err, fulmarkv.ErrNoLease) {
+		t.deps.Log.Warn("lease has ended", "term", t.seat.revision)
+		t.mu.Lock()
+		t.valid, t.ended = time.Time{}, true
+		t.mu.Unlock()
+		return
+	}
+	t.keptLease(began, err)
+}
+
 // keptLease records the outcome of a call that extends the lease.
 func (t *Term) keptLease(began time.Time, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.ended || err == nil && began.Before(t.kept) {
+		return // a later call has told more
+	}
 	if err == nil {
 		t.valid, t.kept = began.Add(LeaseTime-leaseMargin), began
 		if t.bridged {
@@ -237,8 +254,11 @@
 }
 
 func (t *Term) readLoop(ctx context.Context) {
-	for sleep(ctx, readEvery) {
+	for next := readEvery; sleep(ctx, next); {
+		began := t.deps.Now()
 		t.read(ctx)
+		// What daemons know must not grow older because answers of the store are slow.
+		next = max(readEvery-t.deps.Now().Sub(began), readPause)
 	}
 }
 
