--- a/pkg/fulmarassign/load.go
+++ b/pkg/fulmarassign/load.go
@@ -188,7 +188,7 @@
 	for _, rate := range rates {
 		total += rate
 	}
-	if total == 0 {
+	if total == 0 && len(p.spikes) == 0 {
 		uniform, total = 1, 1
 	}
 	p.through = make([]float64, len(p.spikes)+1)
