--- a/internal/fulmarclock/clock.go
+++ b/internal/fulmarclock/clock.go
@@ -1,9 +1,7 @@
-// Package fulmarclock reads a clock that goes on while the machine is suspended.
-//
-// Leases and grants must not seem younger after a suspension than they are.
 package fulmarclock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -21,3 +19,15 @@
 	}
 	return time.Unix(epoch+t.Sec, t.Nsec)
 }
+
+// Sleep waits for d, or until ctx ends, and reports whether ctx goes on.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(max(d, 0))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/fulmarcontrol/controller.go
+++ b/internal/fulmarcontrol/controller.go
@@ -322,15 +322,3 @@
 		}
 	}
 }
-
-// pause waits for d or the end of ctx and reports whether ctx goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/fulmarcontrol/mesh.go
+++ b/internal/fulmarcontrol/mesh.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarpeer"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarwire"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarmember"
@@ -297,7 +298,7 @@
 func (c *Controller) runMonitor(ctx context.Context) {
 	last := time.Now()
 	live := 0
-	for pause(ctx, monitorPeriod) {
+	for fulmarclock.Sleep(ctx, monitorPeriod) {
 		c.mu.Lock()
 		now := time.Now()
 		if now.Sub(last) > monitorPeriod+monitorLate {
@@ -357,7 +358,7 @@
 			wait /= 10
 		}
 		wait += rand.N(wait / 4)
-		if !pause(ctx, wait) {
+		if !fulmarclock.Sleep(ctx, wait) {
 			return
 		}
 	}
--- a/internal/fulmarcontrol/planner.go
+++ b/internal/fulmarcontrol/planner.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarstore"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarwire"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarplan"
@@ -84,7 +85,7 @@
 		}
 		if p != nil && !c.plan(ctx, p) {
 			p = nil
-			if !pause(ctx, storeRetry/2+rand.N(storeRetry)) {
+			if !fulmarclock.Sleep(ctx, storeRetry/2+rand.N(storeRetry)) {
 				return
 			}
 		}
--- a/internal/fulmarcontrol/router.go
+++ b/internal/fulmarcontrol/router.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarwire"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarconfig"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarmember"
@@ -202,7 +203,7 @@
 		k.wake()
 	}
 	c.mu.Unlock()
-	for c.Holding() > 0 && pause(ctx, monitorPeriod) {
+	for c.Holding() > 0 && fulmarclock.Sleep(ctx, monitorPeriod) {
 	}
 }
 
@@ -228,7 +229,7 @@
 
 // runLoads gathers the loads of the dispatchers for the planner.
 func (c *Controller) runLoads(ctx context.Context) {
-	for pause(ctx, loadInterval) {
+	for fulmarclock.Sleep(ctx, loadInterval) {
 		c.mu.Lock()
 		var dispatchers []Dispatcher
 		for _, k := range c.keepers {
--- a/internal/fulmarcontrol/store.go
+++ b/internal/fulmarcontrol/store.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarstore"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrank"
 )
@@ -74,21 +75,21 @@
 	for ctx.Err() == nil {
 		if !c.chosen("watch") {
 			index = 0
-			if !pause(ctx, loadInterval) {
+			if !fulmarclock.Sleep(ctx, loadInterval) {
 				return
 			}
 			continue
 		}
 		value, err := c.Store.Watch(ctx, keyConfig, index, watchWait)
 		if errors.Is(err, fulmarstore.ErrNotFound) {
-			if !pause(ctx, storeRetry) {
+			if !fulmarclock.Sleep(ctx, storeRetry) {
 				return
 			}
 			continue
 		}
 		c.noteStore(err)
 		if err != nil {
-			if !pause(ctx, storeRetry+rand.N(storeBackoff)) {
+			if !fulmarclock.Sleep(ctx, storeRetry+rand.N(storeBackoff)) {
 				return
 			}
 			continue
@@ -121,7 +122,7 @@
 		if session == "" {
 			wait += rand.N(wait)
 		}
-		if !pause(ctx, wait) {
+		if !fulmarclock.Sleep(ctx, wait) {
 			return
 		}
 	}
@@ -230,7 +231,7 @@
 // runStoreConfirm reads the table from the key-value service while peers do
 // not confirm the quorum lease, for example because too few of them are left.
 func (c *Controller) runStoreConfirm(ctx context.Context) {
-	for pause(ctx, c.Timing.Window/4) {
+	for fulmarclock.Sleep(ctx, c.Timing.Window/4) {
 		c.mu.Lock()
 		now := time.Now()
 		needed := c.table.Epoch() > 0 && c.rosterIncarnation(c.Self.ID) == c.Self.Incarnation &&
@@ -240,7 +241,7 @@
 		if !needed && !behind {
 			continue
 		}
-		if !c.confirmFromStore(ctx) && !pause(ctx, storeRetry+rand.N(storeRetry)) {
+		if !c.confirmFromStore(ctx) && !fulmarclock.Sleep(ctx, storeRetry+rand.N(storeRetry)) {
 			return
 		}
 	}
--- a/internal/fulmarfollow/follower.go
+++ b/internal/fulmarfollow/follower.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarlead"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsync"
@@ -109,7 +110,7 @@
 		if err := f.step(ctx); err != nil {
 			wait = failEvery + rand.N(failEvery/4)
 		}
-		pause(ctx, wait)
+		fulmarclock.Sleep(ctx, wait)
 	}
 }
 
@@ -153,7 +154,7 @@
 func (f *Follower) stand(ctx context.Context, s *fulmarsnapshot.Snapshot) {
 	if d := f.handicap(); d > 0 && !f.deferred {
 		f.deferred = true
-		pause(ctx, d)
+		fulmarclock.Sleep(ctx, d)
 		return
 	}
 	f.deferred = false
@@ -177,18 +178,6 @@
 	return 0
 }
 
-// pause waits and reports whether ctx goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(max(d, 0))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // read takes a snapshot and adopts it.
 func (f *Follower) read(ctx context.Context) (*fulmarsnapshot.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -225,7 +214,7 @@
 	selfCtx, cancel := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	group.Go(func() {
-		for pause(selfCtx, reportSelf) {
+		for fulmarclock.Sleep(selfCtx, reportSelf) {
 			term.Note(f.report(fulmarsync.Versions{}))
 		}
 	})
--- a/internal/fulmarfront/front.go
+++ b/internal/fulmarfront/front.go
@@ -40,7 +40,7 @@
 	sweepEvery  = time.Second
 	samples     = 2 // targets that are compared for a request
 
-	// noticed is the time after SIGTERM until callers are led to other daemons: the status check has
+	// noticed is the time after SIGTERM until callers are led to other daemons: the readiness check has
 	// failed twice, a second apart.
 	noticed   = 2300 * time.Millisecond
 	lastCall  = 400 * time.Millisecond // of the grace kept for the end of the process
--- a/internal/fulmarfront/settings.go
+++ b/internal/fulmarfront/settings.go
@@ -11,7 +11,7 @@
 // Listen holds the addresses that a daemon listens on, host:port.
 type Listen struct {
 	Callers string
-	Ready   string // status check of the daemon
+	Ready   string // readiness check of the daemon
 	Peers   string // reports of other daemons
 	Metrics string
 }
@@ -36,7 +36,7 @@
 		{"id", s.ID},
 		{"data centre", s.DC},
 		{"address for callers", s.Listen.Callers},
-		{"address of the status check", s.Listen.Ready},
+		{"address of the readiness check", s.Listen.Ready},
 		{"address for peers", s.Listen.Peers},
 		{"address of the store", s.Store},
 	} {
--- /dev/null
+++ b/internal/fulmarlead/lease.go
@@ -0,0 +1,93 @@
+package fulmarlead
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
+)
+
+// resign ends the lease, so that another daemon can lead at once.
+func (t *Term) resign() {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := t.deps.Store.End(ctx, t.seat.lease); err != nil {
+		t.deps.Log.Info("lease not given up", "error", err)
+	}
+}
+
+// leads reports whether the lease surely holds.
+func (t *Term) leads(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.valid)
+}
+
+// keepLoop extends the lease until it is lost. Calls that are not answered soon do not hold up the next ones.
+func (t *Term) keepLoop(ctx context.Context) {
+	var calls errgroup.Group
+	calls.SetLimit(keepsOpen)
+	defer func() { _ = calls.Wait() }() // the calls return no errors
+	for next := time.Duration(0); fulmarclock.Sleep(ctx, next); next = keepEvery {
+		if !t.leads(t.deps.Now()) {
+			t.deps.Log.Warn("lease not extended in time", "term", t.seat.revision)
+			return
+		}
+		calls.TryGo(func() error {
+			t.keep(ctx)
+			return nil
+		})
+	}
+}
+
+// keep extends the lease once.
+func (t *Term) keep(ctx context.Context) {
+	began := t.deps.Now()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := t.deps.Store.Keep(ctx, t.seat.lease)
+	if errors.Is(err, fulmarkv.ErrNoLease) {
+		t.deps.Log.Warn("lease has ended", "term", t.seat.revision)
+		t.mu.Lock()
+		t.valid, t.ended = time.Time{}, true
+		t.mu.Unlock()
+		return
+	}
+	t.keptLease(began, err)
+}
+
+// keptLease records the outcome of a call that extends the lease.
+func (t *Term) keptLease(began time.Time, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ended || err == nil && began.Before(t.kept) {
+		return // a later call has told more
+	}
+	if err == nil {
+		t.valid, t.kept = began.Add(LeaseTime-leaseMargin), began
+		if t.bridged {
+			t.bridged = false
+			t.deps.Log.Info("grants are no longer extended", "term", t.seat.revision)
+			t.setHold(hold)
+		}
+		return
+	}
+	if !t.bridged && t.deps.Now().Sub(t.kept) >= bridgeAfter {
+		t.bridged = true
+		t.deps.Log.Warn("store does not answer, extending grants", "term", t.seat.revision, "error", err)
+		t.setHold(time.Duration(float64(t.deps.HoldMax) * bridgeShare))
+	}
+}
+
+// setHold changes the time of all grants; mu is held.
+func (t *Term) setHold(d time.Duration) {
+	now := t.deps.Now()
+	for _, s := range t.shards {
+		s.book.WithHold(now, d)
+	}
+	t.wake()
+}
--- a/internal/fulmarlead/publish.go
+++ b/internal/fulmarlead/publish.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsync"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
@@ -40,7 +41,7 @@
 		t.publish()
 		daemons, _ := t.daemons(t.deps.Now())
 		t.mu.Unlock()
-		if !sleep(ctx, min(max(time.Duration(daemons)*publishPace, publishMin), publishMax)) {
+		if !fulmarclock.Sleep(ctx, min(max(time.Duration(daemons)*publishPace, publishMin), publishMax)) {
 			return
 		}
 	}
--- a/internal/fulmarlead/term.go
+++ b/internal/fulmarlead/term.go
@@ -1,16 +1,12 @@
 package fulmarlead
 
 import (
-	"bytes"
 	"context"
 	"log/slog"
-	"maps"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
-
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsync"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
@@ -146,7 +142,7 @@
 
 // awaitRead repeats the first read until it succeeds.
 func (t *Term) awaitRead(ctx context.Context) bool {
-	for sleep(ctx, retry) {
+	for fulmarclock.Sleep(ctx, retry) {
 		if t.read(ctx) {
 			return true
 		}
@@ -154,98 +150,6 @@
 	return false
 }
 
-// resign ends the lease, so that another daemon can lead at once.
-func (t *Term) resign() {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	if err := t.deps.Store.End(ctx, t.seat.lease); err != nil {
-		t.deps.Log.Info("lease not given up", "error", err)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// leads reports whether the lease surely holds.
-func (t *Term) leads(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return now.Before(t.valid)
-}
-
-// keepLoop extends the lease until it is lost. Calls that are not answered soon do not hold up the next ones.
-func (t *Term) keepLoop(ctx context.Context) {
-	var calls errgroup.Group
-	calls.SetLimit(keepsOpen)
-	defer func() { _ = calls.Wait() }() // the calls return no errors
-	for next := time.Duration(0); sleep(ctx, next); next = keepEvery {
-		if !t.leads(t.deps.Now()) {
-			t.deps.Log.Warn("lease not extended in time", "term", t.seat.revision)
-			return
-		}
-		calls.TryGo(func() error {
-			t.keep(ctx)
-			return nil
-		})
-	}
-}
-
-// keep extends the lease once.
-func (t *Term) keep(ctx context.Context) {
-	began := t.deps.Now()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err := t.deps.Store.Keep(ctx, t.seat.lease)
-	if errors.Is(err, fulmarkv.ErrNoLease) {
-		t.deps.Log.Warn("lease has ended", "term", t.seat.revision)
-		t.mu.Lock()
-		t.valid, t.ended = time.Time{}, true
-		t.mu.Unlock()
-		return
-	}
-	t.keptLease(began, err)
-}
-
-// keptLease records the outcome of a call that extends the lease.
-func (t *Term) keptLease(began time.Time, err error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.ended || err == nil && began.Before(t.kept) {
-		return // a later call has told more
-	}
-	if err == nil {
-		t.valid, t.kept = began.Add(LeaseTime-leaseMargin), began
-		if t.bridged {
-			t.bridged = false
-			t.deps.Log.Info("grants are no longer extended", "term", t.seat.revision)
-			t.setHold(hold)
-		}
-		return
-	}
-	if !t.bridged && t.deps.Now().Sub(t.kept) >= bridgeAfter {
-		t.bridged = true
-		t.deps.Log.Warn("store does not answer, extending grants", "term", t.seat.revision, "error", err)
-		t.setHold(time.Duration(float64(t.deps.HoldMax) * bridgeShare))
-	}
-}
-
-// setHold changes the time of all grants; mu is held.
-func (t *Term) setHold(d time.Duration) {
-	now := t.deps.Now()
-	for _, s := range t.shards {
-		s.book.WithHold(now, d)
-	}
-	t.wake()
-}
-
 // wake lets all workers look for orders; mu is held.
 func (t *Term) wake() {
 	for _, w := range t.workers {
@@ -254,7 +158,7 @@
 }
 
 func (t *Term) readLoop(ctx context.Context) {
-	for next := readEvery; sleep(ctx, next); {
+	for next := readEvery; fulmarclock.Sleep(ctx, next); {
 		began := t.deps.Now()
 		t.read(ctx)
 		// What daemons know must not grow older because answers of the store are slow.
@@ -318,186 +222,3 @@
 		}
 	}
 }
-
-// planLoop decides moves and writes tables until the lease is lost.
-func (t *Term) planLoop(ctx context.Context, lost context.CancelFunc) {
-	for {
-		if !t.leads(t.deps.Now()) {
-			lost()
-			return
-		}
-		if err := t.plan(ctx); err != nil {
-			t.deps.Log.Warn("tables not written", "term", t.seat.revision, "error", err)
-			if errors.Is(err, fulmarkv.ErrConflict) {
-				lost()
-				return
-			}
-		}
-		if !sleep(ctx, planEvery) {
-			return
-		}
-	}
-}
-
-// plan computes the tables that should be in force and writes them if they differ from the present ones.
-func (t *Term) plan(ctx context.Context) error {
-	tables, changed := t.wanted()
-	if !changed {
-		return nil
-	}
-	revision, err := t.write(ctx, tables)
-	if err != nil {
-		return err
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.revision = revision
-	for name, table := range tables {
-		t.shards[name].book.Commit(table)
-	}
-	t.staff(t.deps.Now())
-	t.announce()
-	t.wake()
-	return nil
-}
-
-// wanted returns the tables of all keyed services and whether one of them is new.
-func (t *Term) wanted() (tables map[string]fulmarrange.Table, changed bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.deps.Now()
-	tables = make(map[string]fulmarrange.Table, len(t.shards))
-	for name, s := range t.shards {
-		s.rates.Advance(now)
-		s.book.Expire(now)
-		table, renewed := t.tidy(now, s)
-		next := fulmarassign.Plan(table, t.owners(now, name, s), s.rates, fulmarassign.Standard)
-		if renewed || next.Fence() != table.Fence() {
-			changed = true
-		}
-		tables[name] = next
-	}
-	return tables, changed
-}
-
-// tidy drops earlier owners that no longer matter and renews fences of lives that may have been replaced.
-func (t *Term) tidy(now time.Time, s *shard) (fulmarrange.Table, bool) {
-	table, changed := s.book.Table(), false
-	settled := s.book.Settled()
-	if len(settled) == 0 {
-		s.settled = time.Time{}
-	} else if s.settled.IsZero() {
-		s.settled = now
-	}
-	if len(settled) > 0 && now.Sub(s.settled) >= settle {
-		s.settled = time.Time{}
-		changed = true
-		for _, g := range settled {
-			for _, p := range g.Prior {
-				table = table.WithoutPrior(g.From, g.To, p)
-			}
-		}
-	}
-	for _, g := range table.Segments() {
-		if g.Owned() && s.book.Uncertain(g.Owner.Life) {
-			table = table.WithRenewedFence(g.From, g.To)
-			changed = true
-		}
-	}
-	return table, changed
-}
-
-// owners returns the targets that can own keys of a service; mu is held.
-func (t *Term) owners(now time.Time, service string, s *shard) []fulmarassign.Target {
-	var out []fulmarassign.Target
-	for _, target := range t.snapshot.Catalog.Service(service) {
-		life := target.Life()
-		stall := s.book.Stalled(now, life)
-		limit := silentTime
-		if stall.Unsent {
-			limit = stallTime
-		}
-		reachable := stall.Since < limit || stall.Count < stallMin
-		if s.reach[life] != reachable {
-			s.reach[life] = reachable
-			t.deps.Log.Info("target judged", "target", life.ID, "reachable", reachable, "failures", stall.Count, "since", stall.Since, "unsent", stall.Unsent)
-		}
-		if target.Leaving || !reachable {
-			continue
-		}
-		out = append(out, fulmarassign.Target{Life: life, Slots: target.Slots, Time: s.times.Get(now, target.ID)})
-	}
-	return out
-}
-
-// write stores the tables on the condition that this daemon leads and nobody else has written them.
-func (t *Term) write(ctx context.Context, tables map[string]fulmarrange.Table) (int64, error) {
-	t.mu.Lock()
-	known := maps.Clone(t.snapshot.Tables)
-	revision := t.revision
-	stored := t.snapshot.Fleet.Strongest
-	_, strongest := t.daemons(t.deps.Now())
-	strongest = max(strongest, t.deps.Power)
-	t.mu.Unlock()
-	if known == nil {
-		known = make(map[string]fulmarrange.Table)
-	}
-	maps.Copy(known, tables)
-	value, err := fulmarsnapshot.EncodeTables(known)
-	if err != nil {
-		return 0, err
-	}
-	change := fulmarkv.Change{
-		If: []fulmarkv.Condition{
-			{Key: fulmarsnapshot.LeaderKey, Revision: t.seat.revision},
-			{Key: fulmarsnapshot.TablesKey, Revision: revision},
-		},
-		Write: []fulmarkv.Write{{Key: fulmarsnapshot.TablesKey, Value: value}},
-	}
-	if stored < strongest {
-		record, err := fulmarsnapshot.Fleet{Strongest: strongest}.Encode()
-		if err != nil {
-			return 0, err
-		}
-		change.Write = append(change.Write, fulmarkv.Write{Key: fulmarsnapshot.FleetKey, Value: record})
-	}
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		next, err := t.deps.Store.Commit(callCtx, change)
-		cancel()
-		if err == nil {
-			return next, nil
-		}
-		if errors.Is(err, fulmarkv.ErrConflict) {
-			// An earlier attempt that was not answered may have been done.
-			if next, ok := t.written(ctx, value); ok {
-				return next, nil
-			}
-			return 0, err
-		}
-		if !errors.Is(err, fulmarkv.ErrAmbiguous) {
-			return 0, err
-		}
-		t.deps.Log.Warn("write of tables not answered, repeating", "term", t.seat.revision, "error", err)
-		if !sleep(ctx, retry) {
-			return 0, ctx.Err()
-		}
-	}
-}
-
-// written reports whether the stored tables have the value.
-func (t *Term) written(ctx context.Context, value []byte) (int64, bool) {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	items, err := t.deps.Store.Scan(callCtx, fulmarsnapshot.TablesKey)
-	if err != nil {
-		t.deps.Log.Warn("tables not read back", "error", err)
-		return 0, false
-	}
-	for _, i := range items {
-		if i.Key == fulmarsnapshot.TablesKey && bytes.Equal(i.Value, value) {
-			return i.Revision, true
-		}
-	}
-	return 0, false
-}
--- /dev/null
+++ b/internal/fulmarlink/receive.go
@@ -0,0 +1,107 @@
+package fulmarlink
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// skip reads past a late answer to an earlier request.
+func (p *Pool) skip(resp *http.Response) error {
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, p.settings.Body)); err != nil {
+		return err
+	}
+	if resp.Close {
+		return errors.New("connection ended after an answer to another request")
+	}
+	return nil
+}
+
+// receive reads the head of the next final answer.
+func receive(c *conn, method string) (*http.Response, error) {
+	for range maxInterim {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+	return nil, errors.New("too many interim answers")
+}
+
+// read reads the body of an answer up to the bound of what is kept.
+func (p *Pool) read(c *conn, resp *http.Response) (*Answer, bool, error) {
+	a := &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
+	c.idle = p.settings.Idle
+	if limit, ok := keepAlive(resp.Header.Get("Keep-Alive")); ok {
+		c.idle = min(c.idle, limit-idleMargin)
+	}
+	keep := !resp.Close && c.idle > 0
+	size := int64(chunk)
+	if resp.ContentLength >= 0 {
+		size = min(resp.ContentLength, p.settings.Body)
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
+	n, err := buf.ReadFrom(io.LimitReader(resp.Body, p.settings.Body))
+	if err != nil {
+		return nil, false, err
+	}
+	a.Body = buf.Bytes()
+	if n == p.settings.Body && n != resp.ContentLength {
+		a.Rest = resp.Body
+		return a, keep, nil
+	}
+	a.Length = n
+	return a, keep, nil
+}
+
+// rest is the unread part of an answer.
+type rest struct {
+	io.ReadCloser
+	once   sync.Once
+	finish func(whole bool)
+}
+
+func (r *rest) Read(b []byte) (int, error) {
+	n, err := r.ReadCloser.Read(b)
+	if err != nil {
+		r.once.Do(func() { r.finish(errors.Is(err, io.EOF)) })
+	}
+	return n, err
+}
+
+// Close abandons what was not read.
+func (r *rest) Close() error {
+	r.once.Do(func() { r.finish(false) })
+	return nil
+}
+
+// EndToEnd returns the headers of src that do not concern one connection only.
+func EndToEnd(src http.Header) http.Header {
+	dst := make(http.Header, len(src)+2)
+	for name, values := range src {
+		if !single[name] {
+			dst[name] = values
+		}
+	}
+	for _, line := range src["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			delete(dst, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return dst
+}
+
+// single lists the headers that concern one connection or one message only.
+var single = map[string]bool{
+	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, "Host": true, "Expect": true,
+}
--- /dev/null
+++ b/internal/fulmarlink/send.go
@@ -0,0 +1,94 @@
+package fulmarlink
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// send writes the request.
+func send(c *conn, r *Request) error {
+	var head bytes.Buffer
+	head.Grow(requestBuffer)
+	head.WriteString(r.Method)
+	head.WriteByte(' ')
+	head.WriteString(r.URI)
+	head.WriteString(" HTTP/1.1\r\nHost: ")
+	head.WriteString(r.Host)
+	head.WriteString("\r\n")
+	if err := r.Header.Write(&head); err != nil {
+		return err
+	}
+	switch {
+	case r.Body == nil:
+		if r.Method != http.MethodGet && r.Method != http.MethodHead {
+			head.WriteString("Content-Length: 0\r\n")
+		}
+	case r.Length >= 0:
+		head.WriteString("Content-Length: ")
+		head.WriteString(strconv.FormatInt(r.Length, 10))
+		head.WriteString("\r\n")
+	default:
+		head.WriteString("Transfer-Encoding: chunked\r\n")
+	}
+	head.WriteString("\r\n")
+	if b, ok := r.Body.(*bytes.Reader); ok && r.Length >= 0 {
+		if _, err := b.WriteTo(&head); err != nil {
+			return err
+		}
+		_, err := c.Write(head.Bytes())
+		return err
+	}
+	if _, err := c.Write(head.Bytes()); err != nil || r.Body == nil {
+		return err
+	}
+	if r.Length >= 0 {
+		body := &source{Reader: r.Body}
+		n, err := io.Copy(c, body)
+		if body.failed != nil || err == nil && n != r.Length {
+			return errors.Wrapf(errBody, "%d of %d bytes: %v", n, r.Length, body.failed)
+		}
+		return err
+	}
+	return sendChunked(c, r.Body)
+}
+
+func sendChunked(c *conn, body io.Reader) error {
+	buf := make([]byte, chunk)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			line := strconv.FormatInt(int64(n), 16) + "\r\n"
+			if _, werr := io.WriteString(c, line+string(buf[:n])+"\r\n"); werr != nil {
+				return werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			_, err = io.WriteString(c, "0\r\n\r\n")
+			return err
+		}
+		if err != nil {
+			return errors.Wrap(errBody, err.Error())
+		}
+	}
+}
+
+// errBody states that the caller's body broke off, so that the target cannot answer.
+var errBody = errors.New("fulmarlink: body broke off")
+
+// source notes whether reading a body failed, which io.Copy does not tell from a failed write.
+type source struct {
+	io.Reader
+	failed error
+}
+
+func (s *source) Read(b []byte) (int, error) {
+	n, err := s.Reader.Read(b)
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.failed = err
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/fulmarloads/doc.go
@@ -0,0 +1,3 @@
+// Package fulmarloads counts the requests of single keys between reports to the
+// leader.
+package fulmarloads
--- a/internal/fulmarsync/transport.go
+++ b/internal/fulmarsync/transport.go
@@ -15,6 +15,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarwire"
 )
 
@@ -22,6 +23,7 @@
 	rpcSync     = "/fulmarbend.Leader/Sync"
 	maxMessage  = 2 << 20 // bytes
 	dialTimeout = 300 * time.Millisecond
+	acceptPause = 10 * time.Millisecond
 )
 
 // ErrNotLeader is returned by a daemon that does not lead.
@@ -87,7 +89,10 @@
 			return nil
 		}
 		if err != nil {
-			return errors.Wrap(err, "fulmarsync: accept")
+			// For example when descriptors have run out; the daemon must go on serving callers.
+			s.log.Warn("connection of a daemon not accepted", "error", err)
+			fulmarclock.Sleep(ctx, acceptPause)
+			continue
 		}
 		group.Go(func() {
 			defer conn.Close()
--- a/pkg/fulmarroute/table.go
+++ b/pkg/fulmarroute/table.go
@@ -31,7 +31,7 @@
 // Service describes the targets that serve one kind of work.
 type Service struct {
 	Name        string        `cbor:"name"`
-	Health      string        `cbor:"health"`      // path of the status check
+	Health      string        `cbor:"health"`      // path of the health check
 	Connections int           `cbor:"connections"` // that one target accepts from all callers
 	Keyed       bool          `cbor:"keyed"`       // targets own key ranges exclusively
 	Warm        time.Duration `cbor:"warm"`        // time that keys stay slow after a move without handover
