--- a/pkg/fulmarallowance/allowance.go
+++ b/pkg/fulmarallowance/allowance.go
@@ -74,6 +74,9 @@
 
 // Take records a repeated send and reports whether the bound allows it. daemons is the number of
 // instances that share the fixed number.
+//
+// Repeats of the whole window count, and requests of its latter half: a window that ends later may no longer
+// contain the earlier ones.
 func (a *Allowance) Take(now time.Time, service string, daemons int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -85,8 +88,7 @@
 			continue
 		}
 		repeats += c.repeats
-		// The oldest step lies only partly within the window: its repeats count, its requests do not.
-		if age < buckets {
+		if age < buckets/2 {
 			requests += c.requests
 		}
 	}
--- /dev/null
+++ b/pkg/fulmarpick/board_test.go
@@ -0,0 +1,111 @@
+package fulmarpick_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarpick"
+)
+
+var now = time.Unix(1000, 0)
+
+func candidates(n int) []fulmarpick.Candidate {
+	out := make([]fulmarpick.Candidate, n)
+	for i := range out {
+		out[i] = fulmarpick.Candidate{ID: fmt.Sprint(i), Slots: 3}
+	}
+	return out
+}
+
+// chosen returns how often each of the candidates is chosen.
+func chosen(b *fulmarpick.Board, list []fulmarpick.Candidate) map[int]int {
+	out := make(map[int]int)
+	for range 200 {
+		out[b.Choose(now, list, 4)]++
+	}
+	return out
+}
+
+func board() *fulmarpick.Board { return fulmarpick.New(2, rand.NewPCG(1, 2)) }
+
+func TestChoose(t *testing.T) {
+	// Guards against connections to all targets while a few have room.
+	t.Run("keeps to the first targets while they have room", func(t *testing.T) {
+		g := NewWithT(t)
+		for i := range chosen(board(), candidates(9)) {
+			g.Expect(i).To(BeElementOf(0, 1))
+		}
+	})
+
+	// Guards against requests that wait at a full target while others are free.
+	t.Run("goes on to others when the first ones are busy", func(t *testing.T) {
+		g := NewWithT(t)
+		b := board()
+		for _, id := range []string{"0", "1"} {
+			b.Report(now, id, fulmarpick.Load{Running: 3, Waiting: 6, Slots: 3})
+		}
+		for i := range chosen(b, candidates(9)) {
+			g.Expect(i).To(BeNumerically(">", 1))
+		}
+	})
+
+	// Guards against a fleet that avoids a target by an old report.
+	t.Run("forgets reports", func(t *testing.T) {
+		g := NewWithT(t)
+		b := board()
+		b.Report(now.Add(-2*time.Second), "0", fulmarpick.Load{Running: 3, Waiting: 9, Slots: 3})
+		g.Expect(chosen(b, candidates(2))[0]).To(BeNumerically(">", 50))
+	})
+
+	// Guards against a target that fails fast and draws all requests.
+	t.Run("avoids targets that failed lately", func(t *testing.T) {
+		g := NewWithT(t)
+		b := board()
+		b.Failed(now, "0")
+		b.Failed(now, "0")
+		g.Expect(chosen(b, candidates(2))[0]).To(BeZero())
+	})
+
+	t.Run("prefers faster targets", func(t *testing.T) {
+		g := NewWithT(t)
+		b := board()
+		for range 30 {
+			b.Served("0", 300*time.Millisecond)
+			b.Served("1", 50*time.Millisecond)
+		}
+		g.Expect(chosen(b, candidates(2))[1]).To(Equal(200))
+	})
+
+	// Guards against more requests of a daemon at a target than its queue bears.
+	t.Run("refuses when all targets have their bound", func(t *testing.T) {
+		g := NewWithT(t)
+		b := board()
+		for range 4 {
+			g.Expect(b.Start("0", 4)).To(BeTrue())
+			g.Expect(b.Start("1", 4)).To(BeTrue())
+		}
+		g.Expect(b.Start("0", 4)).To(BeFalse())
+		g.Expect(b.Choose(now, candidates(2), 4)).To(Equal(-1))
+		b.End("1")
+		g.Expect(b.Choose(now, candidates(2), 4)).To(Equal(1))
+	})
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			board, list := board(), candidates(n)
+			for _, c := range list {
+				board.Report(now, c.ID, fulmarpick.Load{Running: 3, Waiting: 3, Slots: 3})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				board.Choose(now, list, 4)
+			}
+		})
+	}
+}
