--- a/internal/fulmarfollow/follower_test.go
+++ b/internal/fulmarfollow/follower_test.go
@@ -76,6 +76,7 @@
 type fleet struct {
 	mu      sync.Mutex
 	leaders map[string]fulmarfollow.Leader // by address
+	orders  fulmarlead.Orders              // of all daemons; without it, orders are answered
 }
 
 // link passes reports to a daemon.
@@ -109,8 +110,12 @@
 // strong starts a follower that has a share of a core.
 func (f *fleet) strong(ctx context.Context, id string, power float64, store fulmarkv.Store) *fulmarview.Holder {
 	views := fulmarview.New()
+	sent := f.orders
+	if sent == nil {
+		sent = orders{}
+	}
 	d := fulmarfollow.New(fulmarlead.Deps{
-		ID: id, Address: id, Store: store, Registry: registry, Orders: orders{}, Views: views,
+		ID: id, Address: id, Store: store, Registry: registry, Orders: sent, Views: views,
 		HoldMax: 10 * time.Second, Power: power, Log: slog.New(slog.DiscardHandler), Now: time.Now,
 	}, noReports{}, f.dial)
 	f.set(id, link{d})
@@ -355,3 +360,32 @@
 		}
 	})
 }
+
+// held records the longest time of a grant.
+type held struct{ longest atomic.Int64 }
+
+func (h *held) Send(_ context.Context, _ string, o fulmarorder.Order) (string, error) {
+	h.longest.Store(max(h.longest.Load(), int64(o.Hold)))
+	return "", nil
+}
+
+// Guards against keys that lose their owners while the store is away, because the leader notices the outage only
+// when its lease is about to end.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); time.Sleep(3 * time.Second) }()
+		store := fulmarmemory.New(time.Now)
+		store.Set("config", encode(t, config(1)))
+		store.Set("targets/x", encode(t, target("x", false)))
+		client, orders := fulmarmemory.NewClient(store), &held{}
+		f := &fleet{orders: orders}
+		f.strong(ctx, "a", 0.5, client)
+		time.Sleep(3 * time.Second)
+		usual := orders.longest.Load()
+		client.Break(fulmarmemory.Silent)
+		time.Sleep(800 * time.Millisecond)
+		g.Expect(orders.longest.Load()).To(BeNumerically(">", 3*usual))
+	})
+}
--- a/internal/fulmarlead/lease.go
+++ b/internal/fulmarlead/lease.go
@@ -37,6 +37,7 @@
 			t.deps.Log.Warn("lease not extended in time", "term", t.seat.revision)
 			return
 		}
+		t.bridge()
 		calls.TryGo(func() error {
 			t.keep(ctx)
 			return nil
@@ -76,11 +77,20 @@
 		}
 		return
 	}
-	if !t.bridged && t.deps.Now().Sub(t.kept) >= bridgeAfter {
-		t.bridged = true
-		t.deps.Log.Warn("store does not answer, extending grants", "term", t.seat.revision, "error", err)
-		t.setHold(time.Duration(float64(t.deps.HoldMax) * bridgeShare))
+	t.deps.Log.Debug("lease not extended by a call", "term", t.seat.revision, "error", err)
+}
+
+// bridge extends all grants if no call has extended the lease for some time. It does not wait for a call to fail,
+// as the grants must be sent before the lease ends.
+func (t *Term) bridge() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.bridged || t.deps.Now().Sub(t.kept) < bridgeAfter {
+		return
 	}
+	t.bridged = true
+	t.deps.Log.Warn("store does not answer, extending grants", "term", t.seat.revision)
+	t.setHold(time.Duration(float64(t.deps.HoldMax) * bridgeShare))
 }
 
 // setHold changes the time of all grants; mu is held.
--- a/internal/fulmarlead/term.go
+++ b/internal/fulmarlead/term.go
@@ -36,7 +36,7 @@
 	silentTime = 1500 * time.Millisecond
 	// bridgeAfter is the time without an answer of the store after which grants are extended, so that keys
 	// keep their owners while nobody can lead.
-	bridgeAfter = 500 * time.Millisecond
+	bridgeAfter = 550 * time.Millisecond
 	bridgeShare = 0.95 // of the longest grant
 )
 
