Remove what nothing uses, and end a lease in one place

Ruled out: one loop that accepts connections for fulmarserve, fulmarsync and fulmarpeer: the three treat errors differently on purpose.

--- a/internal/fulmarfollow/follower.go
+++ b/internal/fulmarfollow/follower.go
@@ -85,13 +85,6 @@
 	}
 }
 
-// Leads reports whether this daemon leads.
-func (f *Follower) Leads() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.term != nil
-}
-
 // Sync answers the report of another daemon; see fulmarsync.Handler.
 func (f *Follower) Sync(ctx context.Context, r *fulmarsync.Report) (*fulmarsync.Update, error) {
 	f.mu.Lock()
--- a/internal/fulmarfollow/follower_test.go
+++ b/internal/fulmarfollow/follower_test.go
@@ -61,6 +61,15 @@
 	return fulmarcatalog.Target{ID: id, Born: 1, Service: "board", Address: "10.0.0.1:1", DC: "a", Slots: 3, Leaving: leaving}
 }
 
+// configured returns a store with a configuration and one target.
+func configured(t *testing.T) *fulmarmemory.Store {
+	t.Helper()
+	store := fulmarmemory.New(time.Now)
+	store.Set("config", encode(t, config(1)))
+	store.Set("targets/x", encode(t, target("x", false)))
+	return store
+}
+
 // orders answers every order.
 type orders struct{}
 
@@ -162,9 +171,7 @@
 		g := NewWithT(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		store := fulmarmemory.New(time.Now)
-		store.Set("config", encode(t, config(1)))
-		store.Set("targets/x", encode(t, target("x", false)))
+		store := configured(t)
 		record, err := fulmarsnapshot.Leader{ID: "a", Address: "a"}.Encode()
 		g.Expect(err).NotTo(HaveOccurred())
 		store.Set(fulmarsnapshot.LeaderKey, record)
@@ -205,9 +212,7 @@
 func TestStrongestLeads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		store := fulmarmemory.New(time.Now)
-		store.Set("config", encode(t, config(1)))
-		store.Set("targets/x", encode(t, target("x", false)))
+		store := configured(t)
 		f := &fleet{}
 		var ends []context.CancelFunc
 		for _, d := range []struct {
@@ -250,9 +255,7 @@
 		g := NewWithT(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		store := fulmarmemory.New(time.Now)
-		store.Set("config", encode(t, config(1)))
-		store.Set("targets/x", encode(t, target("x", false)))
+		store := configured(t)
 		record, err := fulmarsnapshot.Leader{ID: "a", Address: "a", Nonce: 1}.Encode()
 		g.Expect(err).NotTo(HaveOccurred())
 		lease, err := store.Open(ctx, fulmarlead.LeaseTime)
@@ -274,9 +277,7 @@
 func TestRestartOfAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		store := fulmarmemory.New(time.Now)
-		store.Set("config", encode(t, config(1)))
-		store.Set("targets/x", encode(t, target("x", false)))
+		store := configured(t)
 		// start starts all daemons, waits, and returns who leads and how to end them.
 		start := func(wait time.Duration) (string, context.CancelFunc) {
 			f := &fleet{}
@@ -341,9 +342,7 @@
 		g := NewWithT(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() { cancel(); time.Sleep(3 * time.Second) }() // calls of the slow store end
-		store := fulmarmemory.New(time.Now)
-		store.Set("config", encode(t, config(1)))
-		store.Set("targets/x", encode(t, target("x", false)))
+		store := configured(t)
 		f := &fleet{}
 		f.strong(ctx, "a", 0.5, &slow{Store: fulmarmemory.NewClient(store)})
 		time.Sleep(4 * time.Second)
@@ -376,9 +375,7 @@
 		g := NewWithT(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() { cancel(); time.Sleep(3 * time.Second) }()
-		store := fulmarmemory.New(time.Now)
-		store.Set("config", encode(t, config(1)))
-		store.Set("targets/x", encode(t, target("x", false)))
+		store := configured(t)
 		client, orders := fulmarmemory.NewClient(store), &held{}
 		f := &fleet{orders: orders}
 		f.strong(ctx, "a", 0.5, client)
--- a/internal/fulmarlead/lease.go
+++ b/internal/fulmarlead/lease.go
@@ -53,31 +53,36 @@
 	err := t.deps.Store.Keep(ctx, t.seat.lease)
 	if errors.Is(err, fulmarkv.ErrNoLease) {
 		t.deps.Log.Warn("lease has ended", "term", t.seat.revision)
-		t.mu.Lock()
-		t.valid, t.ended = time.Time{}, true
-		t.mu.Unlock()
+		t.lose()
 		return
 	}
-	t.keptLease(began, err)
+	if err != nil {
+		t.deps.Log.Debug("lease not extended by a call", "term", t.seat.revision, "error", err)
+		return
+	}
+	t.extended(began)
+}
+
+// lose records that the lease has ended; calls that are still under way no longer extend it.
+func (t *Term) lose() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.valid, t.ended = time.Time{}, true
 }
 
-// keptLease records the outcome of a call that extends the lease.
-func (t *Term) keptLease(began time.Time, err error) {
+// extended records that a call which began at the given time has extended the lease.
+func (t *Term) extended(began time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.ended || err == nil && began.Before(t.kept) {
+	if t.ended || began.Before(t.kept) {
 		return // a later call has told more
 	}
-	if err == nil {
-		t.valid, t.kept = began.Add(LeaseTime-leaseMargin), began
-		if t.bridged {
-			t.bridged = false
-			t.deps.Log.Info("grants are no longer extended", "term", t.seat.revision)
-			t.setHold(hold)
-		}
-		return
+	t.valid, t.kept = began.Add(LeaseTime-leaseMargin), began
+	if t.bridged {
+		t.bridged = false
+		t.deps.Log.Info("grants are no longer extended", "term", t.seat.revision)
+		t.setHold(hold)
 	}
-	t.deps.Log.Debug("lease not extended by a call", "term", t.seat.revision, "error", err)
 }
 
 // bridge extends all grants if no call has extended the lease for some time. It does not wait for a call to fail,
--- a/internal/fulmarlead/term.go
+++ b/internal/fulmarlead/term.go
@@ -179,9 +179,7 @@
 	}
 	if s.LeaderRevision != t.seat.revision {
 		t.deps.Log.Warn("another daemon leads", "term", t.seat.revision, "other", s.LeaderRevision)
-		t.mu.Lock()
-		t.valid = time.Time{}
-		t.mu.Unlock()
+		t.lose()
 		return false
 	}
 	t.mu.Lock()
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -55,7 +55,6 @@
 	Body   []byte        // the whole body, or what was read of it if Rest is set
 	Rest   io.ReadCloser // nil if Body is the whole body
 	Length int64         // of the whole body, -1 if unknown
-	Fresh  bool          // the connection was opened for this request
 }
 
 // Pool holds connections to targets; it is safe for concurrent use.
@@ -64,7 +63,6 @@
 	mu       sync.Mutex
 	idle     map[string][]*conn // by address, the one used last at the end
 	open     map[string]int     // connections by address
-	dialled  int64
 }
 
 // New returns an empty pool.
@@ -72,13 +70,6 @@
 	return &Pool{settings: s, idle: make(map[string][]*conn), open: make(map[string]int)}
 }
 
-// Dialled returns the number of connections opened so far.
-func (p *Pool) Dialled() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.dialled
-}
-
 // Idle returns the number of unused open connections to address.
 func (p *Pool) Idle(address string) int {
 	p.mu.Lock()
@@ -199,28 +190,28 @@
 }
 
 // connect returns an unused connection or a new one.
-func (p *Pool) connect(ctx context.Context, address string, kept bool) (c *conn, fresh bool, err error) {
-	if c = p.take(address, time.Now()); c != nil {
-		return c, false, nil
+func (p *Pool) connect(ctx context.Context, address string, kept bool) (*conn, error) {
+	if c := p.take(address, time.Now()); c != nil {
+		return c, nil
 	}
 	if kept {
-		return nil, false, errors.Wrap(ErrUnsent, "no connection of an earlier request")
+		return nil, errors.Wrap(ErrUnsent, "no connection of an earlier request")
 	}
 	p.mu.Lock()
 	p.open[address]++
-	p.dialled++
 	p.mu.Unlock()
-	if c, err = dial(ctx, address, p.settings.Dial, p.settings.Lost); err != nil {
+	c, err := dial(ctx, address, p.settings.Dial, p.settings.Lost)
+	if err != nil {
 		p.forget(address)
-		return nil, true, errors.Wrap(ErrUnsent, err.Error())
+		return nil, errors.Wrap(ErrUnsent, err.Error())
 	}
-	return c, true, nil
+	return c, nil
 }
 
 // Do sends the request to address once and returns the answer. Cancelling ctx breaks off the exchange.
 // If the answer has a Rest, it must be read to its end or closed.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
-	c, fresh, err := p.connect(ctx, address, r.Kept)
+	c, err := p.connect(ctx, address, r.Kept)
 	if err != nil {
 		return nil, err
 	}
@@ -235,7 +226,6 @@
 		}
 		return nil, errors.Wrap(ErrBroken, err.Error())
 	}
-	a.Fresh = fresh
 	finish := func(whole bool) {
 		if !stop() || !whole || !keep || c.reader.Buffered() > 0 {
 			p.abandon(address, c)
--- a/internal/fulmarlog/writer.go
+++ b/internal/fulmarlog/writer.go
@@ -48,9 +48,6 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines dropped since the last line about it.
-func (w *Writer) Dropped() int64 { return w.dropped.Load() }
-
 // Close writes what waits and returns.
 func (w *Writer) Close() {
 	w.ring.Close()
--- a/internal/fulmarsnapshot/reader.go
+++ b/internal/fulmarsnapshot/reader.go
@@ -31,7 +31,6 @@
 	Fleet          Fleet
 	Tables         map[string]fulmarrange.Table
 	TablesRevision int64
-	TablesValue    []byte
 	Routes         *fulmarroute.Table // nil if there is no valid configuration
 	Catalog        *fulmarcatalog.Catalog
 }
@@ -48,7 +47,6 @@
 	routes         *fulmarroute.Table
 	tablesRevision int64
 	tables         map[string]fulmarrange.Table
-	tablesValue    []byte
 	damaged        map[string]int64 // revisions of values that were reported
 	failing        bool
 }
@@ -109,7 +107,7 @@
 	}
 	s.Routes = r.routes
 	if r.tables != nil {
-		s.Tables, s.TablesRevision, s.TablesValue = r.tables, r.tablesRevision, r.tablesValue
+		s.Tables, s.TablesRevision = r.tables, r.tablesRevision
 	}
 	s.Catalog = r.tracker.Read(taken, targets, former, known)
 	return s, nil
@@ -138,7 +136,7 @@
 		r.report(item, err)
 		return err
 	}
-	r.tables, r.tablesRevision, r.tablesValue = tables, item.Revision, item.Value
+	r.tables, r.tablesRevision = tables, item.Revision
 	return nil
 }
 
--- a/pkg/fulmarpick/board.go
+++ b/pkg/fulmarpick/board.go
@@ -115,16 +115,6 @@
 	return t.failures * math.Exp(-now.Sub(t.failedAt).Seconds()/failureDecay.Seconds())
 }
 
-// Own returns the number of own requests in flight at the target.
-func (b *Board) Own(id string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if t := b.targets[id]; t != nil {
-		return t.own
-	}
-	return 0
-}
-
 // Start records that a request is sent to the target, unless limit requests are in flight already.
 func (b *Board) Start(id string, limit int) bool {
 	b.mu.Lock()
