Count extended grants of a former leader until their owner has answered a later one

Cause: a leader that is cut off from the store extends grants to 9.5 s. Change: the ledger knows the fence of each grant; an answered grant voids unanswered ones of lower fences within its keys, as the target refuses them. A new leader counts answered and unanswered grants of owners with the longest time and plans no moves away from targets that have not answered since. The table tells whether prior owners may have extended grants, and keys that a table under way gives away get no extended ones. The case of TestBook that waited 1.9 s for an owner's unanswered grants is replaced by a prior owner's, and by one that waits 10 s for an owner's.

--- a/internal/fulmarlead/plan.go
+++ b/internal/fulmarlead/plan.go
@@ -68,6 +68,8 @@
 		if renewed || next.Fence() != table.Fence() {
 			changed = true
 		}
+		next = next.WithExtended(s.book.Extended(now))
+		s.book.Writing(next)
 		tables[name] = next
 	}
 	return tables, changed
@@ -115,10 +117,15 @@
 			s.reach[life] = reachable
 			t.deps.Log.Info("target judged", "target", life.ID, "reachable", reachable, "failures", stall.Count, "since", stall.Since, "unsent", stall.Unsent)
 		}
-		if target.Leaving || !reachable {
+		pending := s.book.Pending(now, life)
+		// A target that leaves keeps its keys until it has answered a grant, after which those that it has not
+		// answered no longer count.
+		if !reachable || target.Leaving && (!pending || s.book.Answers(life)) {
 			continue
 		}
-		out = append(out, fulmarassign.Target{Life: life, Slots: target.Slots, Time: s.times.Get(now, target.ID)})
+		out = append(out, fulmarassign.Target{
+			Life: life, Slots: target.Slots, Time: s.times.Get(now, target.ID), Pending: pending, Leaving: target.Leaving,
+		})
 	}
 	return out
 }
--- a/internal/fulmarsnapshot/record.go
+++ b/internal/fulmarsnapshot/record.go
@@ -54,13 +54,14 @@
 type storedTable struct {
 	Fence    int64                 `cbor:"fence"`
 	Segments []fulmarrange.Segment `cbor:"segments"`
+	Extended bool                  `cbor:"extended,omitempty"`
 }
 
 // EncodeTables returns the stored form of the tables by service.
 func EncodeTables(tables map[string]fulmarrange.Table) ([]byte, error) {
 	out := make(map[string]storedTable, len(tables))
 	for name, t := range tables {
-		out[name] = storedTable{t.Fence(), t.Segments()}
+		out[name] = storedTable{t.Fence(), t.Segments(), t.Extended()}
 	}
 	mode, err := cbor.EncOptions{Sort: cbor.SortCanonical}.EncMode()
 	if err != nil {
@@ -81,7 +82,7 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "fulmarsnapshot: table of %s", name)
 		}
-		out[name] = t
+		out[name] = t.WithExtended(s.Extended)
 	}
 	return out, nil
 }
--- a/pkg/fulmarassign/plan.go
+++ b/pkg/fulmarassign/plan.go
@@ -13,6 +13,10 @@
 	Life  fulmarrange.Life
 	Slots int
 	Time  float64 // seconds that it usually takes for a request
+	// Pending keeps the target's keys with it: it may still take them by a grant that it has not answered, so that
+	// another owner would have to wait.
+	Pending bool
+	Leaving bool // it gets no more keys
 }
 
 // Policy bounds the moves of a plan.
@@ -47,7 +51,7 @@
 
 // Plan returns the table that should be in force; it is the present one if nothing has to change.
 func Plan(table fulmarrange.Table, targets []Target, rates *Rates, policy Policy) fulmarrange.Table {
-	if len(targets) == 0 {
+	if !slices.ContainsFunc(targets, func(t Target) bool { return !t.Leaving }) {
 		return table
 	}
 	p := &planner{policy: policy, table: table, targets: targets, index: make(map[fulmarrange.Life]int, len(targets))}
@@ -65,6 +69,12 @@
 	return p.table
 }
 
+// stays reports whether the segment is not to be moved, as it is on the move already or its owner is pending.
+func (p *planner) stays(s fulmarrange.Segment) bool {
+	i, ok := p.index[s.Owner.Life]
+	return len(s.Prior) > 0 || ok && p.targets[i].Pending
+}
+
 // rate returns the request rate of the keys from from to to.
 func (p *planner) rate(from, to int) float64 { return p.profile.Rate(from, to) }
 
@@ -92,7 +102,7 @@
 func (p *planner) cheapest() int {
 	best, least := -1, 0.0
 	for i := range p.targets {
-		if _, kept := p.hot[i]; kept {
+		if _, kept := p.hot[i]; kept || p.targets[i].Leaving {
 			continue
 		}
 		if m := p.marginal(i, p.load[i]); best < 0 || m < least {
@@ -152,15 +162,21 @@
 
 // spread divides the whole key space in proportion to the power of the targets.
 func (p *planner) spread() {
-	power := 0.0
-	for i := range p.targets {
-		power += p.power(i)
+	power, last := 0.0, 0
+	for i, t := range p.targets {
+		if !t.Leaving {
+			power += p.power(i)
+			last = i
+		}
 	}
 	from, done := 0, 0.0
-	for i := range p.targets {
+	for i, t := range p.targets {
+		if t.Leaving {
+			continue
+		}
 		done += p.power(i)
 		to := int(float64(fulmarrange.Last+1)*done/power) - 1
-		if i == len(p.targets)-1 {
+		if i == last {
 			to = fulmarrange.Last
 		}
 		if to >= from {
@@ -204,7 +220,7 @@
 	for _, k := range p.busyKeys() {
 		s := p.table.Find(k.Key)
 		owner, ok := p.index[s.Owner.Life]
-		if !ok || len(s.Prior) > 0 {
+		if !ok || p.stays(s) {
 			continue
 		}
 		if _, kept := p.hot[owner]; kept {
@@ -244,7 +260,7 @@
 func (p *planner) fastest() int {
 	best := -1
 	for i := range p.targets {
-		if _, kept := p.hot[i]; !kept && (best < 0 || p.power(i) > p.power(best)) {
+		if _, kept := p.hot[i]; !kept && !p.targets[i].Leaving && (best < 0 || p.power(i) > p.power(best)) {
 			best = i
 		}
 	}
@@ -254,7 +270,7 @@
 // clear moves all keys but one away from a target.
 func (p *planner) clear(owner, key int, moves *int) {
 	for _, s := range p.table.Segments() {
-		if s.Owner.Life != p.targets[owner].Life || len(s.Prior) > 0 {
+		if s.Owner.Life != p.targets[owner].Life || p.stays(s) {
 			continue
 		}
 		for _, part := range [...][2]int{{s.From, min(s.To, key-1)}, {max(s.From, key+1), s.To}} {
@@ -284,7 +300,10 @@
 
 // fill gives a target without keys its share.
 func (p *planner) fill() bool {
-	owns := make([]bool, len(p.targets))
+	owns := make([]bool, len(p.targets)) // or is not to own any
+	for i, t := range p.targets {
+		owns[i] = t.Leaving
+	}
 	for _, s := range p.table.Segments() {
 		if i, ok := p.index[s.Owner.Life]; ok {
 			owns[i] = true
@@ -405,7 +424,7 @@
 	}
 	for i, s := range segments {
 		from, ok := p.index[s.Owner.Life]
-		if _, kept := p.hot[from]; !ok || kept || len(s.Prior) > 0 {
+		if _, kept := p.hot[from]; !ok || kept || p.stays(s) {
 			continue
 		}
 		for _, j := range [...]int{i - 1, i + 1} {
@@ -413,7 +432,7 @@
 				continue
 			}
 			to, ok := p.index[segments[j].Owner.Life]
-			if _, kept := p.hot[to]; !ok || kept || from == to {
+			if _, kept := p.hot[to]; !ok || kept || from == to || p.targets[to].Leaving {
 				continue
 			}
 			if p.worth(s.From, s.To, from, to) {
@@ -450,7 +469,7 @@
 		return 0, 0, false
 	}
 	for _, s := range p.table.Segments() {
-		if s.Owner.Life != p.targets[from].Life || len(s.Prior) > 0 {
+		if s.Owner.Life != p.targets[from].Life || p.stays(s) {
 			continue // keys that are on the move already stay with their new owner
 		}
 		f, l, ok := p.window(s, want)
--- a/pkg/fulmarassign/plan_test.go
+++ b/pkg/fulmarassign/plan_test.go
@@ -168,6 +168,47 @@
 		g.Expect(moved(table, after)).To(BeNumerically("<", fulmarrange.Last/7))
 	})
 
+	// Guards against keys without an owner for the time of a grant that their former owner may take late.
+	t.Run("moves no keys of a pending target", func(t *testing.T) {
+		g := NewWithT(t)
+		all := targets(8, 0.1)
+		rates := fulmarassign.NewRates(start)
+		load(rates, 0, 8*time.Second, 100, evenly(4000)...)
+		table := settle(fulmarrange.New(), all, rates)
+		var hot []int
+		for _, s := range table.Segments() {
+			if s.Owner.Life == all[0].Life {
+				hot = append(hot, s.From+100, s.From+200, s.From+300)
+			}
+		}
+		load(rates, 8*time.Second, time.Second, 40, hot...)
+		all[0].Pending = true
+		for key := range fulmarrange.Last + 1 {
+			if table.Find(key).Owner.Life == all[0].Life {
+				g.Expect(fulmarassign.Plan(table, all, rates, fulmarassign.Standard).Find(key).Owner.Life).To(Equal(all[0].Life))
+				break
+			}
+		}
+		g.Expect(moved(table, settle(table, all, rates))).To(BeZero())
+		all[0].Pending = false
+		g.Expect(moved(table, settle(table, all, rates))).NotTo(BeZero())
+	})
+
+	t.Run("gives a leaving target no keys", func(t *testing.T) {
+		g := NewWithT(t)
+		all := targets(8, 0.1)
+		rates := fulmarassign.NewRates(start)
+		load(rates, 0, 8*time.Second, 100, evenly(4000)...)
+		all[3].Leaving, all[7].Leaving = true, true
+		table := settle(fulmarrange.New(), all, rates)
+		all[0].Leaving = true
+		after := settle(table, append(all[:1:1], all[2:]...), rates)
+		g.Expect(shares(after, rates)).NotTo(HaveKey("t03"))
+		g.Expect(shares(after, rates)).NotTo(HaveKey("t07"))
+		g.Expect(shares(after, rates)).To(HaveLen(5))
+		g.Expect(shares(after, rates)["t00"]).To(BeNumerically("<", shares(table, rates)["t00"]+0.1))
+	})
+
 	t.Run("gives a new target a share", func(t *testing.T) {
 		g := NewWithT(t)
 		all := targets(8, 0.1)
--- a/pkg/fulmarledger/ledger.go
+++ b/pkg/fulmarledger/ledger.go
@@ -1,6 +1,9 @@
 package fulmarledger
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // slowClock is the factor by which a grant may outlast its time on a target whose clock is slow.
 const slowClock = 1.02
@@ -14,6 +17,7 @@
 type entry struct {
 	id       Grant
 	from, to int
+	fence    int64
 	hold     time.Duration
 	open     bool // the call has not ended
 	answered bool
@@ -35,13 +39,14 @@
 }
 
 // Enter records that a grant is about to be sent.
-func (l *Ledger) Enter(target string, from, to int, hold time.Duration) Grant {
+func (l *Ledger) Enter(target string, from, to int, fence int64, hold time.Duration) Grant {
 	l.next++
-	l.entries[target] = append(l.entries[target], entry{id: l.next, from: from, to: to, hold: hold, open: true})
+	l.entries[target] = append(l.entries[target], entry{id: l.next, from: from, to: to, fence: fence, hold: hold, open: true})
 	return l.next
 }
 
-// Answered records at now that the target applied the grant. It replaces older answered grants within its range.
+// Answered records at now that the target applied the grant. It replaces older answered grants within its range,
+// and the target refuses what it has not answered of lower fences there.
 func (l *Ledger) Answered(now time.Time, target string, id Grant) {
 	list := l.entries[target]
 	i := find(list, id)
@@ -50,12 +55,15 @@
 	}
 	e := list[i]
 	e.open, e.answered, e.until = false, true, lasts(now, e.hold)
-	kept := list[:0]
+	var kept []entry
 	for _, old := range list {
-		if old.id == id || old.answered && old.from >= e.from && old.to <= e.to && !old.until.After(e.until) {
-			continue
+		switch {
+		case old.id == id || old.answered && old.from >= e.from && old.to <= e.to && !old.until.After(e.until):
+		case !old.open && !old.answered && old.fence < e.fence:
+			kept = appendOutside(kept, old, e.from, e.to)
+		default:
+			kept = append(kept, old)
 		}
-		kept = append(kept, old)
 	}
 	l.entries[target] = append(kept, e)
 }
@@ -80,24 +88,33 @@
 func (l *Ledger) Released(target string, from, to int) {
 	var out []entry
 	for _, e := range l.entries[target] {
-		if !e.answered || e.to < from || e.from > to {
+		if !e.answered {
 			out = append(out, e)
 			continue
 		}
-		if e.from < from {
-			left := e
-			left.to = from - 1
-			out = append(out, left)
-		}
-		if e.to > to {
-			right := e
-			right.from = to + 1
-			out = append(out, right)
-		}
+		out = appendOutside(out, e, from, to)
 	}
 	l.set(target, out)
 }
 
+// appendOutside appends the parts of a grant that lie outside of the keys.
+func appendOutside(dst []entry, e entry, from, to int) []entry {
+	if e.to < from || e.from > to {
+		return append(dst, e)
+	}
+	if e.from < from {
+		left := e
+		left.to = from - 1
+		dst = append(dst, left)
+	}
+	if e.to > to {
+		right := e
+		right.from = to + 1
+		dst = append(dst, right)
+	}
+	return dst
+}
+
 // Ended records that the target has ended. Grants whose calls are under way count until they are settled.
 func (l *Ledger) Ended(target string) {
 	var open []entry
@@ -111,15 +128,33 @@
 
 // Inherit records grants of an earlier sender that is not able to send any more. Answered ones last at
 // most until answered, unanswered ones at most until unanswered.
-func (l *Ledger) Inherit(target string, from, to int, answered, unanswered time.Time) {
+func (l *Ledger) Inherit(target string, from, to int, fence int64, answered, unanswered time.Time) {
 	l.next += 2
 	l.entries[target] = append(
 		l.entries[target],
-		entry{id: l.next - 1, from: from, to: to, answered: true, until: answered},
-		entry{id: l.next, from: from, to: to, until: unanswered},
+		entry{id: l.next - 1, from: from, to: to, fence: fence, answered: true, until: answered},
+		entry{id: l.next, from: from, to: to, fence: fence, until: unanswered},
 	)
 }
 
+// Pending reports whether the target may apply a grant late that lasts until after now.
+func (l *Ledger) Pending(now time.Time, target string) bool {
+	return slices.ContainsFunc(l.entries[target], func(e entry) bool { return !e.answered && !e.open && e.until.After(now) })
+}
+
+// Lasting reports whether any target may apply a grant late that lasts until after at, where calls that are
+// under way end at now.
+func (l *Ledger) Lasting(now, at time.Time) bool {
+	for _, list := range l.entries {
+		for _, e := range list {
+			if e.open && lasts(now, e.hold).After(at) || !e.open && !e.answered && e.until.After(at) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Free reports whether the target surely holds none of the keys at now. If not, at is the
 // time from which it holds none unless something is sent, or zero while a call is open.
 func (l *Ledger) Free(now time.Time, target string, from, to int) (free bool, at time.Time) {
--- a/pkg/fulmarorder/book.go
+++ b/pkg/fulmarorder/book.go
@@ -36,8 +36,10 @@
 type Book struct {
 	timing Timing
 	table  fulmarrange.Table
-	ledger *fulmarledger.Ledger
-	spans  map[span]*status
+	// writing is the table that is being written, which may be in force already.
+	writing fulmarrange.Table
+	ledger  *fulmarledger.Ledger
+	spans   map[span]*status
 	// known tells which lives answered on a kept connection of this sender. It is false for those that may
 	// have been granted keys over another connection: a new life may have taken their place since.
 	known  map[fulmarrange.Life]bool
@@ -55,27 +57,59 @@
 // New returns a book of a table that an earlier sender may have acted on up to now.
 func New(now time.Time, table fulmarrange.Table, t Timing) *Book {
 	b := &Book{
-		timing: t, table: table, ledger: fulmarledger.New(), spans: make(map[span]*status),
+		timing: t, table: table, writing: table, ledger: fulmarledger.New(), spans: make(map[span]*status),
 		known: make(map[fulmarrange.Life]bool), hold: t.Hold,
 		stalls: make(map[string]stall),
 	}
-	answered := now.Add(t.HoldMax * 103 / 100) // a target's clock may be slow
-	unanswered := now.Add(t.Hold * 103 / 100)
+	// The earlier sender may have extended its grants after it wrote the table, but no longer those of prior owners.
+	longest := now.Add(t.HoldMax * 103 / 100) // a target's clock may be slow
+	prior := b.usual(now)
+	if table.Extended() {
+		prior = longest
+	}
 	for _, s := range table.Segments() {
 		if s.Owned() {
 			b.known[s.Owner.Life] = false
-			b.ledger.Inherit(s.Owner.Life.ID, s.From, s.To, answered, unanswered)
+			b.ledger.Inherit(s.Owner.Life.ID, s.From, s.To, s.Owner.Fence, longest, longest)
 		}
 		for _, p := range s.Prior {
-			b.ledger.Inherit(p.Life.ID, s.From, s.To, answered, unanswered)
+			b.ledger.Inherit(p.Life.ID, s.From, s.To, p.Fence, longest, prior)
 		}
 	}
 	return b
 }
 
+// usual returns the time up to which grants of the usual time that were sent until now may last.
+func (b *Book) usual(now time.Time) time.Time { return now.Add(b.timing.Hold * 105 / 100) }
+
+// Extended reports whether targets may take extended grants late, which a table that is written now has to tell.
+func (b *Book) Extended(now time.Time) bool { return b.ledger.Lasting(now, b.usual(now)) }
+
+// Pending reports whether the life may take keys late by a grant that it did not answer. Keys that it
+// releases before it has answered a later grant stay without an owner for the time of that grant.
+func (b *Book) Pending(now time.Time, life fulmarrange.Life) bool {
+	return b.ledger.Pending(now, life.ID)
+}
+
 // Table returns the committed table.
 func (b *Book) Table() fulmarrange.Table { return b.table }
 
+// Writing tells which table is about to be written: keys that it gives to other owners get no extended grants.
+func (b *Book) Writing(table fulmarrange.Table) { b.writing = table }
+
+// holdFor returns the time of a grant of the segment.
+func (b *Book) holdFor(s fulmarrange.Segment) time.Duration {
+	if b.hold <= b.timing.Hold {
+		return b.hold
+	}
+	for _, w := range b.writing.Segments() {
+		if w.From <= s.To && w.To >= s.From && w.Owner.Life != s.Owner.Life {
+			return b.timing.Hold
+		}
+	}
+	return b.hold
+}
+
 // WithHold changes the time of the grants sent from now on and makes all of them due.
 func (b *Book) WithHold(now time.Time, hold time.Duration) {
 	b.hold = hold
@@ -89,7 +123,7 @@
 // Commit replaces the table by one that was written to the store.
 func (b *Book) Commit(table fulmarrange.Table) {
 	old, former := b.spans, b.table.Fence()
-	b.table = table
+	b.table, b.writing = table, table
 	b.spans = make(map[span]*status)
 	carry := func(kind Kind, claim fulmarrange.Claim, from, to int) {
 		k := span{kind, claim, from, to}
@@ -197,7 +231,7 @@
 		if best == nil || st.next.Before(best.next) {
 			best = st
 			o = Order{
-				Kind: Grant, Life: life, From: s.From, To: s.To, Fence: s.Owner.Fence, Hold: b.hold,
+				Kind: Grant, Life: life, From: s.From, To: s.To, Fence: s.Owner.Fence, Hold: b.holdFor(s),
 				Handover: b.handover(s), Kept: b.known[life],
 			}
 		}
@@ -223,7 +257,7 @@
 func (b *Book) Sending(o Order) fulmarledger.Grant {
 	b.status(b.key(o)).sent = true
 	if o.Kind == Grant {
-		return b.ledger.Enter(o.Life.ID, o.From, o.To, o.Hold)
+		return b.ledger.Enter(o.Life.ID, o.From, o.To, o.Fence, o.Hold)
 	}
 	return 0
 }
@@ -307,6 +341,9 @@
 	return ok && !known
 }
 
+// Answers reports whether the life answers grants of this sender.
+func (b *Book) Answers(life fulmarrange.Life) bool { return b.known[life] }
+
 // Holds reports whether the owner of the segment was granted its keys and can hold them at now.
 func (b *Book) Holds(now time.Time, s fulmarrange.Segment) bool {
 	st := b.spans[span{Grant, s.Owner, s.From, s.To}]
--- a/pkg/fulmarorder/book_test.go
+++ b/pkg/fulmarorder/book_test.go
@@ -119,9 +119,9 @@
 	})
 
 	// Guards against grants of a former leader that were not answered and are carried out after the release.
-	t.Run("waits for unanswered grants of a former leader", func(t *testing.T) {
-		b := newBook(t, owned)
-		b.Commit(owned.WithOwner(0, fulmarrange.Last, lifeB))
+	t.Run("waits for unanswered grants of a former leader to a prior owner", func(t *testing.T) {
+		b := newBook(t, owned.WithOwner(0, fulmarrange.Last, lifeB))
+		b.Commit(owned.WithOwner(0, fulmarrange.Last, lifeB).WithRenewedFence(0, fulmarrange.Last))
 		b.next(lifeA, fulmarorder.Release, 0, fulmarrange.Last, "", nil)
 		b.idle(lifeB)
 		b.now = b.now.Add(modelHold)
@@ -130,6 +130,60 @@
 		b.next(lifeB, fulmarorder.Grant, 0, fulmarrange.Last, "", nil)
 	})
 
+	// Guards against two holders of a key: a leader that was cut off extended a grant, which the target carried out
+	// after it had released the keys to the next leader.
+	t.Run("waits for extended grants of a former leader to an owner that answered none since", func(t *testing.T) {
+		b := newBook(t, owned)
+		b.Commit(owned.WithOwner(0, fulmarrange.Last, lifeB))
+		b.next(lifeA, fulmarorder.Release, 0, fulmarrange.Last, "", nil)
+		b.now = b.now.Add(modelHoldMax)
+		b.idle(lifeB)
+		b.now = b.now.Add(modelHoldMax / 20)
+		b.next(lifeB, fulmarorder.Grant, 0, fulmarrange.Last, "", nil)
+	})
+
+	t.Run("waits for extended grants to prior owners if the table tells of them", func(t *testing.T) {
+		moved := owned.WithOwner(0, fulmarrange.Last, lifeB).WithExtended(true)
+		b := newBook(t, moved)
+		b.Commit(moved.WithRenewedFence(0, fulmarrange.Last))
+		b.next(lifeA, fulmarorder.Release, 0, fulmarrange.Last, "", nil)
+		b.now = b.now.Add(modelHoldMax)
+		b.idle(lifeB)
+	})
+
+	// Guards against keys that wait for grants that their owner would refuse, as it has answered a later one.
+	t.Run("forgets unanswered grants when a later one is answered", func(t *testing.T) {
+		b := newBook(t, owned)
+		b.g.Expect(b.Pending(b.now, lifeA)).To(BeTrue())
+		renewed := owned.WithRenewedFence(0, fulmarrange.Last)
+		b.Commit(renewed)
+		b.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", nil)
+		b.g.Expect(b.Pending(b.now, lifeA)).To(BeFalse())
+		b.Commit(renewed.WithOwner(100, 200, lifeB))
+		b.next(lifeA, fulmarorder.Release, 100, 200, "", nil)
+		b.next(lifeB, fulmarorder.Grant, 100, 200, "", nil)
+	})
+
+	// Guards against a table that does not tell of an extended grant, as it was being written when grants were extended.
+	t.Run("does not extend grants of keys that a table under way gives away", func(t *testing.T) {
+		b := newBook(t, fulmarrange.New())
+		b.Commit(owned)
+		b.Writing(owned.WithOwner(100, 200, lifeB))
+		b.WithHold(b.now, modelHoldMax)
+		o := b.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", fulmarorder.ErrUnanswered)
+		b.g.Expect(o.Hold).To(Equal(modelHold))
+		b.g.Expect(b.Extended(b.now)).To(BeFalse())
+	})
+
+	t.Run("tells of extended grants that were not answered", func(t *testing.T) {
+		b := newBook(t, fulmarrange.New())
+		b.Commit(owned)
+		b.WithHold(b.now, modelHoldMax)
+		b.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", fulmarorder.ErrUnanswered)
+		b.g.Expect(b.Extended(b.now)).To(BeTrue())
+		b.g.Expect(b.Extended(b.now.Add(modelHoldMax))).To(BeFalse())
+	})
+
 	// Guards against a fence that two lives of one target get.
 	t.Run("asks for new fences when the connection was lost", func(t *testing.T) {
 		b := newBook(t, fulmarrange.New())
--- a/pkg/fulmarorder/safety_test.go
+++ b/pkg/fulmarorder/safety_test.go
@@ -76,7 +76,9 @@
 	book    *fulmarorder.Book
 	targets map[string]*modelTarget
 	late    []late
-	fences  [modelKeys]map[fulmarrange.Life]int64 // greatest fence by life
+	// extended tells that the leader sends grants of a long time.
+	extended bool
+	fences   [modelKeys]map[fulmarrange.Life]int64 // greatest fence by life
 }
 
 func (m *model) check() {
@@ -159,7 +161,7 @@
 		m.advance(500 * time.Millisecond)
 		m.book.Sent(m.now, o, entry, "", fulmarorder.ErrUnanswered)
 	case outcome == 2: // not answered, done at once or later
-		delay := time.Duration(rapid.IntRange(0, 4000).Draw(m.t, "delay")) * time.Millisecond
+		delay := time.Duration(rapid.IntRange(0, 9000).Draw(m.t, "delay")) * time.Millisecond
 		if o.Kind == fulmarorder.Grant {
 			m.late = append(m.late, late{m.now.Add(delay), m.now, o})
 		} else {
@@ -186,7 +188,17 @@
 	from := rapid.IntRange(0, modelKeys-1).Draw(m.t, "from")
 	to := rapid.IntRange(from, modelKeys-1).Draw(m.t, "to")
 	m.table = m.table.WithOwner(from, to, m.targets[id].life)
-	m.book.Commit(m.table)
+	m.commit()
+}
+
+// extend switches between grants of the usual time and long ones.
+func (m *model) extend() {
+	m.extended = !m.extended
+	hold := modelHold
+	if m.extended {
+		hold = modelHoldMax * 95 / 100
+	}
+	m.book.WithHold(m.now, hold)
 }
 
 // settle drops earlier owners that no longer matter.
@@ -201,6 +213,12 @@
 			m.table = m.table.WithRenewedFence(s.From, s.To)
 		}
 	}
+	m.commit()
+}
+
+// commit writes the table and adopts it.
+func (m *model) commit() {
+	m.table = m.table.WithExtended(m.book.Extended(m.now))
 	m.book.Commit(m.table)
 }
 
@@ -217,7 +235,7 @@
 		ids := rapid.SampledFrom([]string{"t0", "t1", "t2"})
 		for range 300 {
 			id := ids.Draw(t, "id")
-			switch action := rapid.IntRange(0, 19).Draw(t, "action"); {
+			switch action := rapid.IntRange(0, 20).Draw(t, "action"); {
 			case action < 11:
 				m.order(id)
 			case action < 14:
@@ -236,8 +254,11 @@
 			case action == 18: // a new leader follows one whose lease has ended
 				m.advance(1200 * time.Millisecond)
 				m.book = fulmarorder.New(m.now, m.table, modelTiming)
+				m.extended = false
 				m.observe()
 				m.settle()
+			case action == 19: // the store does not answer, so that grants are extended, or answers again
+				m.extend()
 			default:
 				m.targets[id].cut = !m.targets[id].cut
 			}
@@ -250,7 +271,7 @@
 	l := fulmarledger.New()
 	const id = "a"
 	now := time.Unix(1000, 0)
-	entry := l.Enter(id, 0, 10, time.Second)
+	entry := l.Enter(id, 0, 10, 1, time.Second)
 	if free, at := l.Free(now, id, 5, 5); free || !at.IsZero() {
 		t.Fatal("keys are free while a grant is on its way")
 	}
--- a/pkg/fulmarrange/table.go
+++ b/pkg/fulmarrange/table.go
@@ -40,6 +40,7 @@
 type Table struct {
 	segments []Segment
 	fence    int64
+	extended bool
 }
 
 // New returns a table of one segment without an owner.
@@ -71,6 +72,15 @@
 // Fence returns the greatest fence used so far.
 func (t Table) Fence() int64 { return t.fence }
 
+// Extended reports whether prior owners may take their keys late by grants of more than the usual time.
+func (t Table) Extended() bool { return t.extended }
+
+// WithExtended returns the table with the given answer to Extended.
+func (t Table) WithExtended(extended bool) Table {
+	t.extended = extended
+	return t
+}
+
 // Len returns the number of segments.
 func (t Table) Len() int { return len(t.segments) }
 
@@ -146,7 +156,7 @@
 			out = join(out, right)
 		}
 	}
-	return Table{segments: out, fence: fence}
+	return Table{segments: out, fence: fence, extended: t.extended}
 }
 
 // join appends s, or extends the last segment if it has the same owner and prior owners.
