Ask other daemons for the leader while the store cannot be reached

One that lost its leader could not learn of the next one either. Change: the call Refer names the leader that a daemon follows. While the store fails, a follower asks one of the contacts of its settings every half second (less often in a large fleet) and follows the leader that it names. Ruled out: addresses of all daemons from the leader, as they are of no use after a restart.

--- a/cmd/fulmarbend/front.go
+++ b/cmd/fulmarbend/front.go
@@ -101,7 +101,7 @@
 			log.Warn("settings not reloaded, the former ones stay in force", "signal", signalled, "error", err)
 			continue
 		}
-		if signalled || s != old {
+		if signalled || !s.Equal(old) {
 			daemon.Reload(s)
 		}
 		old = s
--- a/internal/fulmarfollow/follower.go
+++ b/internal/fulmarfollow/follower.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,11 @@
 	refresh     = 1100 * time.Millisecond
 	readTimeout = 900 * time.Millisecond // bears a slow store
 	syncTimeout = 700 * time.Millisecond // covers the leader's wait for a change
+	// referEvery is the time between questions to other daemons while the store fails, and referPace what each
+	// daemon of the fleet adds to it, as all may ask the same ones.
+	referEvery   = 500 * time.Millisecond
+	referPace    = 2 * time.Millisecond
+	referTimeout = 300 * time.Millisecond
 	// stale is the age of the leader's knowledge at which the daemon reads the store itself.
 	stale      = 1200 * time.Millisecond
 	startDelay = 200 * time.Millisecond // longest random wait before the first election, besides the handicap
@@ -52,6 +58,8 @@
 // Leader answers reports.
 type Leader interface {
 	Sync(ctx context.Context, r *fulmarsync.Report) (*fulmarsync.Update, error)
+	// Refer says which leader the daemon follows.
+	Refer(ctx context.Context, l *fulmarsync.Lookup) (*fulmarsync.Referral, error)
 	Close()
 }
 
@@ -65,7 +73,9 @@
 	views   *fulmarview.Holder
 	reports Reports
 	dial    Dial
-	log     *slog.Logger
+	// contacts are the addresses of daemons that are asked for the leader while the store does not answer.
+	contacts []string
+	log      *slog.Logger
 
 	strongest float64   // power of the strongest daemon that a leader has known
 	deferred  bool      // this daemon has left the election to stronger ones
@@ -73,15 +83,17 @@
 	silent    uint64    // nonce of the leader that did not answer last
 	ignore    time.Time // until which that leader is not followed again
 
-	mu   sync.Mutex
-	term *fulmarlead.Term
+	mu      sync.Mutex
+	term    *fulmarlead.Term
+	address string // of the leader that answered last, empty without one
 }
 
 // New returns a follower.
-func New(d fulmarlead.Deps, reports Reports, dial Dial) *Follower {
+func New(d fulmarlead.Deps, reports Reports, dial Dial, contacts []string) *Follower {
 	return &Follower{
 		lead: d, reader: fulmarsnapshot.New(d.Store, d.Registry, d.Log, d.Now), views: d.Views, reports: reports, dial: dial,
-		log: d.Log,
+		contacts: slices.DeleteFunc(slices.Clone(contacts), func(c string) bool { return c == d.Address }),
+		log:      d.Log,
 	}
 }
 
@@ -96,14 +108,31 @@
 	return term.Sync(ctx, r)
 }
 
+// Refer names the leader that this daemon follows, or itself if it leads.
+func (f *Follower) Refer(context.Context, *fulmarsync.Lookup) (*fulmarsync.Referral, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.term != nil {
+		return &fulmarsync.Referral{Address: f.lead.Address}, nil
+	}
+	return &fulmarsync.Referral{Address: f.address}, nil
+}
+
+// answered records the address of the leader that this daemon follows.
+func (f *Follower) answered(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.address = address
+}
+
 // Run follows or leads until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait := lookEvery + rand.N(lookEvery/4)
 		if err := f.step(ctx); err != nil {
-			wait = failEvery + rand.N(failEvery/4)
+			f.bypass(ctx)
+			continue
 		}
-		fulmarclock.Sleep(ctx, wait)
+		fulmarclock.Sleep(ctx, lookEvery+rand.N(lookEvery/4))
 	}
 }
 
@@ -136,6 +165,46 @@
 	return nil
 }
 
+// bypass looks for a leader at other daemons until it is time to call the store again.
+func (f *Follower) bypass(ctx context.Context) {
+	until := f.lead.Now().Add(failEvery + rand.N(failEvery/4))
+	pace := referEvery + time.Duration(f.views.Get().Daemons)*referPace
+	for {
+		if address := f.ask(ctx); address != "" && f.follow(ctx, address, f.taken) {
+			return
+		}
+		wait := min(pace, until.Sub(f.lead.Now()))
+		if wait <= 0 || !fulmarclock.Sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+// ask returns the address of the leader that one of the contacts follows, or nothing.
+func (f *Follower) ask(ctx context.Context) string {
+	if len(f.contacts) == 0 {
+		return ""
+	}
+	ctx, cancel := context.WithTimeout(ctx, referTimeout)
+	defer cancel()
+	contact := f.contacts[rand.IntN(len(f.contacts))]
+	daemon, err := f.dial(ctx, contact)
+	if err != nil {
+		f.log.Debug("daemon not reached", "address", contact, "error", err)
+		return ""
+	}
+	defer daemon.Close()
+	r, err := daemon.Refer(ctx, &fulmarsync.Lookup{ID: f.lead.ID})
+	if err != nil {
+		f.log.Debug("daemon not asked for the leader", "address", contact, "error", err)
+		return ""
+	}
+	if r.Address != "" {
+		f.log.Info("leader named by another daemon", "address", r.Address, "source", contact)
+	}
+	return r.Address
+}
+
 // look returns who leads by a cheap read.
 func (f *Follower) look(ctx context.Context) (*fulmarsnapshot.Leader, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -236,6 +305,7 @@
 		return false
 	}
 	defer leader.Close()
+	defer f.answered("")
 	f.log.Info("following", "address", address)
 	state := &told{}
 	for ctx.Err() == nil {
@@ -259,6 +329,7 @@
 			f.log.Error("configuration of the leader is not valid", "error", err)
 			return false
 		}
+		f.answered(address)
 		if !known.Before(read) {
 			f.adopt(state, u.Daemons, known)
 		}
--- a/internal/fulmarfollow/follower_test.go
+++ b/internal/fulmarfollow/follower_test.go
@@ -83,9 +83,10 @@
 
 // fleet connects daemons of a test.
 type fleet struct {
-	mu      sync.Mutex
-	leaders map[string]fulmarfollow.Leader // by address
-	orders  fulmarlead.Orders              // of all daemons; without it, orders are answered
+	mu       sync.Mutex
+	leaders  map[string]fulmarfollow.Leader // by address
+	contacts []string
+	orders   fulmarlead.Orders // of all daemons; without it, orders are answered
 }
 
 // link passes reports to a daemon.
@@ -126,7 +127,7 @@
 	d := fulmarfollow.New(fulmarlead.Deps{
 		ID: id, Address: id, Store: store, Registry: registry, Orders: sent, Views: views,
 		HoldMax: 10 * time.Second, Power: power, Log: slog.New(slog.DiscardHandler), Now: time.Now,
-	}, noReports{}, f.dial)
+	}, noReports{}, f.dial, f.contacts)
 	f.set(id, link{d})
 	go d.Run(ctx)
 	return views
@@ -162,6 +163,10 @@
 	return u, nil
 }
 
+func (*frozen) Refer(context.Context, *fulmarsync.Lookup) (*fulmarsync.Referral, error) {
+	return &fulmarsync.Referral{}, nil
+}
+
 func (*frozen) Close() {}
 
 // Guards against a leader that is cut off from the store and makes others forget what they have read since:
@@ -246,6 +251,11 @@
 	return nil, ctx.Err()
 }
 
+func (hung) Refer(ctx context.Context, _ *fulmarsync.Lookup) (*fulmarsync.Referral, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 func (hung) Close() {}
 
 // Guards against daemons that wait for a frozen leader again while its lease has run out: an election came 0.9 s
@@ -386,3 +396,40 @@
 		g.Expect(orders.longest.Load()).To(BeNumerically(">", 3*usual))
 	})
 }
+
+// Guards against a daemon that refuses all requests because it started while it could not reach the store, although
+// others follow a leader, and against one that loses its leader and does not learn of the next one.
+func TestWithoutStore(t *testing.T) {
+	for name, fault := range map[string]fulmarmemory.Fault{"refused": fulmarmemory.Refused, "silent": fulmarmemory.Silent} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store := configured(t)
+				f := &fleet{contacts: []string{"a", "b", "c"}}
+				first, end := context.WithCancel(ctx)
+				f.strong(first, "a", 0.5, fulmarmemory.NewClient(store))
+				f.daemon(ctx, "b", fulmarmemory.NewClient(store))
+				time.Sleep(2 * time.Second)
+				g.Expect(leader(t, store)).To(Equal("a"))
+
+				client := fulmarmemory.NewClient(store)
+				client.Break(fault)
+				view := f.daemon(ctx, "c", client)
+				time.Sleep(3 * time.Second)
+				g.Expect(view.Get().Ready()).To(BeTrue())
+
+				end()
+				f.set("a", hung{})
+				time.Sleep(5 * time.Second)
+				g.Expect(leader(t, store)).To(Equal("b"))
+				store.Set("config", encode(t, config(2)))
+				time.Sleep(time.Second)
+				g.Expect(view.Get().Routes.Version()).To(BeEquivalentTo(2))
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/fulmarfront/front.go
+++ b/internal/fulmarfront/front.go
@@ -103,7 +103,7 @@
 		Orders: p.Orders(f.orders), Views: f.views, HoldMax: s.HoldMax, Power: s.Power, Log: log, Now: fulmarclock.Now,
 	}, loads, func(ctx context.Context, address string) (fulmarfollow.Leader, error) {
 		return fulmarsync.Dial(ctx, address)
-	})
+	}, s.Contacts)
 	relay := fulmarrelay.New(fulmarrelay.Deps{
 		Names: p.Names, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.pool, Board: board,
 		Splitter: fulmarroute.NewSplitter(), Allowance: f.allowance, Loads: loads,
--- a/internal/fulmarsync/message.go
+++ b/internal/fulmarsync/message.go
@@ -52,3 +52,13 @@
 	// All says that targets and owners are complete; what the daemon had before is void.
 	All bool `cbor:"all,omitempty"`
 }
+
+// Lookup asks a daemon who leads.
+type Lookup struct {
+	ID string `cbor:"id"` // of the daemon that asks
+}
+
+// Referral names the leader that a daemon follows, or the daemon itself if it leads.
+type Referral struct {
+	Address string `cbor:"address,omitempty"` // empty if the daemon has no leader
+}
--- a/internal/fulmarsync/transport.go
+++ b/internal/fulmarsync/transport.go
@@ -21,6 +21,7 @@
 
 const (
 	rpcSync     = "/fulmarbend.Leader/Sync"
+	rpcRefer    = "/fulmarbend.Leader/Refer"
 	maxMessage  = 2 << 20 // bytes
 	dialTimeout = 300 * time.Millisecond
 	acceptPause = 10 * time.Millisecond
@@ -32,26 +33,35 @@
 // Handler answers reports; it may wait for a change.
 type Handler interface {
 	Sync(ctx context.Context, r *Report) (*Update, error)
+	// Refer says who leads.
+	Refer(ctx context.Context, l *Lookup) (*Referral, error)
 }
 
 // description lists the one call for the drpc multiplexer.
 type description struct{ codec fulmarwire.Codec }
 
-func (description) NumMethods() int { return 1 }
+func (description) NumMethods() int { return 2 }
 
 func (d description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
-	if n != 0 {
-		return "", nil, nil, nil, false
+	switch n {
+	case 0:
+		return rpcSync, d.codec, receiver(Handler.Sync), Handler.Sync, true
+	case 1:
+		return rpcRefer, d.codec, receiver(Handler.Refer), Handler.Refer, true
 	}
-	receiver := func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
+	return "", nil, nil, nil, false
+}
+
+// receiver adapts a method of Handler to drpc.
+func receiver[In, Out any](method func(Handler, context.Context, *In) (*Out, error)) drpc.Receiver {
+	return func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
 		handler, ok := srv.(Handler)
-		report, is := in.(*Report)
+		message, is := in.(*In)
 		if !ok || !is {
 			return nil, errors.New("fulmarsync: unexpected message")
 		}
-		return handler.Sync(ctx, report)
+		return method(handler, ctx, message)
 	}
-	return rpcSync, d.codec, receiver, Handler.Sync, true
 }
 
 func options() drpcmanager.Options {
@@ -128,8 +138,17 @@
 
 // Sync sends a report and returns the leader's update.
 func (c *Client) Sync(ctx context.Context, r *Report) (*Update, error) {
-	out := new(Update)
-	if err := c.conn.Invoke(ctx, rpcSync, c.codec, r, out); err != nil {
+	return call[Update](ctx, c, rpcSync, r)
+}
+
+// Refer asks the daemon who leads.
+func (c *Client) Refer(ctx context.Context, l *Lookup) (*Referral, error) {
+	return call[Referral](ctx, c, rpcRefer, l)
+}
+
+func call[Out any](ctx context.Context, c *Client, method string, in any) (*Out, error) {
+	out := new(Out)
+	if err := c.conn.Invoke(ctx, method, c.codec, in, out); err != nil {
 		return nil, errors.Wrap(err, "fulmarsync: call")
 	}
 	return out, nil
