Call the store through other daemons while it does not answer

Change: internal/fulmardetour makes calls through one of eight daemons that the leader tells all others. The leader leads on in this way while it reads the store and hears 80% of the fleet; a daemon on a detour does not stand for election. The question for the leader (Refer) and the contacts from the settings go again: the detour makes the first needless.

--- a/cmd/fulmarbend/front.go
+++ b/cmd/fulmarbend/front.go
@@ -101,7 +101,7 @@
 			log.Warn("settings not reloaded, the former ones stay in force", "signal", signalled, "error", err)
 			continue
 		}
-		if signalled || !s.Equal(old) {
+		if signalled || s != old {
 			daemon.Reload(s)
 		}
 		old = s
--- a/internal/fulmarfollow/follower.go
+++ b/internal/fulmarfollow/follower.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -29,11 +28,6 @@
 	refresh     = 1100 * time.Millisecond
 	readTimeout = 900 * time.Millisecond // bears a slow store
 	syncTimeout = 700 * time.Millisecond // covers the leader's wait for a change
-	// referEvery is the time between questions to other daemons while the store fails, and referPace what each
-	// daemon of the fleet adds to it, as all may ask the same ones.
-	referEvery   = 500 * time.Millisecond
-	referPace    = 2 * time.Millisecond
-	referTimeout = 300 * time.Millisecond
 	// stale is the age of the leader's knowledge at which the daemon reads the store itself.
 	stale      = 1200 * time.Millisecond
 	startDelay = 200 * time.Millisecond // longest random wait before the first election, besides the handicap
@@ -58,8 +52,6 @@
 // Leader answers reports.
 type Leader interface {
 	Sync(ctx context.Context, r *fulmarsync.Report) (*fulmarsync.Update, error)
-	// Refer says which leader the daemon follows.
-	Refer(ctx context.Context, l *fulmarsync.Lookup) (*fulmarsync.Referral, error)
 	Close()
 }
 
@@ -73,9 +65,7 @@
 	views   *fulmarview.Holder
 	reports Reports
 	dial    Dial
-	// contacts are the addresses of daemons that are asked for the leader while the store does not answer.
-	contacts []string
-	log      *slog.Logger
+	log     *slog.Logger
 
 	strongest float64   // power of the strongest daemon that a leader has known
 	deferred  bool      // this daemon has left the election to stronger ones
@@ -83,17 +73,15 @@
 	silent    uint64    // nonce of the leader that did not answer last
 	ignore    time.Time // until which that leader is not followed again
 
-	mu      sync.Mutex
-	term    *fulmarlead.Term
-	address string // of the leader that answered last, empty without one
+	mu   sync.Mutex
+	term *fulmarlead.Term
 }
 
 // New returns a follower.
-func New(d fulmarlead.Deps, reports Reports, dial Dial, contacts []string) *Follower {
+func New(d fulmarlead.Deps, reports Reports, dial Dial) *Follower {
 	return &Follower{
 		lead: d, reader: fulmarsnapshot.New(d.Store, d.Registry, d.Log, d.Now), views: d.Views, reports: reports, dial: dial,
-		contacts: slices.DeleteFunc(slices.Clone(contacts), func(c string) bool { return c == d.Address }),
-		log:      d.Log,
+		log: d.Log,
 	}
 }
 
@@ -108,31 +96,14 @@
 	return term.Sync(ctx, r)
 }
 
-// Refer names the leader that this daemon follows, or itself if it leads.
-func (f *Follower) Refer(context.Context, *fulmarsync.Lookup) (*fulmarsync.Referral, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.term != nil {
-		return &fulmarsync.Referral{Address: f.lead.Address}, nil
-	}
-	return &fulmarsync.Referral{Address: f.address}, nil
-}
-
-// answered records the address of the leader that this daemon follows.
-func (f *Follower) answered(address string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.address = address
-}
-
 // Run follows or leads until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		wait := lookEvery + rand.N(lookEvery/4)
 		if err := f.step(ctx); err != nil {
-			f.bypass(ctx)
-			continue
+			wait = failEvery + rand.N(failEvery/4)
 		}
-		fulmarclock.Sleep(ctx, lookEvery+rand.N(lookEvery/4))
+		fulmarclock.Sleep(ctx, wait)
 	}
 }
 
@@ -152,6 +123,8 @@
 	switch {
 	case err != nil:
 		return err
+	case leader == nil && f.lead.Detoured():
+		// The daemons through which the store is reached are better leaders.
 	case leader == nil:
 		f.stand(ctx, s)
 	case leader.Nonce == f.silent && f.lead.Now().Before(f.ignore):
@@ -165,46 +138,6 @@
 	return nil
 }
 
-// bypass looks for a leader at other daemons until it is time to call the store again.
-func (f *Follower) bypass(ctx context.Context) {
-	until := f.lead.Now().Add(failEvery + rand.N(failEvery/4))
-	pace := referEvery + time.Duration(f.views.Get().Daemons)*referPace
-	for {
-		if address := f.ask(ctx); address != "" && f.follow(ctx, address, f.taken) {
-			return
-		}
-		wait := min(pace, until.Sub(f.lead.Now()))
-		if wait <= 0 || !fulmarclock.Sleep(ctx, wait) {
-			return
-		}
-	}
-}
-
-// ask returns the address of the leader that one of the contacts follows, or nothing.
-func (f *Follower) ask(ctx context.Context) string {
-	if len(f.contacts) == 0 {
-		return ""
-	}
-	ctx, cancel := context.WithTimeout(ctx, referTimeout)
-	defer cancel()
-	contact := f.contacts[rand.IntN(len(f.contacts))]
-	daemon, err := f.dial(ctx, contact)
-	if err != nil {
-		f.log.Debug("daemon not reached", "address", contact, "error", err)
-		return ""
-	}
-	defer daemon.Close()
-	r, err := daemon.Refer(ctx, &fulmarsync.Lookup{ID: f.lead.ID})
-	if err != nil {
-		f.log.Debug("daemon not asked for the leader", "address", contact, "error", err)
-		return ""
-	}
-	if r.Address != "" {
-		f.log.Info("leader named by another daemon", "address", r.Address, "source", contact)
-	}
-	return r.Address
-}
-
 // look returns who leads by a cheap read.
 func (f *Follower) look(ctx context.Context) (*fulmarsnapshot.Leader, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -293,7 +226,7 @@
 
 func (f *Follower) report(have fulmarsync.Versions) *fulmarsync.Report {
 	keys, targets := f.reports.Collect()
-	return &fulmarsync.Report{ID: f.lead.ID, Power: f.lead.Power, Have: have, Keys: keys, Targets: targets}
+	return &fulmarsync.Report{ID: f.lead.ID, Address: f.lead.Address, Power: f.lead.Power, Have: have, Keys: keys, Targets: targets}
 }
 
 // follow exchanges reports with the leader until it fails or its knowledge is stale, and reports whether it fell
@@ -305,7 +238,6 @@
 		return false
 	}
 	defer leader.Close()
-	defer f.answered("")
 	f.log.Info("following", "address", address)
 	state := &told{}
 	for ctx.Err() == nil {
@@ -329,9 +261,8 @@
 			f.log.Error("configuration of the leader is not valid", "error", err)
 			return false
 		}
-		f.answered(address)
 		if !known.Before(read) {
-			f.adopt(state, u.Daemons, known)
+			f.adopt(state, u, known)
 		}
 	}
 	return false
@@ -343,6 +274,8 @@
 	routes  *fulmarroute.Table
 	catalog *fulmarcatalog.Catalog
 	owners  map[string]fulmarview.Spans
+	// contacts are the addresses of some other daemons.
+	contacts []string
 }
 
 // take adds an update that came at now.
@@ -371,12 +304,15 @@
 			s.owners = owners
 		}
 	}
+	if len(u.Contacts) > 0 {
+		s.contacts = u.Contacts
+	}
 	s.have = u.Have
 	return nil
 }
 
 // adopt makes what the leader told the view.
-func (f *Follower) adopt(s *told, daemons int, known time.Time) {
+func (f *Follower) adopt(s *told, u *fulmarsync.Update, known time.Time) {
 	f.views.Update(func(v *fulmarview.View) {
 		if s.routes != nil {
 			if v.Routes == nil || v.Routes.Version() < s.routes.Version() {
@@ -390,6 +326,9 @@
 		if s.owners != nil {
 			v.Owners = s.owners
 		}
-		v.Daemons, v.Known = daemons, known
+		if len(s.contacts) > 0 {
+			v.Contacts = s.contacts
+		}
+		v.Daemons, v.Known = u.Daemons, known
 	})
 }
--- a/internal/fulmarfollow/follower_test.go
+++ b/internal/fulmarfollow/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmardetour"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarfollow"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarlead"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarmemory"
@@ -83,15 +85,25 @@
 
 // fleet connects daemons of a test.
 type fleet struct {
-	mu       sync.Mutex
-	leaders  map[string]fulmarfollow.Leader // by address
-	contacts []string
-	orders   fulmarlead.Orders // of all daemons; without it, orders are answered
+	mu      sync.Mutex
+	leaders map[string]fulmarfollow.Leader // by address
+	orders  fulmarlead.Orders              // of all daemons; without it, orders are answered
 }
 
 // link passes reports to a daemon.
 type link struct{ *fulmarfollow.Follower }
 
+// Sync returns an update that shares nothing with those for other daemons, like one that was sent.
+func (l link) Sync(ctx context.Context, r *fulmarsync.Report) (*fulmarsync.Update, error) {
+	u, err := l.Follower.Sync(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	out := *u
+	out.Targets = slices.Clone(u.Targets)
+	return &out, nil
+}
+
 func (link) Close() {}
 
 func (f *fleet) dial(_ context.Context, address string) (fulmarfollow.Leader, error) {
@@ -124,10 +136,14 @@
 	if sent == nil {
 		sent = orders{}
 	}
+	detoured := func() bool { return false }
+	if d, ok := store.(*fulmardetour.Store); ok {
+		detoured = d.Detoured
+	}
 	d := fulmarfollow.New(fulmarlead.Deps{
 		ID: id, Address: id, Store: store, Registry: registry, Orders: sent, Views: views,
-		HoldMax: 10 * time.Second, Power: power, Log: slog.New(slog.DiscardHandler), Now: time.Now,
-	}, noReports{}, f.dial, f.contacts)
+		HoldMax: 10 * time.Second, Power: power, Log: slog.New(slog.DiscardHandler), Now: time.Now, Detoured: detoured,
+	}, noReports{}, f.dial)
 	f.set(id, link{d})
 	go d.Run(ctx)
 	return views
@@ -163,10 +179,6 @@
 	return u, nil
 }
 
-func (*frozen) Refer(context.Context, *fulmarsync.Lookup) (*fulmarsync.Referral, error) {
-	return &fulmarsync.Referral{}, nil
-}
-
 func (*frozen) Close() {}
 
 // Guards against a leader that is cut off from the store and makes others forget what they have read since:
@@ -251,11 +263,6 @@
 	return nil, ctx.Err()
 }
 
-func (hung) Refer(ctx context.Context, _ *fulmarsync.Lookup) (*fulmarsync.Referral, error) {
-	<-ctx.Done()
-	return nil, ctx.Err()
-}
-
 func (hung) Close() {}
 
 // Guards against daemons that wait for a frozen leader again while its lease has run out: an election came 0.9 s
@@ -397,8 +404,22 @@
 	})
 }
 
-// Guards against a daemon that refuses all requests because it started while it could not reach the store, although
-// others follow a leader, and against one that loses its leader and does not learn of the next one.
+// detour returns a way to the store that fails directly and leads through another daemon.
+func detour(store *fulmarmemory.Store, direct fulmarkv.Store) fulmarkv.Store {
+	log := slog.New(slog.DiscardHandler)
+	other := fulmardetour.New(fulmarmemory.NewClient(store), nil, nil, log)
+	return fulmardetour.New(direct, func(context.Context, string) (fulmardetour.Daemon, error) {
+		return forwarder{other}, nil
+	}, func() []string { return []string{"other"} }, log)
+}
+
+// forwarder is a daemon that reaches the store.
+type forwarder struct{ *fulmardetour.Store }
+
+func (forwarder) Close() {}
+
+// Guards against a daemon that loses its leader and does not learn of the next one while it alone is cut off from the
+// store.
 func TestWithoutStore(t *testing.T) {
 	for name, fault := range map[string]fulmarmemory.Fault{"refused": fulmarmemory.Refused, "silent": fulmarmemory.Silent} {
 		t.Run(name, func(t *testing.T) {
@@ -407,7 +428,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				store := configured(t)
-				f := &fleet{contacts: []string{"a", "b", "c"}}
+				f := &fleet{}
 				first, end := context.WithCancel(ctx)
 				f.strong(first, "a", 0.5, fulmarmemory.NewClient(store))
 				f.daemon(ctx, "b", fulmarmemory.NewClient(store))
@@ -415,11 +436,11 @@
 				g.Expect(leader(t, store)).To(Equal("a"))
 
 				client := fulmarmemory.NewClient(store)
-				client.Break(fault)
-				view := f.daemon(ctx, "c", client)
-				time.Sleep(3 * time.Second)
+				view := f.strong(ctx, "c", 0.1, detour(store, client))
+				time.Sleep(time.Second)
 				g.Expect(view.Get().Ready()).To(BeTrue())
 
+				client.Break(fault)
 				end()
 				f.set("a", hung{})
 				time.Sleep(5 * time.Second)
@@ -428,6 +449,112 @@
 				time.Sleep(time.Second)
 				g.Expect(view.Get().Routes.Version()).To(BeEquivalentTo(2))
 				cancel()
+				time.Sleep(time.Second) // for direct calls that are tried meanwhile
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// Guards against a leader that keeps its lease through another daemon although it is cut off from most of the fleet:
+// requests reached a target 2.3 s after it had said that it leaves.
+func TestCutLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := configured(t)
+		f := &fleet{}
+		client := fulmarmemory.NewClient(store)
+		f.strong(ctx, "a", 0.5, detour(store, client))
+		time.Sleep(2 * time.Second)
+		f.daemon(ctx, "b", fulmarmemory.NewClient(store))
+		lost, lose := context.WithCancel(ctx)
+		f.daemon(lost, "c", fulmarmemory.NewClient(store))
+		f.daemon(lost, "d", fulmarmemory.NewClient(store))
+		time.Sleep(2 * time.Second)
+		g.Expect(leader(t, store)).To(Equal("a"))
+
+		client.Break(fulmarmemory.Refused)
+		lose()
+		time.Sleep(4 * time.Second)
+		g.Expect(leader(t, store)).To(Equal("b"))
+		cancel()
+		time.Sleep(time.Second) // for direct calls that are tried meanwhile
+		synctest.Wait()
+	})
+}
+
+// Guards against daemons that know nobody through whom they could call the store.
+func TestContacts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := configured(t)
+		f := &fleet{}
+		leading := f.strong(ctx, "a", 0.5, fulmarmemory.NewClient(store))
+		time.Sleep(2 * time.Second)
+		for _, id := range []string{"b", "c", "d", "e", "f", "g", "h", "i", "j", "k"} {
+			f.daemon(ctx, id, fulmarmemory.NewClient(store))
+		}
+		time.Sleep(2 * time.Second)
+		store.Set("config", encode(t, config(2)))
+		following := f.daemon(ctx, "z", fulmarmemory.NewClient(store))
+		time.Sleep(2 * time.Second)
+		g.Expect(leading.Get().Contacts).To(HaveLen(8))
+		g.Expect(leading.Get().Contacts).NotTo(ContainElement("a"))
+		g.Expect(following.Get().Contacts).To(HaveLen(8))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// notedOrders records the longest grant.
+type notedOrders struct {
+	mu      sync.Mutex
+	longest time.Duration
+}
+
+func (n *notedOrders) Send(_ context.Context, _ string, o fulmarorder.Order) (string, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.longest = max(n.longest, o.Hold)
+	return "", nil
+}
+
+// Guards against a change of leader, and against grants of 9.5 s that keys of lost targets wait for, when the leader
+// alone is cut off from the store.
+func TestLeaderWithoutStore(t *testing.T) {
+	for name, fault := range map[string]fulmarmemory.Fault{"refused": fulmarmemory.Refused, "silent": fulmarmemory.Silent} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store := configured(t)
+				sent := &notedOrders{}
+				f := &fleet{orders: sent}
+				client := fulmarmemory.NewClient(store)
+				f.strong(ctx, "a", 0.5, detour(store, client))
+				time.Sleep(2 * time.Second)
+				view := f.daemon(ctx, "b", fulmarmemory.NewClient(store))
+				time.Sleep(2 * time.Second)
+				g.Expect(leader(t, store)).To(Equal("a"))
+
+				client.Break(fault)
+				time.Sleep(time.Second)
+				store.Set("config", encode(t, config(2)))
+				for range 40 {
+					time.Sleep(100 * time.Millisecond)
+					g.Expect(leader(t, store)).To(Equal("a"))
+				}
+				g.Expect(view.Get().Routes.Version()).To(BeEquivalentTo(2))
+				sent.mu.Lock()
+				g.Expect(sent.longest).To(BeNumerically("<", 2*time.Second))
+				sent.mu.Unlock()
+				cancel()
+				time.Sleep(time.Second) // for direct calls that are tried meanwhile
 				synctest.Wait()
 			})
 		})
--- a/internal/fulmarfront/front.go
+++ b/internal/fulmarfront/front.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
+	"github.com/fulmarbend/fulmarbend/internal/fulmardetour"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarfollow"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarlead"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarlink"
@@ -75,6 +76,7 @@
 	pool      *fulmarlink.Pool // for requests
 	orders    *fulmarlink.Pool // for orders
 	store     *switched
+	detour    *fulmardetour.Store
 	allowance *fulmarallowance.Allowance
 	follower  *fulmarfollow.Follower
 	server    *fulmarserve.Server
@@ -96,14 +98,17 @@
 		store: newSwitched(p.Store(s.Store, storeClient())), allowance: fulmarallowance.New(s.Retries),
 	}
 	f.current.Store(&s)
+	f.detour = fulmardetour.New(f.store, func(ctx context.Context, address string) (fulmardetour.Daemon, error) {
+		return fulmarsync.Dial(ctx, address)
+	}, func() []string { return f.views.Get().Contacts }, log)
 	board := fulmarpick.New(samples, rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	loads := fulmarloads.New(board)
 	f.follower = fulmarfollow.New(fulmarlead.Deps{
-		ID: s.ID, Address: s.Listen.Peers, Store: f.store, Registry: p.Registry,
-		Orders: p.Orders(f.orders), Views: f.views, HoldMax: s.HoldMax, Power: s.Power, Log: log, Now: fulmarclock.Now,
+		ID: s.ID, Address: s.Listen.Peers, Store: f.detour, Registry: p.Registry,
+		Orders: p.Orders(f.orders), Views: f.views, HoldMax: s.HoldMax, Power: s.Power, Log: log, Now: fulmarclock.Now, Detoured: f.detour.Detoured,
 	}, loads, func(ctx context.Context, address string) (fulmarfollow.Leader, error) {
 		return fulmarsync.Dial(ctx, address)
-	}, s.Contacts)
+	})
 	relay := fulmarrelay.New(fulmarrelay.Deps{
 		Names: p.Names, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.pool, Board: board,
 		Splitter: fulmarroute.NewSplitter(), Allowance: f.allowance, Loads: loads,
@@ -113,6 +118,12 @@
 	return f, nil
 }
 
+// peer answers other daemons.
+type peer struct {
+	*fulmarfollow.Follower
+	*fulmardetour.Store
+}
+
 // storeClient returns a client whose connections are not shared with anything else.
 func storeClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
@@ -159,7 +170,7 @@
 	if err != nil {
 		return errors.Wrap(err, "fulmarfront: listen for peers")
 	}
-	syncServer, err := fulmarsync.New(f.follower, f.log)
+	syncServer, err := fulmarsync.New(peer{f.follower, f.detour}, f.log)
 	if err != nil {
 		return err
 	}
--- a/internal/fulmarfront/settings.go
+++ b/internal/fulmarfront/settings.go
@@ -1,7 +1,6 @@
 package fulmarfront
 
 import (
-	"reflect"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,24 +18,18 @@
 
 // Settings are the settings of one daemon.
 type Settings struct {
-	ID     string
-	DC     string
-	Listen Listen
-	Store  string // address of the key-value service
-	// Contacts are addresses for peers of some daemons, which may be down. They are asked for the leader while the
-	// store cannot be reached.
-	Contacts []string
-	HoldMax  time.Duration        // longest time of a grant that targets accept
-	Drain    time.Duration        // for which a leaving target takes requests for its keys
-	Grace    time.Duration        // between SIGTERM and the end of the process
-	Retries  fulmarallowance.Rule // repeated sends of the fleet
-	Power    float64              // share of a core
-	Memory   int64                // bytes
+	ID      string
+	DC      string
+	Listen  Listen
+	Store   string               // address of the key-value service
+	HoldMax time.Duration        // longest time of a grant that targets accept
+	Drain   time.Duration        // for which a leaving target takes requests for its keys
+	Grace   time.Duration        // between SIGTERM and the end of the process
+	Retries fulmarallowance.Rule // repeated sends of the fleet
+	Power   float64              // share of a core
+	Memory  int64                // bytes
 }
 
-// Equal reports whether both settings are the same.
-func (s Settings) Equal(other Settings) bool { return reflect.DeepEqual(s, other) }
-
 // Check returns the first fault of the settings.
 func (s Settings) Check() error {
 	for _, field := range []struct{ name, value string }{
--- a/internal/fulmarlead/election.go
+++ b/internal/fulmarlead/election.go
@@ -20,6 +20,9 @@
 	keepEvery = 200 * time.Millisecond
 	// leaseMargin is kept before the end of the lease in which no order is sent.
 	leaseMargin = 100 * time.Millisecond
+	// readLimit and heardShare bound a leader that calls the store through other daemons.
+	readLimit  = time.Second
+	heardShare = 0.8
 	// callTimeout bears a store that takes a quarter of a second for an answer and has other calls to answer.
 	callTimeout = 900 * time.Millisecond
 	// keepsOpen is the number of calls that extend the lease at the same time, so that a slow one does not end it.
--- a/internal/fulmarlead/lease.go
+++ b/internal/fulmarlead/lease.go
@@ -45,9 +45,24 @@
 	}
 }
 
+// fit reports whether the leader may extend its lease. One that calls the store through other daemons leads on only
+// while it reads the store and hears most of the fleet; else it is cut off from more than the store.
+func (t *Term) fit(now time.Time) bool {
+	if !t.deps.Detoured() {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.snapshot.Taken) <= readLimit && t.fleet.heard(now) >= heardShare
+}
+
 // keep extends the lease once.
 func (t *Term) keep(ctx context.Context) {
 	began := t.deps.Now()
+	if !t.fit(began) {
+		t.deps.Log.Warn("lease not extended through other daemons", "term", t.seat.revision)
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := t.deps.Store.Keep(ctx, t.seat.lease)
--- a/internal/fulmarlead/publish.go
+++ b/internal/fulmarlead/publish.go
@@ -21,6 +21,9 @@
 	publishMax  = 250 * time.Millisecond
 )
 
+// contactsEvery is the number of changes of owners between two updates that repeat the contacts.
+const contactsEvery = 16
+
 // announce lets publishLoop publish what has changed.
 func (t *Term) announce() {
 	select {
@@ -73,6 +76,7 @@
 	daemons, _ := t.daemons(now)
 	t.deps.Views.Update(func(v *fulmarview.View) {
 		v.Routes, v.Catalog, v.Owners, v.Daemons, v.Known = next.routes, next.catalog, next.owners, daemons, next.known
+		v.Contacts = t.fleet.contacts(now)
 	})
 	if woken {
 		close(t.changed)
@@ -116,8 +120,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.deps.Now()
-	if r.ID != t.deps.ID {
-		t.fleet.note(now, r.ID, r.Power)
+	if r.ID != t.deps.ID && t.fleet.note(now, r.ID, r.Address, r.Power) {
+		t.announce()
 	}
 	for service, counts := range r.Keys {
 		s := t.shards[service]
@@ -195,6 +199,9 @@
 	s := t.state
 	u := t.brief(now, s.have)
 	other := have.Term != s.have.Term
+	if other || s.have.Owners%contactsEvery == 0 {
+		u.Contacts = t.fleet.contacts(now)
+	}
 	if s.routes != nil && (other || have.Config != s.have.Config) {
 		c := s.routes.Config()
 		u.Config = &c
--- a/internal/fulmarlead/term.go
+++ b/internal/fulmarlead/term.go
@@ -55,6 +55,7 @@
 	Views    *fulmarview.Holder
 	HoldMax  time.Duration // longest time of a grant that targets accept
 	Power    float64       // share of a core that this daemon has
+	Detoured func() bool   // reports whether the store is called through other daemons
 	Log      *slog.Logger
 	Now      func() time.Time // a clock that does not stop while the machine is suspended
 }
--- a/internal/fulmarsync/message.go
+++ b/internal/fulmarsync/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
 
@@ -32,7 +33,8 @@
 // Report is what a daemon tells the leader.
 type Report struct {
 	ID      string                `cbor:"id"`
-	Power   float64               `cbor:"power"` // share of a core that the daemon has
+	Address string                `cbor:"address,omitempty"` // under which other daemons reach the daemon
+	Power   float64               `cbor:"power"`             // share of a core that the daemon has
 	Have    Versions              `cbor:"have"`
 	Keys    map[string][]KeyCount `cbor:"keys,omitempty"` // by service
 	Targets []TargetLoad          `cbor:"targets,omitempty"`
@@ -44,21 +46,43 @@
 	Age     time.Duration `cbor:"age"` // of the read of the store that the leader's state follows from
 	Daemons int           `cbor:"daemons"`
 	// Strongest is the largest share of a core that a daemon has which is not the leader.
-	Strongest float64                     `cbor:"strongest,omitempty"`
-	Config    *fulmarroute.Config         `cbor:"config,omitempty"`
-	Targets   []fulmarcatalog.Target      `cbor:"targets,omitempty"` // that are new or have changed
-	Gone      []string                    `cbor:"gone,omitempty"`    // ids of targets that are no longer there
-	Owners    map[string]fulmarview.Spans `cbor:"owners,omitempty"`  // keys that are routed differently, by service
+	Strongest float64 `cbor:"strongest,omitempty"`
+	// Contacts are addresses of some daemons besides the leader.
+	Contacts []string                    `cbor:"contacts,omitempty"`
+	Config   *fulmarroute.Config         `cbor:"config,omitempty"`
+	Targets  []fulmarcatalog.Target      `cbor:"targets,omitempty"` // that are new or have changed
+	Gone     []string                    `cbor:"gone,omitempty"`    // ids of targets that are no longer there
+	Owners   map[string]fulmarview.Spans `cbor:"owners,omitempty"`  // keys that are routed differently, by service
 	// All says that targets and owners are complete; what the daemon had before is void.
 	All bool `cbor:"all,omitempty"`
 }
 
-// Lookup asks a daemon who leads.
-type Lookup struct {
-	ID string `cbor:"id"` // of the daemon that asks
+// StoreCall is a call of the store that a daemon makes through another one.
+type StoreCall struct {
+	Scan   *string          `cbor:"scan,omitempty"`   // prefix
+	Peek   *string          `cbor:"peek,omitempty"`   // key
+	Commit *fulmarkv.Change `cbor:"commit,omitempty"` // change
+	Open   *time.Duration   `cbor:"open,omitempty"`   // time of the lease
+	Keep   *fulmarkv.Lease  `cbor:"keep,omitempty"`
+	End    *fulmarkv.Lease  `cbor:"end,omitempty"`
 }
 
-// Referral names the leader that a daemon follows, or the daemon itself if it leads.
-type Referral struct {
-	Address string `cbor:"address,omitempty"` // empty if the daemon has no leader
+// StoreAnswer is the outcome of a StoreCall.
+type StoreAnswer struct {
+	Items    []fulmarkv.Item `cbor:"items,omitempty"` // of Scan, and the one of Peek if there is one
+	Revision int64           `cbor:"revision,omitempty"`
+	Lease    fulmarkv.Lease  `cbor:"lease,omitempty"`
+	Fault    Fault           `cbor:"fault,omitempty"`
 }
+
+// Fault stands for an error of the store in a StoreAnswer.
+type Fault int
+
+// Faults.
+const (
+	NoFault Fault = iota
+	Unavailable
+	Ambiguous
+	Conflict
+	NoLease
+)
--- a/internal/fulmarsync/transport.go
+++ b/internal/fulmarsync/transport.go
@@ -21,7 +21,7 @@
 
 const (
 	rpcSync     = "/fulmarbend.Leader/Sync"
-	rpcRefer    = "/fulmarbend.Leader/Refer"
+	rpcForward  = "/fulmarbend.Leader/Forward"
 	maxMessage  = 2 << 20 // bytes
 	dialTimeout = 300 * time.Millisecond
 	acceptPause = 10 * time.Millisecond
@@ -30,14 +30,15 @@
 // ErrNotLeader is returned by a daemon that does not lead.
 var ErrNotLeader = errors.New("fulmarsync: this daemon does not lead")
 
-// Handler answers reports; it may wait for a change.
+// Handler answers other daemons.
 type Handler interface {
+	// Sync answers a report; it may wait for a change.
 	Sync(ctx context.Context, r *Report) (*Update, error)
-	// Refer says who leads.
-	Refer(ctx context.Context, l *Lookup) (*Referral, error)
+	// Forward calls the store.
+	Forward(ctx context.Context, c *StoreCall) (*StoreAnswer, error)
 }
 
-// description lists the one call for the drpc multiplexer.
+// description lists the calls for the drpc multiplexer.
 type description struct{ codec fulmarwire.Codec }
 
 func (description) NumMethods() int { return 2 }
@@ -47,7 +48,7 @@
 	case 0:
 		return rpcSync, d.codec, receiver(Handler.Sync), Handler.Sync, true
 	case 1:
-		return rpcRefer, d.codec, receiver(Handler.Refer), Handler.Refer, true
+		return rpcForward, d.codec, receiver(Handler.Forward), Handler.Forward, true
 	}
 	return "", nil, nil, nil, false
 }
@@ -141,9 +142,9 @@
 	return call[Update](ctx, c, rpcSync, r)
 }
 
-// Refer asks the daemon who leads.
-func (c *Client) Refer(ctx context.Context, l *Lookup) (*Referral, error) {
-	return call[Referral](ctx, c, rpcRefer, l)
+// Forward calls the store through the daemon.
+func (c *Client) Forward(ctx context.Context, s *StoreCall) (*StoreAnswer, error) {
+	return call[StoreAnswer](ctx, c, rpcForward, s)
 }
 
 func call[Out any](ctx context.Context, c *Client, method string, in any) (*Out, error) {
--- a/internal/fulmarview/view.go
+++ b/internal/fulmarview/view.go
@@ -14,7 +14,9 @@
 	Catalog *fulmarcatalog.Catalog
 	Owners  map[string]Spans // by service
 	Daemons int              // instances that take requests, at least 1
-	Known   time.Time        // the view contains all changes up to then
+	// Contacts are the addresses of some other instances, for their peers.
+	Contacts []string
+	Known    time.Time // the view contains all changes up to then
 }
 
 // Ready reports whether requests can be routed.
