Forget what is known of targets that are gone

Cause: Board.Retain and Times.Retain were never called, so that state of gone targets stayed for the life of a process. Change: both are called, as for the leader's judgement of targets, once a target has not been listed for one to two minutes (internal/fulmarretain); entries vanish for seconds when the store was away.

--- a/internal/fulmarfront/front.go
+++ b/internal/fulmarfront/front.go
@@ -21,6 +21,7 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarloads"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarmetric"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarrelay"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarretain"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarserve"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsync"
@@ -39,7 +40,8 @@
 	// wholeAnswer bounds the answers that are held until they are complete, in bytes.
 	wholeAnswer = 256 << 10
 	sweepEvery  = time.Second
-	samples     = 2 // targets that are compared for a request
+	retention   = time.Minute // of what is known of a target that is no longer listed
+	samples     = 2           // targets that are compared for a request
 
 	// noticed is the time after SIGTERM until callers are led to other daemons: the readiness check has
 	// failed twice, a second apart.
@@ -77,6 +79,7 @@
 	orders    *fulmarlink.Pool // for orders
 	store     *switched
 	detour    *fulmardetour.Store
+	board     *fulmarpick.Board
 	allowance *fulmarallowance.Allowance
 	follower  *fulmarfollow.Follower
 	server    *fulmarserve.Server
@@ -101,8 +104,8 @@
 	f.detour = fulmardetour.New(f.store, func(ctx context.Context, address string) (fulmardetour.Daemon, error) {
 		return fulmarsync.Dial(ctx, address)
 	}, func() []string { return f.views.Get().Contacts }, log)
-	board := fulmarpick.New(samples, rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	loads := fulmarloads.New(board)
+	f.board = fulmarpick.New(samples, rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	loads := fulmarloads.New(f.board)
 	f.follower = fulmarfollow.New(fulmarlead.Deps{
 		ID: s.ID, Address: s.Listen.Peers, Store: f.detour, Registry: p.Registry,
 		Orders: p.Orders(f.orders), Views: f.views, HoldMax: s.HoldMax, Power: s.Power, Log: log, Now: fulmarclock.Now, Detoured: f.detour.Detoured,
@@ -110,7 +113,7 @@
 		return fulmarsync.Dial(ctx, address)
 	})
 	relay := fulmarrelay.New(fulmarrelay.Deps{
-		Names: p.Names, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.pool, Board: board,
+		Names: p.Names, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.pool, Board: f.board,
 		Splitter: fulmarroute.NewSplitter(), Allowance: f.allowance, Loads: loads,
 		Metrics: metrics, Log: log, Now: time.Now, Clock: fulmarclock.Now, Drain: func() time.Duration { return f.current.Load().Drain - drainMargin },
 	})
@@ -217,12 +220,16 @@
 
 // sweep closes connections to targets that have been unused for long.
 func (f *Front) sweep(ctx context.Context) {
+	recent := fulmarretain.New(time.Now(), retention)
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case now := <-ticker.C:
 			f.pool.Sweep(now)
+			if c := f.views.Get().Catalog; c != nil && recent.Advance(now, c) {
+				f.board.Retain(recent.Has)
+			}
 		case <-ctx.Done():
 			return
 		}
--- a/internal/fulmarlead/term.go
+++ b/internal/fulmarlead/term.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarretain"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsync"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
@@ -34,6 +36,7 @@
 	// silentTime replaces stallTime for a target that can be reached and does not answer orders: it may have taken
 	// them, so its keys could not go to another one sooner anyway.
 	silentTime = 1500 * time.Millisecond
+	retention  = time.Minute // of what is known of a target that is no longer listed
 	// bridgeAfter is the time without an answer of the store after which grants are extended, so that keys
 	// keep their owners while nobody can lead.
 	bridgeAfter = 550 * time.Millisecond
@@ -85,6 +88,7 @@
 	shards   map[string]*shard
 	workers  map[fulmarrange.Life]*worker
 	fleet    *fleet
+	recent   *fulmarretain.Window
 	state    state
 	lists    history[*fulmarcatalog.Catalog]
 	owned    history[map[string]fulmarview.Spans]
@@ -113,7 +117,7 @@
 	return &Term{
 		deps: d, reader: reader, seat: acquired, valid: acquired.valid, kept: d.Now(), snapshot: s,
 		shards: make(map[string]*shard), workers: make(map[fulmarrange.Life]*worker),
-		fleet:   newFleet(),
+		fleet: newFleet(), recent: fulmarretain.New(d.Now(), retention),
 		changed: make(chan struct{}), stale: make(chan struct{}, 1), answers: make(map[fulmarsync.Versions]answer),
 	}, nil
 }
@@ -193,6 +197,7 @@
 	now := t.deps.Now()
 	t.openShards(now)
 	t.staff(now)
+	t.forget(now)
 	if first {
 		t.publish()
 	} else {
@@ -201,6 +206,17 @@
 	return true
 }
 
+// forget drops what is known of targets that are gone; mu is held.
+func (t *Term) forget(now time.Time) {
+	if !t.recent.Advance(now, t.snapshot.Catalog) {
+		return
+	}
+	for _, s := range t.shards {
+		s.times.Retain(t.recent.Has)
+		maps.DeleteFunc(s.reach, func(life fulmarrange.Life, _ bool) bool { return !t.recent.Has(life.ID) })
+	}
+}
+
 // openShards creates the books of the keyed services; mu is held.
 func (t *Term) openShards(now time.Time) {
 	if t.snapshot.Routes == nil {
