Notice targets that are so slow that callers give up

Cause: times of targets came from answered requests alone. Change: requests that are given up are reported with the time that they waited. Tests: TestTimes (two cases), TestAbandoned of fulmarpick and of fulmarrelay.

--- a/internal/fulmarlead/publish.go
+++ b/internal/fulmarlead/publish.go
@@ -137,6 +137,7 @@
 		target, ok := t.snapshot.Catalog.Target(l.Target)
 		if s := t.shards[target.Service]; ok && s != nil {
 			s.times.Add(now, l.Target, l.Sum, l.Count)
+			s.times.Abandon(now, l.Target, l.Waited, l.Abandoned)
 		}
 	}
 }
--- a/internal/fulmarloads/loads.go
+++ b/internal/fulmarloads/loads.go
@@ -52,7 +52,9 @@
 	}
 	var targets []fulmarsync.TargetLoad
 	for id, s := range l.board.Samples() {
-		targets = append(targets, fulmarsync.TargetLoad{Target: id, Count: s.Count, Sum: s.Sum})
+		targets = append(targets, fulmarsync.TargetLoad{
+			Target: id, Count: s.Count, Sum: s.Sum, Abandoned: s.Abandoned, Waited: s.Waited,
+		})
 	}
 	return out, targets
 }
--- a/internal/fulmarrelay/attempt.go
+++ b/internal/fulmarrelay/attempt.go
@@ -187,6 +187,8 @@
 	if err != nil {
 		if ctx.Err() == nil {
 			d.Board.Failed(d.Now(), t.ID)
+		} else {
+			d.Board.Abandoned(t.ID, d.Now().Sub(started))
 		}
 		return nil, broken
 	}
--- a/internal/fulmarrelay/relay_test.go
+++ b/internal/fulmarrelay/relay_test.go
@@ -348,6 +348,16 @@
 	}
 }
 
+// Guards against a silent target whose requests do not count in what is reported of its speed.
+func TestAbandoned(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t, true, newTarget(t, "x", silent))
+	expectStatus(g, f.relay.Serve(t.Context(), request(t, "/k/1", "", "Key", "7")), 504)
+	sample := f.deps.Board.Samples()["owner"]
+	g.Expect(sample.Abandoned).To(Equal(1))
+	g.Expect(sample.Waited).To(BeNumerically(">=", 350*time.Millisecond))
+}
+
 // Guards against a target that runs a request for another, that works longer than the caller waits, or that gets
 // a request changed.
 func TestForwarded(t *testing.T) {
--- a/internal/fulmarsync/message.go
+++ b/internal/fulmarsync/message.go
@@ -28,6 +28,9 @@
 	Target string        `cbor:"target"`
 	Count  int           `cbor:"count"` // requests answered since the last report
 	Sum    time.Duration `cbor:"sum"`   // of their times without the wait for others
+	// Abandoned requests were given up without an answer since the last report, after Waited in all.
+	Abandoned int           `cbor:"abandoned,omitempty"`
+	Waited    time.Duration `cbor:"waited,omitempty"`
 }
 
 // Report is what a daemon tells the leader.
--- a/pkg/fulmarassign/plan_test.go
+++ b/pkg/fulmarassign/plan_test.go
@@ -259,12 +259,7 @@
 	// Replays targets that turn slow within a second.
 	t.Run("notices a target that has turned slow", func(t *testing.T) {
 		g := NewWithT(t)
-		times := fulmarassign.NewTimes()
-		now := start
-		for range 25 {
-			now = now.Add(200 * time.Millisecond)
-			times.Add(now, "a", 400*time.Millisecond, 4)
-		}
+		times, now := usual()
 		g.Expect(times.Get(now, "a")).To(BeNumerically("~", 0.1, 0.01))
 		for range 8 {
 			now = now.Add(200 * time.Millisecond)
@@ -272,4 +267,39 @@
 		}
 		g.Expect(times.Get(now, "a")).To(BeNumerically(">", 0.25))
 	})
+
+	// Replays targets that turn so slow that callers give up: ten of them answered 9 requests each within 6 s, got 100,
+	// kept their keys and looked as fast as before.
+	t.Run("notices a target that answers hardly any request", func(t *testing.T) {
+		g := NewWithT(t)
+		times, now := usual()
+		for range 6 {
+			now = now.Add(600 * time.Millisecond)
+			times.Add(now, "a", 600*time.Millisecond, 1)
+			times.Abandon(now, "a", 9*time.Second, 9)
+		}
+		g.Expect(times.Get(now, "a")).To(BeNumerically(">", 0.6))
+	})
+
+	// Guards against keys that move away from a fast target because callers give up at its long queue.
+	t.Run("does not take a busy target for a slow one", func(t *testing.T) {
+		g := NewWithT(t)
+		times, now := usual()
+		for range 10 {
+			now = now.Add(200 * time.Millisecond)
+			times.Add(now, "a", 500*time.Millisecond, 5)
+			times.Abandon(now, "a", 3*time.Second, 3)
+		}
+		g.Expect(times.Get(now, "a")).To(BeNumerically("~", 0.1, 0.01))
+	})
+}
+
+// usual returns times of a target that has taken 0.1 s for each request.
+func usual() (*fulmarassign.Times, time.Time) {
+	times, now := fulmarassign.NewTimes(), start
+	for range 25 {
+		now = now.Add(200 * time.Millisecond)
+		times.Add(now, "a", 400*time.Millisecond, 4)
+	}
+	return times, now
 }
--- a/pkg/fulmarassign/times.go
+++ b/pkg/fulmarassign/times.go
@@ -22,8 +22,8 @@
 	all     mean
 }
 
-// estimate holds the usual and the latest times of a target.
-type estimate struct{ long, short mean }
+// estimate holds the usual and the latest times of a target, and the latest ones of requests that were given up.
+type estimate struct{ long, short, lost mean }
 
 // mean is an aging mean.
 type mean struct {
@@ -49,13 +49,32 @@
 // NewTimes returns times without observations.
 func NewTimes() *Times { return &Times{targets: make(map[string]*estimate)} }
 
-// Add records that n requests took sum at a target.
-func (t *Times) Add(now time.Time, target string, sum time.Duration, n int) {
+func (t *Times) estimate(target string) *estimate {
 	e := t.targets[target]
 	if e == nil {
 		e = &estimate{}
 		t.targets[target] = e
 	}
+	return e
+}
+
+// Abandon records that n requests were given up without an answer, after sum in all. They count only for a target that
+// answers hardly any: where many requests wait, some are given up at fast targets as well.
+func (t *Times) Abandon(now time.Time, target string, sum time.Duration, n int) {
+	if n == 0 {
+		return
+	}
+	e := t.estimate(target)
+	e.short.age(now, shortTime)
+	e.lost.add(now, shortTime, sum.Seconds(), float64(n))
+	if e.short.weight < enough {
+		e.long.add(now, longTime, sum.Seconds(), float64(n))
+	}
+}
+
+// Add records that n requests took sum at a target.
+func (t *Times) Add(now time.Time, target string, sum time.Duration, n int) {
+	e := t.estimate(target)
 	e.long.add(now, longTime, sum.Seconds(), float64(n))
 	e.short.add(now, shortTime, sum.Seconds(), float64(n))
 	t.all.add(now, longTime, sum.Seconds(), float64(n))
@@ -72,12 +91,15 @@
 	}
 	e.long.age(now, longTime)
 	e.short.age(now, shortTime)
+	e.lost.age(now, shortTime)
 	usual := max((e.long.sum+others*prior)/(e.long.weight+prior), minTime)
 	if e.short.weight >= enough {
 		latest := max(e.short.sum/e.short.weight, minTime)
 		if latest > turned*usual || latest < usual/turned {
 			return latest
 		}
+	} else if n := e.short.weight + e.lost.weight; n >= enough {
+		return max(usual, (e.short.sum+e.lost.sum)/n)
 	}
 	return usual
 }
--- a/pkg/fulmarpick/board.go
+++ b/pkg/fulmarpick/board.go
@@ -148,6 +148,20 @@
 	t.sample.Sum += time.Duration(float64(took) / (1 + t.ahead))
 }
 
+// Abandoned records that a request was given up after it had waited for an answer. It has taken at least that long,
+// which tells nothing about a target that usually takes longer.
+func (b *Board) Abandoned(id string, waited time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.target(id)
+	own := waited.Seconds() / (1 + t.ahead)
+	if own <= t.mean {
+		return
+	}
+	t.sample.Abandoned++
+	t.sample.Waited += time.Duration(own * float64(time.Second))
+}
+
 // Failed records a request that the target failed or turned away.
 func (b *Board) Failed(now time.Time, id string) {
 	b.mu.Lock()
@@ -167,20 +181,23 @@
 	t.ahead = float64(l.Waiting) / float64(max(l.Slots, 1))
 }
 
-// Sample is the number of requests and the sum of their times.
+// Sample is what became of requests: the number of those that were answered and of those that were given up, each
+// with the sum of their times.
 type Sample struct {
-	Count int
-	Sum   time.Duration
+	Count     int
+	Sum       time.Duration
+	Abandoned int
+	Waited    time.Duration
 }
 
-// Samples returns the requests that each target answered since the last call, with the time that they took
-// without the wait for others, as far as reports tell.
+// Samples returns the requests that ended at each target since the last call, with the time that they took without
+// the wait for others, as far as reports tell.
 func (b *Board) Samples() map[string]Sample {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make(map[string]Sample)
 	for id, t := range b.targets {
-		if t.sample.Count > 0 {
+		if t.sample.Count+t.sample.Abandoned > 0 {
 			out[id] = t.sample
 			t.sample = Sample{}
 		}
--- a/pkg/fulmarpick/board_test.go
+++ b/pkg/fulmarpick/board_test.go
@@ -109,3 +109,33 @@
 		})
 	}
 }
+
+func TestAbandoned(t *testing.T) {
+	t.Run("counts requests that a target does not answer", func(t *testing.T) {
+		g := NewWithT(t)
+		b := board()
+		for range 10 {
+			b.Abandoned("0", time.Second)
+		}
+		g.Expect(b.Samples()).To(HaveKeyWithValue("0", fulmarpick.Sample{Abandoned: 10, Waited: 10 * time.Second}))
+	})
+
+	// Guards against callers that leave early and make targets look fast.
+	t.Run("requests that were given up early tell nothing", func(t *testing.T) {
+		g := NewWithT(t)
+		b := board()
+		for range 10 {
+			b.Served("0", 200*time.Millisecond)
+			b.Abandoned("0", 20*time.Millisecond)
+		}
+		g.Expect(b.Samples()).To(HaveKeyWithValue("0", fulmarpick.Sample{Count: 10, Sum: 2 * time.Second}))
+	})
+
+	t.Run("the wait behind others does not count", func(t *testing.T) {
+		g := NewWithT(t)
+		b := board()
+		b.Report(now, "0", fulmarpick.Load{Running: 3, Waiting: 9, Slots: 3})
+		b.Abandoned("0", time.Second)
+		g.Expect(b.Samples()).To(HaveKeyWithValue("0", fulmarpick.Sample{Abandoned: 1, Waited: 250 * time.Millisecond}))
+	})
+}
