Learn from the former leader when its grants lapse

Cause: a new leader counted all grants of its predecessors with 10 s from its own election. Change: a daemon whose term has ended tells when its last grant lapses, followers remember it, and a new leader takes the word on the term that wrote the tables, which name their writer. A leader that resigns says so before its lease ends. Ruled out: the bound in the store, which cannot be reached when grants are extended.

--- a/internal/fulmarlead/lease.go
+++ b/internal/fulmarlead/lease.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarsync"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
 )
 
@@ -85,6 +86,28 @@
 	t.valid, t.ended = time.Time{}, true
 }
 
+// Past ends the term if its lease has run out, and tells when its grants have lapsed; ok is false if it still leads.
+func (t *Term) Past() (p fulmarsync.Past, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.deps.Now()
+	if now.Before(t.valid) {
+		return p, false
+	}
+	t.valid, t.ended = time.Time{}, true
+	p.Term = t.seat.revision
+	for name := range t.snapshot.Tables {
+		if t.shards[name] == nil { // a service that is not configured now, of which grants of earlier terms may last
+			p.Left = t.deps.HoldMax * 103 / 100
+		}
+	}
+	for _, s := range t.shards {
+		// Calls that are under way end within grantTimeout.
+		p.Left = max(p.Left, s.book.Latest(now.Add(grantTimeout)).Sub(now))
+	}
+	return p, true
+}
+
 // extended records that a call which began at the given time has extended the lease.
 func (t *Term) extended(began time.Time) {
 	t.mu.Lock()
--- a/internal/fulmarlead/tables.go
+++ b/internal/fulmarlead/tables.go
@@ -26,7 +26,7 @@
 		known = make(map[string]fulmarrange.Table)
 	}
 	maps.Copy(known, tables)
-	value, err := fulmarsnapshot.EncodeTables(known)
+	value, err := fulmarsnapshot.EncodeTables(fulmarsnapshot.Writer{Term: t.seat.revision, Address: t.deps.Address}, known)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/fulmarlead/term.go
+++ b/internal/fulmarlead/term.go
@@ -59,8 +59,11 @@
 	HoldMax  time.Duration // longest time of a grant that targets accept
 	Power    float64       // share of a core that this daemon has
 	Detoured func() bool   // reports whether the store is called through other daemons
-	Log      *slog.Logger
-	Now      func() time.Time // a clock that does not stop while the machine is suspended
+	// Ask returns the time after which the grants of an earlier term have lapsed; ok is false if nobody knows it. It may
+	// ask the daemon at address, which led then.
+	Ask func(ctx context.Context, term int64, address string) (latest time.Time, ok bool)
+	Log *slog.Logger
+	Now func() time.Time // a clock that does not stop while the machine is suspended
 }
 
 // shard is what the leader keeps of one keyed service.
@@ -89,6 +92,7 @@
 	workers  map[fulmarrange.Life]*worker
 	fleet    *fleet
 	recent   *fulmarretain.Window
+	former   fulmarsnapshot.Writer // of the tables before this term
 	state    state
 	lists    history[*fulmarcatalog.Catalog]
 	owned    history[map[string]fulmarview.Spans]
@@ -136,15 +140,33 @@
 		return
 	}
 	t.group.Go(func() { t.readLoop(ctx) })
+	t.group.Go(func() { t.askFormer(ctx) })
 	t.group.Go(func() { t.publishLoop(ctx) })
 	t.planLoop(ctx, cancel)
 	cancel()
 	t.dismiss()
 	t.group.Wait()
+	t.lose() // nothing is sent any more
 	t.resign()
 	log.Info("leading ended", "term", t.seat.revision)
 }
 
+// askFormer finds out when the grants of the former leader lapse: the one that wrote the tables last, as a leader
+// sends grants only after that.
+func (t *Term) askFormer(ctx context.Context) {
+	latest, ok := t.deps.Ask(ctx, t.former.Term, t.former.Address)
+	if !ok {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.shards {
+		s.book.Limit(latest)
+	}
+	t.deps.Log.Info("grants of the former leader", "term", t.seat.revision, "former", t.former.Term, "left", latest.Sub(t.deps.Now()))
+	t.wake()
+}
+
 // awaitRead repeats the first read until it succeeds.
 func (t *Term) awaitRead(ctx context.Context) bool {
 	for fulmarclock.Sleep(ctx, retry) {
@@ -192,6 +214,7 @@
 	first := t.revision == 0 && len(t.shards) == 0
 	t.snapshot = s
 	if first {
+		t.former = s.TablesWriter
 		t.revision = s.TablesRevision
 	}
 	now := t.deps.Now()
--- a/internal/fulmarsnapshot/reader.go
+++ b/internal/fulmarsnapshot/reader.go
@@ -31,6 +31,7 @@
 	Fleet          Fleet
 	Tables         map[string]fulmarrange.Table
 	TablesRevision int64
+	TablesWriter   Writer
 	Routes         *fulmarroute.Table // nil if there is no valid configuration
 	Catalog        *fulmarcatalog.Catalog
 }
@@ -46,6 +47,7 @@
 	configRevision int64
 	routes         *fulmarroute.Table
 	tablesRevision int64
+	tablesWriter   Writer
 	tables         map[string]fulmarrange.Table
 	damaged        map[string]int64 // revisions of values that were reported
 	failing        bool
@@ -107,7 +109,7 @@
 	}
 	s.Routes = r.routes
 	if r.tables != nil {
-		s.Tables, s.TablesRevision = r.tables, r.tablesRevision
+		s.Tables, s.TablesRevision, s.TablesWriter = r.tables, r.tablesRevision, r.tablesWriter
 	}
 	s.Catalog = r.tracker.Read(taken, targets, former, known)
 	return s, nil
@@ -131,12 +133,12 @@
 	if item.Revision == r.tablesRevision {
 		return nil
 	}
-	tables, err := decodeTables(item.Value)
+	tables, by, err := decodeTables(item.Value)
 	if err != nil {
 		r.report(item, err)
 		return err
 	}
-	r.tables, r.tablesRevision = tables, item.Revision
+	r.tables, r.tablesRevision, r.tablesWriter = tables, item.Revision, by
 	return nil
 }
 
--- a/internal/fulmarsnapshot/record.go
+++ b/internal/fulmarsnapshot/record.go
@@ -55,13 +55,20 @@
 	Fence    int64                 `cbor:"fence"`
 	Segments []fulmarrange.Segment `cbor:"segments"`
 	Extended bool                  `cbor:"extended,omitempty"`
+	Writer   Writer                `cbor:"writer"`
+}
+
+// Writer is the leader that wrote the tables.
+type Writer struct {
+	Term    int64  `cbor:"term"`
+	Address string `cbor:"address"` // of its service for the other daemons
 }
 
 // EncodeTables returns the stored form of the tables by service.
-func EncodeTables(tables map[string]fulmarrange.Table) ([]byte, error) {
+func EncodeTables(by Writer, tables map[string]fulmarrange.Table) ([]byte, error) {
 	out := make(map[string]storedTable, len(tables))
 	for name, t := range tables {
-		out[name] = storedTable{t.Fence(), t.Segments(), t.Extended()}
+		out[name] = storedTable{t.Fence(), t.Segments(), t.Extended(), by}
 	}
 	mode, err := cbor.EncOptions{Sort: cbor.SortCanonical}.EncMode()
 	if err != nil {
@@ -71,18 +78,23 @@
 	return b, errors.Wrap(err, "fulmarsnapshot: encode tables")
 }
 
-func decodeTables(b []byte) (map[string]fulmarrange.Table, error) {
+// decodeTables returns the tables and the leader that wrote them.
+func decodeTables(b []byte) (map[string]fulmarrange.Table, Writer, error) {
 	var in map[string]storedTable
+	var by Writer
 	if err := cbor.Unmarshal(b, &in); err != nil {
-		return nil, errors.Wrap(err, "fulmarsnapshot: decode tables")
+		return nil, by, errors.Wrap(err, "fulmarsnapshot: decode tables")
 	}
 	out := make(map[string]fulmarrange.Table, len(in))
 	for name, s := range in {
 		t, err := fulmarrange.Restore(s.Segments, s.Fence)
 		if err != nil {
-			return nil, errors.Wrapf(err, "fulmarsnapshot: table of %s", name)
+			return nil, by, errors.Wrapf(err, "fulmarsnapshot: table of %s", name)
 		}
 		out[name] = t.WithExtended(s.Extended)
+		if s.Writer.Term >= by.Term {
+			by = s.Writer
+		}
 	}
-	return out, nil
+	return out, by, nil
 }
--- a/internal/fulmarsync/message.go
+++ b/internal/fulmarsync/message.go
@@ -35,9 +35,11 @@
 
 // Report is what a daemon tells the leader.
 type Report struct {
-	ID      string                `cbor:"id"`
-	Address string                `cbor:"address,omitempty"` // under which other daemons reach the daemon
-	Power   float64               `cbor:"power"`             // share of a core that the daemon has
+	ID      string  `cbor:"id"`
+	Address string  `cbor:"address,omitempty"` // under which other daemons reach the daemon
+	Power   float64 `cbor:"power"`             // share of a core that the daemon has
+	// Asks is an earlier term of which a daemon that does not lead tells what it knows.
+	Asks    int64                 `cbor:"asks,omitempty"`
 	Have    Versions              `cbor:"have"`
 	Keys    map[string][]KeyCount `cbor:"keys,omitempty"` // by service
 	Targets []TargetLoad          `cbor:"targets,omitempty"`
@@ -50,6 +52,8 @@
 	Daemons int           `cbor:"daemons"`
 	// Strongest is the largest share of a core that a daemon has which is not the leader.
 	Strongest float64 `cbor:"strongest,omitempty"`
+	// Past tells of the last term of a daemon that does not lead any more; all else is empty then.
+	Past *Past `cbor:"past,omitempty"`
 	// Contacts are addresses of some daemons besides the leader.
 	Contacts []string                    `cbor:"contacts,omitempty"`
 	Config   *fulmarroute.Config         `cbor:"config,omitempty"`
@@ -60,6 +64,12 @@
 	All bool `cbor:"all,omitempty"`
 }
 
+// Past is a term that has ended.
+type Past struct {
+	Term int64         `cbor:"term"`
+	Left time.Duration `cbor:"left"` // until all of its grants have lapsed
+}
+
 // StoreCall is a call of the store that a daemon makes through another one.
 type StoreCall struct {
 	Scan   *string          `cbor:"scan,omitempty"`   // prefix
--- a/pkg/fulmarledger/ledger.go
+++ b/pkg/fulmarledger/ledger.go
@@ -21,6 +21,7 @@
 	hold     time.Duration
 	open     bool // the call has not ended
 	answered bool
+	earlier  bool // of an earlier sender
 	until    time.Time
 }
 
@@ -132,11 +133,22 @@
 	l.next += 2
 	l.entries[target] = append(
 		l.entries[target],
-		entry{id: l.next - 1, from: from, to: to, fence: fence, answered: true, until: answered},
-		entry{id: l.next, from: from, to: to, fence: fence, until: unanswered},
+		entry{id: l.next - 1, from: from, to: to, fence: fence, answered: true, earlier: true, until: answered},
+		entry{id: l.next, from: from, to: to, fence: fence, earlier: true, until: unanswered},
 	)
 }
 
+// Limit records that the grants of earlier senders last no longer than until.
+func (l *Ledger) Limit(until time.Time) {
+	for _, list := range l.entries {
+		for i := range list {
+			if list[i].earlier && list[i].until.After(until) {
+				list[i].until = until
+			}
+		}
+	}
+}
+
 // Pending reports whether the target may apply a grant late that lasts until after now.
 func (l *Ledger) Pending(now time.Time, target string) bool {
 	return slices.ContainsFunc(l.entries[target], func(e entry) bool { return !e.answered && !e.open && e.until.After(now) })
@@ -181,6 +193,23 @@
 	return free, at
 }
 
+// Latest returns the time after which no target holds keys by the grants so far, where calls that are under way end
+// at now.
+func (l *Ledger) Latest(now time.Time) (latest time.Time) {
+	for _, list := range l.entries {
+		for _, e := range list {
+			until := e.until
+			if e.open {
+				until = lasts(now, e.hold)
+			}
+			if until.After(latest) {
+				latest = until
+			}
+		}
+	}
+	return latest
+}
+
 // Until returns the latest time up to which the target may hold any of the keys by answered grants.
 func (l *Ledger) Until(target string, from, to int) (until time.Time) {
 	for _, e := range l.entries[target] {
--- a/pkg/fulmarorder/book.go
+++ b/pkg/fulmarorder/book.go
@@ -79,6 +79,13 @@
 	return b
 }
 
+// Limit records that the earlier sender's grants have lapsed by the given time.
+func (b *Book) Limit(latest time.Time) { b.ledger.Limit(latest) }
+
+// Latest returns the time after which no target holds keys by the grants sent so far, where orders that are under
+// way end at now.
+func (b *Book) Latest(now time.Time) time.Time { return b.ledger.Latest(now) }
+
 // usual returns the time up to which grants of the usual time that were sent until now may last.
 func (b *Book) usual(now time.Time) time.Time { return now.Add(b.timing.Hold * 105 / 100) }
 
--- a/pkg/fulmarorder/book_test.go
+++ b/pkg/fulmarorder/book_test.go
@@ -151,6 +151,22 @@
 		b.idle(lifeB)
 	})
 
+	// Guards against keys of a lost target that wait 10 s although the former leader has said that its grants end sooner.
+	t.Run("takes the word of the former leader", func(t *testing.T) {
+		now := time.Unix(1000, 0)
+		former := newBook(t, fulmarrange.New())
+		former.Commit(owned)
+		former.next(lifeA, fulmarorder.Grant, 0, fulmarrange.Last, "", nil)
+		latest := former.Latest(now)
+		b := &book{Book: fulmarorder.New(now.Add(time.Second), owned, modelTiming), g: former.g, now: now.Add(time.Second)}
+		b.Limit(latest)
+		b.Commit(owned.WithOwner(0, fulmarrange.Last, lifeB))
+		b.idle(lifeB)
+		b.now = latest
+		b.next(lifeB, fulmarorder.Grant, 0, fulmarrange.Last, "", nil)
+		b.g.Expect(latest.Sub(now)).To(BeNumerically("<", modelHold*11/10))
+	})
+
 	// Guards against keys that wait for grants that their owner would refuse, as it has answered a later one.
 	t.Run("forgets unanswered grants when a later one is answered", func(t *testing.T) {
 		b := newBook(t, owned)
--- a/pkg/fulmarorder/safety_test.go
+++ b/pkg/fulmarorder/safety_test.go
@@ -252,8 +252,15 @@
 					m.observe()
 				}
 			case action == 18: // a new leader follows one whose lease has ended
+				var latest time.Time
+				if rapid.Bool().Draw(t, "told") {
+					latest = m.book.Latest(m.now)
+				}
 				m.advance(1200 * time.Millisecond)
 				m.book = fulmarorder.New(m.now, m.table, modelTiming)
+				if !latest.IsZero() {
+					m.book.Limit(latest)
+				}
 				m.extended = false
 				m.observe()
 				m.settle()
