Look for the loss of the planner more often

Change: it looks every 50 to 100 ms, which calls nothing, and stands again after 100 to 200 ms. Ruled out: shorter leases and windows, as they cost calls and false losses.

--- a/internal/fulmarcontrol/store.go
+++ b/internal/fulmarcontrol/store.go
@@ -107,18 +107,23 @@
 	session := ""
 	defer func() { c.resign(session) }()
 	for ctx.Err() == nil {
+		wait := c.Timing.Lease / 3
 		switch {
 		case !c.eligible():
 			c.resign(session)
 			session = ""
+			// The check costs nothing, and keys of a target that was lost with the planner wait for the election.
+			wait = c.Timing.Lease / 12
 		case session == "":
-			session = c.stand(ctx)
+			if session = c.stand(ctx); session == "" {
+				// The former planner's lease ends at about the time at which its silence is noticed.
+				wait = c.Timing.Lease / 6
+			}
 		default:
 			if !c.renewLease(ctx, session) {
 				session = ""
 			}
 		}
-		wait := c.Timing.Lease / 3
 		if session == "" {
 			wait += rand.N(wait)
 		}
