Read only what has changed in the store

Reads took up to a second, and daemons left the leader 1,134 times because its knowledge was old, to read all of the store themselves (logs). Ruled out: reading the configuration by a read that may be seconds old, as configurations must be in force within 2 s.

--- a/internal/fulmardetour/store.go
+++ b/internal/fulmardetour/store.go
@@ -73,6 +73,15 @@
 	return a.Items, nil
 }
 
+// Since returns the changes after a revision.
+func (s *Store) Since(ctx context.Context, revision int64) (fulmarkv.Changes, error) {
+	a, err := s.call(ctx, &fulmarsync.StoreCall{Since: &revision}, true)
+	if err != nil {
+		return fulmarkv.Changes{}, err
+	}
+	return fulmarkv.Changes{Items: a.Items, Removed: a.Removed, Revision: a.Revision}, nil
+}
+
 // Peek returns an item as it was at some time within the last seconds.
 func (s *Store) Peek(ctx context.Context, key string) (fulmarkv.Item, bool, error) {
 	a, err := s.call(ctx, &fulmarsync.StoreCall{Peek: &key}, true)
@@ -316,6 +325,10 @@
 	switch {
 	case c.Scan != nil:
 		a.Items, err = store.Scan(ctx, *c.Scan)
+	case c.Since != nil:
+		var changes fulmarkv.Changes
+		changes, err = store.Since(ctx, *c.Since)
+		a.Items, a.Removed, a.Revision = changes.Items, changes.Removed, changes.Revision
 	case c.Peek != nil:
 		var item fulmarkv.Item
 		var ok bool
@@ -342,6 +355,7 @@
 	fulmarsync.Ambiguous:   fulmarkv.ErrAmbiguous,
 	fulmarsync.Conflict:    fulmarkv.ErrConflict,
 	fulmarsync.NoLease:     fulmarkv.ErrNoLease,
+	fulmarsync.Forgotten:   fulmarkv.ErrForgotten,
 }
 
 func fault(err error) fulmarsync.Fault {
--- a/internal/fulmarsync/message.go
+++ b/internal/fulmarsync/message.go
@@ -73,6 +73,7 @@
 // StoreCall is a call of the store that a daemon makes through another one.
 type StoreCall struct {
 	Scan   *string          `cbor:"scan,omitempty"`   // prefix
+	Since  *int64           `cbor:"since,omitempty"`  // revision
 	Peek   *string          `cbor:"peek,omitempty"`   // key
 	Commit *fulmarkv.Change `cbor:"commit,omitempty"` // change
 	Open   *time.Duration   `cbor:"open,omitempty"`   // time of the lease
@@ -82,7 +83,8 @@
 
 // StoreAnswer is the outcome of a StoreCall.
 type StoreAnswer struct {
-	Items    []fulmarkv.Item `cbor:"items,omitempty"` // of Scan, and the one of Peek if there is one
+	Items    []fulmarkv.Item `cbor:"items,omitempty"`   // of Scan, and the one of Peek if there is one
+	Removed  []bool          `cbor:"removed,omitempty"` // of Since, by index of Items
 	Revision int64           `cbor:"revision,omitempty"`
 	Lease    fulmarkv.Lease  `cbor:"lease,omitempty"`
 	Fault    Fault           `cbor:"fault,omitempty"`
@@ -98,4 +100,5 @@
 	Ambiguous
 	Conflict
 	NoLease
+	Forgotten
 )
