Send configurations compressed, and only to daemons that lack them

Cause: a configuration of 1,456 routes went to 145 daemons at once, which took longer than they wait for an answer. Change: the leader packs a configuration once and sends it compressed; a daemon that follows again tells which version it has, as versions are those of the store. Tests: TestPacked, TestConfigSentOnce.

--- a/internal/fulmarfollow/follower.go
+++ b/internal/fulmarfollow/follower.go
@@ -343,6 +343,10 @@
 	defer leader.Close()
 	f.log.Info("following", "address", address)
 	state := &told{}
+	if routes := f.views.Get().Routes; routes != nil {
+		// Versions of configurations are those of the store, so that no leader has to send it again.
+		state.routes, state.have.Config = routes, routes.Version()
+	}
 	for ctx.Err() == nil {
 		began := f.lead.Now()
 		callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
@@ -390,7 +394,11 @@
 // take adds an update that came at now.
 func (s *told) take(now time.Time, u *fulmarsync.Update) error {
 	if u.Config != nil {
-		routes, err := fulmarroute.New(*u.Config)
+		config, err := u.Config.Unpack()
+		if err != nil {
+			return err
+		}
+		routes, err := fulmarroute.New(config)
 		if err != nil {
 			return err
 		}
--- a/internal/fulmarfollow/follower_test.go
+++ b/internal/fulmarfollow/follower_test.go
@@ -87,11 +87,15 @@
 type fleet struct {
 	mu      sync.Mutex
 	leaders map[string]fulmarfollow.Leader // by address
+	configs atomic.Int64                   // that leaders have sent
 	orders  fulmarlead.Orders              // of all daemons; without it, orders are answered
 }
 
 // link passes reports to a daemon.
-type link struct{ *fulmarfollow.Follower }
+type link struct {
+	*fulmarfollow.Follower
+	configs *atomic.Int64 // that were sent
+}
 
 // Sync returns an update that shares nothing with those for other daemons, like one that was sent.
 func (l link) Sync(ctx context.Context, r *fulmarsync.Report) (*fulmarsync.Update, error) {
@@ -101,6 +105,9 @@
 	}
 	out := *u
 	out.Targets = slices.Clone(u.Targets)
+	if u.Config != nil {
+		l.configs.Add(1)
+	}
 	return &out, nil
 }
 
@@ -144,7 +151,7 @@
 		ID: id, Address: id, Store: store, Registry: registry, Orders: sent, Views: views,
 		HoldMax: 10 * time.Second, Power: power, Log: slog.New(slog.DiscardHandler), Now: time.Now, Detoured: detoured,
 	}, noReports{}, f.dial)
-	f.set(id, link{d})
+	f.set(id, link{d, &f.configs})
 	go d.Run(ctx)
 	return views
 }
@@ -168,7 +175,11 @@
 func (l *frozen) Sync(ctx context.Context, r *fulmarsync.Report) (*fulmarsync.Update, error) {
 	u := &fulmarsync.Update{Have: fulmarsync.Versions{Term: 1, Config: 1, Targets: 1}, Age: time.Since(l.since), Daemons: 2}
 	if r.Have != u.Have {
-		u.Config, u.Targets, u.All = &l.config, l.targets, true
+		packed, err := fulmarsync.Pack(l.config)
+		if err != nil {
+			return nil, err
+		}
+		u.Config, u.Targets, u.All = packed, l.targets, true
 		return u, nil
 	}
 	select {
@@ -461,6 +472,33 @@
 	}
 }
 
+// Guards against a leader that sends the configuration again to all daemons that know it already: they lost the leader
+// meanwhile, asked it for all again, and lost it once more.
+func TestConfigSentOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := configured(t)
+		f := &fleet{}
+		first, end := context.WithCancel(ctx)
+		f.strong(first, "a", 0.5, fulmarmemory.NewClient(store))
+		time.Sleep(2 * time.Second)
+		view := f.daemon(ctx, "b", fulmarmemory.NewClient(store))
+		f.daemon(ctx, "c", fulmarmemory.NewClient(store))
+		time.Sleep(2 * time.Second)
+		end()
+		time.Sleep(5 * time.Second)
+		g.Expect(f.configs.Load()).To(BeZero(), "daemons read it from the store before they follow")
+		store.Set("config", encode(t, config(2)))
+		time.Sleep(2 * time.Second)
+		g.Expect(view.Get().Routes.Version()).To(BeEquivalentTo(2))
+		g.Expect(f.configs.Load()).To(BeEquivalentTo(1))
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // firstGrants records when each target got its first grant.
 type firstGrants struct {
 	mu sync.Mutex
--- a/internal/fulmarlead/publish.go
+++ b/internal/fulmarlead/publish.go
@@ -203,9 +203,8 @@
 	if other || s.have.Owners%contactsEvery == 0 {
 		u.Contacts = t.fleet.contacts(now)
 	}
-	if s.routes != nil && (other || have.Config != s.have.Config) {
-		c := s.routes.Config()
-		u.Config = &c
+	if s.routes != nil && have.Config != s.have.Config {
+		u.Config = t.packed()
 	}
 	catalog, hasTargets := t.lists.get(have.Targets)
 	owners, hasOwners := t.owned.get(have.Owners)
@@ -226,6 +225,25 @@
 	return u
 }
 
+// packed returns the configuration as it is sent; mu is held.
+func (t *Term) packed() fulmarsync.Packed {
+	if version := t.state.routes.Version(); t.packing.version != version {
+		data, err := fulmarsync.Pack(t.state.routes.Config())
+		if err != nil {
+			t.deps.Log.Error("configuration not sent", "version", version, "error", err)
+			return nil
+		}
+		t.packing = packing{version, data}
+	}
+	return t.packing.data
+}
+
+// packing is a configuration that was packed before.
+type packing struct {
+	version uint64
+	data    fulmarsync.Packed
+}
+
 // brief returns an update without news; mu is held.
 func (t *Term) brief(now time.Time, have fulmarsync.Versions) *fulmarsync.Update {
 	u := &fulmarsync.Update{Have: have, Age: now.Sub(t.state.known)}
--- a/internal/fulmarlead/term.go
+++ b/internal/fulmarlead/term.go
@@ -92,6 +92,7 @@
 	workers  map[fulmarrange.Life]*worker
 	fleet    *fleet
 	recent   *fulmarretain.Window
+	packing  packing
 	former   fulmarsnapshot.Writer // of the tables before this term
 	state    state
 	lists    history[*fulmarcatalog.Catalog]
--- a/internal/fulmarsync/message.go
+++ b/internal/fulmarsync/message.go
@@ -6,7 +6,6 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
-	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
 
 // Versions tell which state of a leader a daemon has. They compare only within one term.
@@ -56,7 +55,7 @@
 	Past *Past `cbor:"past,omitempty"`
 	// Contacts are addresses of some daemons besides the leader.
 	Contacts []string                    `cbor:"contacts,omitempty"`
-	Config   *fulmarroute.Config         `cbor:"config,omitempty"`
+	Config   Packed                      `cbor:"config,omitempty"`
 	Targets  []fulmarcatalog.Target      `cbor:"targets,omitempty"` // that are new or have changed
 	Gone     []string                    `cbor:"gone,omitempty"`    // ids of targets that are no longer there
 	Owners   map[string]fulmarview.Spans `cbor:"owners,omitempty"`  // keys that are routed differently, by service
--- /dev/null
+++ b/internal/fulmarsync/packed.go
@@ -0,0 +1,48 @@
+package fulmarsync
+
+import (
+	"bytes"
+	"compress/gzip"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
+)
+
+// maxConfig bounds a configuration, in bytes.
+const maxConfig = 64 << 20
+
+// Packed is a configuration as it is sent. One of thousands of routes would otherwise fill the links of a fleet.
+type Packed []byte
+
+// Pack returns the compressed form of a configuration.
+func Pack(c fulmarroute.Config) (Packed, error) {
+	text, err := cbor.Marshal(c)
+	if err != nil {
+		return nil, errors.Wrap(err, "fulmarsync: encode configuration")
+	}
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	if _, err := w.Write(text); err != nil {
+		return nil, errors.Wrap(err, "fulmarsync: compress configuration")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "fulmarsync: compress configuration")
+	}
+	return out.Bytes(), nil
+}
+
+// Unpack returns the configuration.
+func (p Packed) Unpack() (c fulmarroute.Config, err error) {
+	r, err := gzip.NewReader(bytes.NewReader(p))
+	if err != nil {
+		return c, errors.Wrap(err, "fulmarsync: decompress configuration")
+	}
+	text, err := io.ReadAll(io.LimitReader(r, maxConfig))
+	if err != nil {
+		return c, errors.Wrap(err, "fulmarsync: decompress configuration")
+	}
+	return c, errors.Wrap(cbor.Unmarshal(text, &c), "fulmarsync: decode configuration")
+}
--- /dev/null
+++ b/internal/fulmarsync/packed_test.go
@@ -0,0 +1,38 @@
+package fulmarsync_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarsync"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
+)
+
+// large returns a configuration of some thousand routes.
+func large() fulmarroute.Config {
+	c := fulmarroute.Config{Version: 7, Services: []fulmarroute.Service{{Name: "s"}}}
+	for i := range 3000 {
+		c.Routes = append(c.Routes, fulmarroute.Route{
+			Name: fmt.Sprintf("route-%d", i), Host: fmt.Sprintf("host-%d.example", i%50), Prefix: fmt.Sprintf("/%d/", i),
+			Timeout: time.Second, Attempts: 2, Parts: []fulmarroute.Part{{Service: "s", Weight: 1}},
+		})
+	}
+	return c
+}
+
+// Guards against a leader whose link takes longer for a configuration of 1,456 routes to 145 daemons than they wait for
+// its answer.
+func TestPacked(t *testing.T) {
+	g := NewWithT(t)
+	packed, err := fulmarsync.Pack(large())
+	g.Expect(err).NotTo(HaveOccurred())
+	got, err := packed.Unpack()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(large()))
+	g.Expect(len(packed)).To(BeNumerically("<", 60<<10))
+	_, err = packed[:len(packed)/2].Unpack()
+	g.Expect(err).To(HaveOccurred())
+}
