--- a/internal/fulmardetour/call.go
+++ b/internal/fulmardetour/call.go
@@ -16,10 +16,6 @@
 	switch {
 	case c.Scan != nil:
 		a.Items, err = store.Scan(ctx, *c.Scan)
-	case c.Since != nil:
-		var changes fulmarkv.Changes
-		changes, err = store.Since(ctx, *c.Since)
-		a.Items, a.Removed, a.Revision = changes.Items, changes.Removed, changes.Revision
 	case c.Peek != nil:
 		var item fulmarkv.Item
 		var ok bool
@@ -46,7 +42,6 @@
 	fulmarsync.Ambiguous:   fulmarkv.ErrAmbiguous,
 	fulmarsync.Conflict:    fulmarkv.ErrConflict,
 	fulmarsync.NoLease:     fulmarkv.ErrNoLease,
-	fulmarsync.Forgotten:   fulmarkv.ErrForgotten,
 }
 
 func fault(err error) fulmarsync.Fault {
--- a/internal/fulmardetour/store.go
+++ b/internal/fulmardetour/store.go
@@ -73,15 +73,6 @@
 	return a.Items, nil
 }
 
-// Since returns the changes after a revision.
-func (s *Store) Since(ctx context.Context, revision int64) (fulmarkv.Changes, error) {
-	a, err := s.call(ctx, &fulmarsync.StoreCall{Since: &revision}, true)
-	if err != nil {
-		return fulmarkv.Changes{}, err
-	}
-	return fulmarkv.Changes{Items: a.Items, Removed: a.Removed, Revision: a.Revision}, nil
-}
-
 // Peek returns an item as it was at some time within the last seconds.
 func (s *Store) Peek(ctx context.Context, key string) (fulmarkv.Item, bool, error) {
 	a, err := s.call(ctx, &fulmarsync.StoreCall{Peek: &key}, true)
--- a/internal/fulmarfollow/follower_test.go
+++ b/internal/fulmarfollow/follower_test.go
@@ -346,11 +346,6 @@
 	return s.Store.Scan(ctx, prefix)
 }
 
-func (s *slow) Since(ctx context.Context, revision int64) (fulmarkv.Changes, error) {
-	s.wait()
-	return s.Store.Since(ctx, revision)
-}
-
 func (s *slow) Commit(ctx context.Context, c fulmarkv.Change) (int64, error) {
 	s.wait()
 	return s.Store.Commit(ctx, c)
--- a/internal/fulmarfront/reload.go
+++ b/internal/fulmarfront/reload.go
@@ -38,10 +38,6 @@
 	return w.get().Scan(ctx, prefix)
 }
 
-func (w *switched) Since(ctx context.Context, revision int64) (fulmarkv.Changes, error) {
-	return w.get().Since(ctx, revision)
-}
-
 func (w *switched) Peek(ctx context.Context, key string) (fulmarkv.Item, bool, error) {
 	return w.get().Peek(ctx, key)
 }
--- a/internal/fulmarmemory/client.go
+++ b/internal/fulmarmemory/client.go
@@ -58,11 +58,6 @@
 	return call(ctx, c, false, func() ([]fulmarkv.Item, error) { return c.store.Scan(ctx, prefix) })
 }
 
-// Since returns the changes after a revision.
-func (c *Client) Since(ctx context.Context, revision int64) (fulmarkv.Changes, error) {
-	return call(ctx, c, false, func() (fulmarkv.Changes, error) { return c.store.Since(ctx, revision) })
-}
-
 // Peek returns an item.
 func (c *Client) Peek(ctx context.Context, key string) (fulmarkv.Item, bool, error) {
 	type found struct {
--- a/internal/fulmarmemory/store.go
+++ b/internal/fulmarmemory/store.go
@@ -44,17 +44,6 @@
 	leases   map[fulmarkv.Lease]lease
 	next     fulmarkv.Lease
 	calls    map[string]int
-	history  []event
-	oldest   int64 // revision from which on the history is complete
-}
-
-// historyMost bounds the changes that are remembered.
-const historyMost = 4096
-
-// event is a change of an item.
-type event struct {
-	item    fulmarkv.Item
-	removed bool
 }
 
 var _ fulmarkv.Store = (*Store)(nil)
@@ -86,45 +75,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.remove(key)
-}
-
-// Forget drops the history of changes.
-func (s *Store) Forget() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.history, s.oldest = nil, s.revision
-}
-
-// remove deletes an item; the revision was raised for that.
-func (s *Store) remove(key string) {
 	delete(s.items, key)
-	s.history = append(s.history, event{fulmarkv.Item{Key: key, Revision: s.revision}, true})
-}
-
-// Since returns the changes after a revision, or all items for 0.
-func (s *Store) Since(_ context.Context, revision int64) (fulmarkv.Changes, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.enter("Since")
-	c := fulmarkv.Changes{Revision: s.revision}
-	if revision == 0 {
-		for _, i := range s.items {
-			c.Items = append(c.Items, i.Item)
-			c.Removed = append(c.Removed, false)
-		}
-		return c, nil
-	}
-	if revision < s.oldest {
-		return fulmarkv.Changes{}, fulmarkv.ErrForgotten
-	}
-	for _, e := range s.history {
-		if e.item.Revision > revision {
-			c.Items = append(c.Items, e.item)
-			c.Removed = append(c.Removed, e.removed)
-		}
-	}
-	return c, nil
 }
 
 // Lapse ends all leases at once.
@@ -151,7 +102,7 @@
 	for key, i := range s.items {
 		if i.Lease == id {
 			s.revision++
-			s.remove(key)
+			delete(s.items, key)
 		}
 	}
 }
@@ -162,12 +113,6 @@
 		created = old.created
 	}
 	s.items[w.Key] = item{fulmarkv.Item{Key: w.Key, Value: bytes.Clone(w.Value), Revision: s.revision, Lease: w.Lease}, created}
-	s.history = append(s.history, event{item: s.items[w.Key].Item})
-	if len(s.history) > historyMost {
-		cut := len(s.history) / 2
-		s.oldest = s.history[cut-1].item.Revision
-		s.history = slices.Clone(s.history[cut:])
-	}
 }
 
 // Scan returns the items whose key begins with prefix, in the order of the keys.
@@ -214,7 +159,7 @@
 		s.put(w)
 	}
 	for _, key := range c.Delete {
-		s.remove(key)
+		delete(s.items, key)
 	}
 	return s.revision, nil
 }
--- a/internal/fulmarsnapshot/reader.go
+++ b/internal/fulmarsnapshot/reader.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
-	"slices"
 	"strings"
 	"time"
 
@@ -52,9 +50,6 @@
 	tablesWriter   Writer
 	tables         map[string]fulmarrange.Table
 	damaged        map[string]int64 // revisions of values that were reported
-	items          map[string]fulmarkv.Item
-	revision       int64 // up to which items contain all changes; 0 before the first read
-	targets        map[string]listed
 	failing        bool
 }
 
@@ -62,14 +57,14 @@
 func New(store fulmarkv.Store, registry Registry, log *slog.Logger, now func() time.Time) *Reader {
 	return &Reader{
 		store: store, registry: registry, tracker: fulmarcatalog.NewTracker(), log: log, now: now,
-		damaged: make(map[string]int64), targets: make(map[string]listed),
+		damaged: make(map[string]int64),
 	}
 }
 
 // Read returns the present state. former is the list of targets of before, which contained all changes up to known.
 func (r *Reader) Read(ctx context.Context, former *fulmarcatalog.Catalog, known time.Time) (*Snapshot, error) {
 	taken := r.now()
-	items, err := r.load(ctx)
+	items, err := r.store.Scan(ctx, "")
 	if err != nil {
 		if !r.failing {
 			r.log.Warn("store lost", "error", err)
@@ -104,9 +99,12 @@
 		case item.Key == r.registry.ConfigKey:
 			r.readConfig(item)
 		case strings.HasPrefix(item.Key, r.registry.TargetPrefix):
-			if t, ok := r.target(item); ok {
-				targets = append(targets, t)
+			t, err := r.registry.Target(item.Key, item.Value)
+			if err != nil {
+				r.report(item, err)
+				continue
 			}
+			targets = append(targets, t)
 		}
 	}
 	s.Routes = r.routes
@@ -117,56 +115,6 @@
 	return s, nil
 }
 
-// load returns all items in the order of their keys. It reads only what has changed since the last time, as a
-// configuration may have thousands of routes.
-func (r *Reader) load(ctx context.Context) ([]fulmarkv.Item, error) {
-	changes, err := r.store.Since(ctx, r.revision)
-	if errors.Is(err, fulmarkv.ErrForgotten) {
-		r.revision = 0
-		changes, err = r.store.Since(ctx, 0)
-	}
-	if err != nil {
-		return nil, err
-	}
-	if r.revision == 0 {
-		r.items = make(map[string]fulmarkv.Item, len(changes.Items))
-	}
-	for i, item := range changes.Items {
-		if changes.Removed[i] {
-			delete(r.items, item.Key)
-			delete(r.targets, item.Key)
-		} else {
-			r.items[item.Key] = item
-		}
-	}
-	r.revision = changes.Revision
-	out := make([]fulmarkv.Item, 0, len(r.items))
-	for _, key := range slices.Sorted(maps.Keys(r.items)) {
-		out = append(out, r.items[key])
-	}
-	return out, nil
-}
-
-// listed is a decoded entry of a target.
-type listed struct {
-	revision int64
-	target   fulmarcatalog.Target
-}
-
-// target decodes the entry of a target if it has changed; ok is false if it is damaged.
-func (r *Reader) target(item fulmarkv.Item) (t fulmarcatalog.Target, ok bool) {
-	if l, ok := r.targets[item.Key]; ok && l.revision == item.Revision {
-		return l.target, true
-	}
-	t, err := r.registry.Target(item.Key, item.Value)
-	if err != nil {
-		r.report(item, err)
-		return t, false
-	}
-	r.targets[item.Key] = listed{item.Revision, t}
-	return t, true
-}
-
 // Leader returns who leads, as it was at some time within the last seconds, or nil if nobody did.
 func (r *Reader) Leader(ctx context.Context) (*Leader, error) {
 	item, ok, err := r.store.Peek(ctx, LeaderKey)
--- a/internal/fulmarsync/message.go
+++ b/internal/fulmarsync/message.go
@@ -71,7 +71,6 @@
 // StoreCall is a call of the store that a daemon makes through another one.
 type StoreCall struct {
 	Scan   *string          `cbor:"scan,omitempty"`   // prefix
-	Since  *int64           `cbor:"since,omitempty"`  // revision
 	Peek   *string          `cbor:"peek,omitempty"`   // key
 	Commit *fulmarkv.Change `cbor:"commit,omitempty"` // change
 	Open   *time.Duration   `cbor:"open,omitempty"`   // time of the lease
@@ -81,8 +80,7 @@
 
 // StoreAnswer is the outcome of a StoreCall.
 type StoreAnswer struct {
-	Items    []fulmarkv.Item `cbor:"items,omitempty"`   // of Scan, and the one of Peek if there is one
-	Removed  []bool          `cbor:"removed,omitempty"` // of Since, by index of Items
+	Items    []fulmarkv.Item `cbor:"items,omitempty"` // of Scan, and the one of Peek if there is one
 	Revision int64           `cbor:"revision,omitempty"`
 	Lease    fulmarkv.Lease  `cbor:"lease,omitempty"`
 	Fault    Fault           `cbor:"fault,omitempty"`
@@ -98,5 +96,4 @@
 	Ambiguous
 	Conflict
 	NoLease
-	Forgotten
 )
--- a/pkg/fulmarkv/store.go
+++ b/pkg/fulmarkv/store.go
@@ -17,8 +17,6 @@
 	ErrConflict = errors.New("fulmarkv: condition does not hold")
 	// ErrNoLease states that the lease has ended.
 	ErrNoLease = errors.New("fulmarkv: lease has ended")
-	// ErrForgotten states that the store no longer knows all changes since the revision that was asked for.
-	ErrForgotten = errors.New("fulmarkv: changes are no longer known")
 )
 
 // Lease identifies a lease; the zero value is no lease.
@@ -52,20 +50,10 @@
 	Delete []string
 }
 
-// Changes are the changes up to a revision, in their order.
-type Changes struct {
-	Items    []Item // that were written; of those that were removed, only key and revision are set
-	Removed  []bool // by index of Items
-	Revision int64
-}
-
 // Store is a key-value service; all methods are safe for concurrent use.
 type Store interface {
 	// Scan returns all items whose key begins with prefix, by linearizable reads.
 	Scan(ctx context.Context, prefix string) ([]Item, error)
-	// Since returns what has changed after a revision, or all items for the revision 0, by linearizable reads. What is
-	// written while it reads may be contained in part; it comes again after the revision of the answer.
-	Since(ctx context.Context, revision int64) (Changes, error)
 	// Peek returns the item as it was at some time within the last seconds, which is much cheaper than a
 	// linearizable read; ok is false if there was none.
 	Peek(ctx context.Context, key string) (item Item, ok bool, err error)
