Use one wait and one kind of process

The check of fulmarentry's wait for times that are not positive moves into Sleep, so that an ended context is always told there. The figures of a process are read by its id. Ruled out: sharing code with the stand-ins of targets (their cutting of ranges is that of the ledger): they check it. No change of behaviour; the tests keep their assertions.

--- a/internal/fulmaradmin/put.go
+++ b/internal/fulmaradmin/put.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarstore"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarconfig"
 )
@@ -75,7 +76,7 @@
 	sent := false
 	for attempt := range putAttempts {
 		if attempt > 0 {
-			pause(ctx)
+			fulmarclock.Sleep(ctx, rand.N(putPause))
 			// The write may still arrive after a read that does not show it, so such a read settles nothing.
 			if now, err := a.readBack(ctx); err == nil && now.Version >= v.Version {
 				return settle(now, v, next)
@@ -131,12 +132,3 @@
 		Diff: diff(current, next), Operation: v.Operation,
 	}
 }
-
-func pause(ctx context.Context) {
-	timer := time.NewTimer(rand.N(putPause))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/fulmarclock/clock.go
+++ b/internal/fulmarclock/clock.go
@@ -22,7 +22,10 @@
 
 // Sleep waits for d, or until ctx ends, and reports whether ctx goes on.
 func Sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(max(d, 0))
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/fulmarentry/route.go
+++ b/internal/fulmarentry/route.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarreply"
 	"github.com/fulmarbend/fulmarbend/internal/fulmartransport"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmaroutcome"
@@ -51,7 +52,7 @@
 		}
 		q.record(res)
 		wait, ok := e.shouldRetry(q, &res)
-		if !ok || !sleep(ctx, wait) {
+		if !ok || !fulmarclock.Sleep(ctx, wait) {
 			e.finish(w, q, res)
 			return
 		}
@@ -297,18 +298,3 @@
 	}
 	return res
 }
-
-// sleep waits and reports false if ctx ended.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/fulmarplatform/platform.go
+++ b/internal/fulmarplatform/platform.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 )
 
 const (
@@ -143,14 +145,8 @@
 // admit applies the fault in force and reports whether the call proceeds.
 func (p *Platform) admit(w http.ResponseWriter, r *http.Request) bool {
 	f, changed := p.current()
-	if f.Slow > 0 {
-		timer := time.NewTimer(f.Slow)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-r.Context().Done():
-			return false
-		}
+	if f.Slow > 0 && !fulmarclock.Sleep(r.Context(), f.Slow) {
+		return false
 	}
 	switch f.Down {
 	case "":
--- a/internal/fulmarprocess/process.go
+++ b/internal/fulmarprocess/process.go
@@ -19,6 +19,9 @@
 // Done returns a channel that is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
+// ID returns the id of the process.
+func (p *Process) ID() int { return p.cmd.Process.Pid }
+
 // ExitCode returns the exit code of a process that has ended, -1 if a signal ended it.
 func (p *Process) ExitCode() int {
 	<-p.done
--- a/internal/fulmarserver/server.go
+++ b/internal/fulmarserver/server.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarhistory"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmargrant"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmaroutcome"
@@ -328,11 +329,7 @@
 	if o.crash {
 		time.AfterFunc(d/2, func() { s.exit(3) })
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	if !fulmarclock.Sleep(ctx, d) {
 		return "cancelled"
 	}
 	return ""
--- a/internal/fulmartrial/fleet.go
+++ b/internal/fulmartrial/fleet.go
@@ -20,7 +20,9 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarplatform"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarprocess"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarconfig"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmargrant"
 )
@@ -60,13 +62,13 @@
 type member struct {
 	id, settings                  string
 	callers, data, control, admin string
-	process                       *process
+	process                       *fulmarprocess.Process
 }
 
 // target is a target of a fleet.
 type target struct {
 	id, address, history string
-	process              *process
+	process              *fulmarprocess.Process
 }
 
 // fleet is the running processes of one plan.
@@ -76,7 +78,7 @@
 	folder   string
 	key      string
 	platform string // host:port
-	store    *process
+	store    *fulmarprocess.Process
 	members  []*member
 	targets  []*target
 }
@@ -102,7 +104,7 @@
 
 // stop ends the fleet's processes, the daemons first.
 func (f *fleet) stop() {
-	var daemons, targets []*process
+	var daemons, targets []*fulmarprocess.Process
 	for _, m := range f.members {
 		if m.process != nil {
 			daemons = append(daemons, m.process)
@@ -116,18 +118,18 @@
 	}
 	// A graceful shutdown of a whole fleet has nobody to hand over to.
 	for _, p := range daemons {
-		_ = p.cmd.Process.Kill()
+		p.Kill()
 	}
 	stop(append(daemons, targets...))
 }
 
 // lab starts a stand-in from this program.
-func (f *fleet) lab(name string, args ...string) (*process, error) {
+func (f *fleet) lab(name string, args ...string) (*fulmarprocess.Process, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, errors.Wrap(err, "fulmartrial: find this program")
 	}
-	return spawn(filepath.Join(f.folder, name+".log"), self, args...)
+	return fulmarprocess.Start(filepath.Join(f.folder, name+".log"), nil, self, args...)
 }
 
 func (f *fleet) startPlatform(ctx context.Context) error {
@@ -256,7 +258,7 @@
 // restart starts a daemon's process, for the first time or again.
 func (f *fleet) restart(m *member) error {
 	var err error
-	m.process, err = spawn(f.log(m), f.daemon, "serve", "--settings", m.settings)
+	m.process, err = fulmarprocess.Start(f.log(m), nil, f.daemon, "serve", "--settings", m.settings)
 	return err
 }
 
@@ -435,12 +437,8 @@
 
 // pause waits for d, or returns the error of ctx.
 func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !fulmarclock.Sleep(ctx, d) {
 		return errors.Wrap(ctx.Err(), "fulmartrial")
 	}
+	return nil
 }
--- a/internal/fulmartrial/loss.go
+++ b/internal/fulmartrial/loss.go
@@ -46,28 +46,28 @@
 		{"daemon", "", func(ctx context.Context, f *fleet, source *rand.Rand) error {
 			m, err := f.worker(ctx, source)
 			if err == nil {
-				m.process.kill()
+				m.process.Kill()
 			}
 			return err
 		}},
 		{"target", "", func(_ context.Context, f *fleet, source *rand.Rand) error {
-			f.targets[source.IntN(len(f.targets))].process.kill()
+			f.targets[source.IntN(len(f.targets))].process.Kill()
 			return nil
 		}},
 		{"daemon and a target that it holds", "", func(ctx context.Context, f *fleet, source *rand.Rand) error {
 			t := f.targets[source.IntN(len(f.targets))]
 			m, err := f.holder(ctx, t)
 			if err == nil {
-				m.process.kill()
-				t.process.kill()
+				m.process.Kill()
+				t.process.Kill()
 			}
 			return err
 		}},
 		{"planner and a target", "", func(ctx context.Context, f *fleet, source *rand.Rand) error {
 			m, err := f.planner(ctx)
 			if err == nil {
-				m.process.kill()
-				f.targets[source.IntN(len(f.targets))].process.kill()
+				m.process.Kill()
+				f.targets[source.IntN(len(f.targets))].process.Kill()
 			}
 			return err
 		}},
@@ -80,7 +80,7 @@
 				return err
 			}
 			err = pause(ctx, time.Second)
-			m.process.kill()
+			m.process.Kill()
 			return err
 		}},
 		{"daemon without standby, restarted after 3 s", "down = \"60s\"", func(ctx context.Context, f *fleet, source *rand.Rand) error {
@@ -88,7 +88,7 @@
 			if err != nil {
 				return err
 			}
-			m.process.kill()
+			m.process.Kill()
 			if err := pause(ctx, restartIn); err != nil {
 				return err
 			}
--- a/internal/fulmartrial/process.go
+++ b/internal/fulmartrial/process.go
@@ -7,14 +7,14 @@
 	"math/rand/v2"
 	"net"
 	"os"
-	"os/exec"
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarprocess"
 )
 
 const (
@@ -23,51 +23,17 @@
 	userTick = 10 * time.Millisecond
 )
 
-// process is a server that the trial started.
-type process struct {
-	cmd  *exec.Cmd
-	done chan struct{} // closed when the process has ended
-}
-
-// spawn starts a process whose output is appended to the file named log.
-func spawn(log, path string, args ...string) (*process, error) {
-	file, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return nil, errors.Wrap(err, "fulmartrial: open log")
-	}
-	defer func() { _ = file.Close() }()
-	// The fleet ends its processes itself, in order, also after an interrupt.
-	cmd := exec.CommandContext(context.Background(), path, args...)
-	cmd.Stdout, cmd.Stderr = file, file
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	if err := cmd.Start(); err != nil {
-		return nil, errors.Wrap(err, "fulmartrial: start process")
-	}
-	p := &process{cmd: cmd, done: make(chan struct{})}
-	go func() {
-		_ = cmd.Wait()
-		close(p.done)
-	}()
-	return p, nil
-}
-
-// kill ends the process without notice and waits for its end.
-func (p *process) kill() {
-	_ = p.cmd.Process.Kill()
-	<-p.done
-}
-
 // stop ends processes within a bounded time.
-func stop(processes []*process) {
+func stop(processes []*fulmarprocess.Process) {
 	limit := time.After(stopWithin)
 	for _, p := range processes {
-		_ = p.cmd.Process.Signal(syscall.SIGTERM)
+		p.Terminate()
 	}
 	for _, p := range processes {
 		select {
-		case <-p.done:
+		case <-p.Done():
 		case <-limit:
-			p.kill()
+			p.Kill()
 			limit = time.After(0)
 		}
 	}
@@ -81,9 +47,9 @@
 	written uint64
 }
 
-// usage reads the process's figures from /proc.
-func (p *process) usage() (usage, error) {
-	folder := fmt.Sprintf("/proc/%d/", p.cmd.Process.Pid)
+// usageOf reads the figures of a process from /proc.
+func usageOf(id int) (usage, error) {
+	folder := fmt.Sprintf("/proc/%d/", id)
 	var u usage
 	stat, err := os.ReadFile(folder + "stat")
 	if err != nil {
--- a/internal/fulmartrial/trial_test.go
+++ b/internal/fulmartrial/trial_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/csv"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"time"
 
@@ -114,16 +113,13 @@
 
 	// Guards against usage fields that are read from the wrong column.
 	It("reads the usage of a process", func() {
-		self, err := os.FindProcess(os.Getpid())
-		Expect(err).NotTo(HaveOccurred())
-		p := &process{cmd: &exec.Cmd{Process: self}}
-		before, err := p.usage()
+		before, err := usageOf(os.Getpid())
 		Expect(err).NotTo(HaveOccurred())
 		path := filepath.Join(GinkgoT().TempDir(), "file")
 		Expect(os.WriteFile(path, make([]byte, megabyte), 0o600)).To(Succeed())
 		_, err = os.ReadFile(path)
 		Expect(err).NotTo(HaveOccurred())
-		after, err := p.usage()
+		after, err := usageOf(os.Getpid())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(after.read - before.read).To(BeNumerically(">=", megabyte))
 		Expect(after.written - before.written).To(BeNumerically(">=", megabyte))
