Simplify the calls by detour and what a leader reads back

Cause: reading the whole change again. Two functions compared a stored value with one that was written (confirm, written); packed configurations were encoded beside the codec of all other messages, and decoded without its bounds; the call by detour counted its ways in a loop that stepped back; the longest time of a grant and the end of a term were written twice, and so was the condition for a target that takes keys. Change: readBack, fulmarwire's codec, two channels for the two ways, Timing.Longest, Term.end and planner.takes; a follower sets Ask once.

--- a/internal/fulmardetour/store.go
+++ b/internal/fulmardetour/store.go
@@ -154,39 +154,52 @@
 		}
 		s.set(false, r.err)
 	}
-	ways := 1
-	results := make(chan result, 2)
-	go func() { results <- s.perform(ctx, c) }()
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	detour := func() {
-		ways++
-		go func() {
-			r := s.forward(ctx, c)
-			if r.done() {
-				s.set(true, nil)
-			}
-			results <- r
-		}()
+	direct := make(chan result, 1)
+	go func() { direct <- s.perform(ctx, c) }()
+	var late <-chan time.Time // never, for a call that may be made only once
+	if repeatable {
+		timer := time.NewTimer(patience)
+		defer timer.Stop()
+		late = timer.C
 	}
-	var last result
-	for n := 0; n < ways; n++ {
+	select {
+	case r := <-direct:
+		if r.done() || ctx.Err() != nil || !repeatable && !errors.Is(r.err, fulmarkv.ErrUnavailable) {
+			return r.answer, r.err
+		}
+		direct = nil // has ended
+	case <-late:
+	}
+	detour := make(chan result, 1)
+	go func() { detour <- s.around(ctx, c) }()
+	r := first(direct, detour)
+	return r.answer, r.err
+}
+
+// first returns the first answer of the store on two ways, or the result of the one that ended last. direct is nil if
+// that way has ended.
+func first(direct, detour <-chan result) (r result) {
+	for direct != nil || detour != nil {
 		select {
-		case last = <-results:
-			if last.done() {
-				return last.answer, last.err
-			}
-			if ways == 1 && ctx.Err() == nil && (repeatable || errors.Is(last.err, fulmarkv.ErrUnavailable)) {
-				detour()
-			}
-		case <-timer.C:
-			n-- // no way has ended
-			if repeatable && ways == 1 {
-				detour()
-			}
+		case r = <-direct:
+			direct = nil
+		case r = <-detour:
+			detour = nil
+		}
+		if r.done() {
+			return r
 		}
 	}
-	return nil, last.err
+	return r
+}
+
+// around makes a call through other daemons, and lets later ones take that way at once if it has worked.
+func (s *Store) around(ctx context.Context, c *fulmarsync.StoreCall) result {
+	r := s.forward(ctx, c)
+	if r.done() {
+		s.set(true, nil)
+	}
+	return r
 }
 
 // state reports whether calls go through other daemons, and whether they can. Now and then it tries whether the
--- a/internal/fulmarfollow/follower.go
+++ b/internal/fulmarfollow/follower.go
@@ -83,10 +83,12 @@
 
 // New returns a follower.
 func New(d fulmarlead.Deps, reports Reports, dial Dial) *Follower {
-	return &Follower{
+	f := &Follower{
 		lead: d, reader: fulmarsnapshot.New(d.Store, d.Registry, d.Log, d.Now), views: d.Views, reports: reports, dial: dial,
 		log: d.Log, ends: make(map[int64]time.Time),
 	}
+	f.lead.Ask = f.latest
+	return f
 }
 
 // Sync answers the report of another daemon; see fulmarsync.Handler.
@@ -211,9 +213,7 @@
 
 // run leads if the election succeeds; it returns when the lease is lost.
 func (f *Follower) run(ctx context.Context, s *fulmarsnapshot.Snapshot) {
-	deps := f.lead
-	deps.Ask = f.latest
-	term, err := fulmarlead.Begin(ctx, deps, f.reader, s)
+	term, err := fulmarlead.Begin(ctx, f.lead, f.reader, s)
 	if err != nil {
 		level := slog.LevelWarn
 		if errors.Is(err, fulmarkv.ErrConflict) {
--- a/internal/fulmarlead/election.go
+++ b/internal/fulmarlead/election.go
@@ -59,7 +59,7 @@
 		Write: []fulmarkv.Write{{Key: fulmarsnapshot.LeaderKey, Value: value, Lease: lease}},
 	})
 	if errors.Is(err, fulmarkv.ErrAmbiguous) {
-		revision, err = confirm(ctx, d, value)
+		revision, err = readBack(ctx, d.Store, fulmarsnapshot.LeaderKey, value)
 	}
 	if group.Wait() == nil {
 		started = extended
@@ -70,14 +70,15 @@
 	return seat{lease: lease, revision: revision, valid: started.Add(LeaseTime - leaseMargin)}, nil
 }
 
-// confirm returns the revision of the leader's record if it has the value.
-func confirm(ctx context.Context, d Deps, value []byte) (int64, error) {
-	items, err := d.Store.Scan(ctx, fulmarsnapshot.LeaderKey)
+// readBack returns the revision of a key if it has the value, else ErrConflict. It tells what became of a write that
+// was not answered.
+func readBack(ctx context.Context, store fulmarkv.Store, key string, value []byte) (int64, error) {
+	items, err := store.Scan(ctx, key)
 	if err != nil {
 		return 0, err
 	}
 	for _, i := range items {
-		if i.Key == fulmarsnapshot.LeaderKey && bytes.Equal(i.Value, value) {
+		if i.Key == key && bytes.Equal(i.Value, value) {
 			return i.Revision, nil
 		}
 	}
--- a/internal/fulmarlead/lease.go
+++ b/internal/fulmarlead/lease.go
@@ -83,9 +83,12 @@
 func (t *Term) lose() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.valid, t.ended = time.Time{}, true
+	t.end()
 }
 
+// end stops orders and extensions for good; mu is held.
+func (t *Term) end() { t.valid, t.ended = time.Time{}, true }
+
 // Past ends the term if its lease has run out, and tells when its grants have lapsed; ok is false if it still leads.
 func (t *Term) Past() (p fulmarsync.Past, ok bool) {
 	t.mu.Lock()
@@ -94,11 +97,11 @@
 	if now.Before(t.valid) {
 		return p, false
 	}
-	t.valid, t.ended = time.Time{}, true
+	t.end()
 	p.Term = t.seat.revision
 	for name := range t.snapshot.Tables {
 		if t.shards[name] == nil { // a service that is not configured now, of which grants of earlier terms may last
-			p.Left = t.deps.HoldMax * 103 / 100
+			p.Left = t.timing().Longest()
 		}
 	}
 	for _, s := range t.shards {
--- a/internal/fulmarlead/tables.go
+++ b/internal/fulmarlead/tables.go
@@ -1,7 +1,6 @@
 package fulmarlead
 
 import (
-	"bytes"
 	"context"
 	"maps"
 
@@ -72,15 +71,9 @@
 func (t *Term) written(ctx context.Context, value []byte) (int64, bool) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	items, err := t.deps.Store.Scan(callCtx, fulmarsnapshot.TablesKey)
-	if err != nil {
+	revision, err := readBack(callCtx, t.deps.Store, fulmarsnapshot.TablesKey, value)
+	if err != nil && !errors.Is(err, fulmarkv.ErrConflict) {
 		t.deps.Log.Warn("tables not read back", "error", err)
-		return 0, false
-	}
-	for _, i := range items {
-		if i.Key == fulmarsnapshot.TablesKey && bytes.Equal(i.Value, value) {
-			return i.Revision, true
-		}
 	}
-	return 0, false
+	return revision, err == nil
 }
--- a/internal/fulmarlead/term.go
+++ b/internal/fulmarlead/term.go
@@ -254,10 +254,14 @@
 		if !ok {
 			table = fulmarrange.New()
 		}
-		timing := fulmarorder.Timing{Hold: hold, Renew: renew, Retry: retry, HoldMax: t.deps.HoldMax}
 		t.shards[svc.Name] = &shard{
-			book: fulmarorder.New(now, table, timing), rates: fulmarassign.NewRates(now),
+			book: fulmarorder.New(now, table, t.timing()), rates: fulmarassign.NewRates(now),
 			times: fulmarassign.NewTimes(), reach: make(map[fulmarrange.Life]bool),
 		}
 	}
 }
+
+// timing returns the times of grants.
+func (t *Term) timing() fulmarorder.Timing {
+	return fulmarorder.Timing{Hold: hold, Renew: renew, Retry: retry, HoldMax: t.deps.HoldMax}
+}
--- a/internal/fulmarsync/packed.go
+++ b/internal/fulmarsync/packed.go
@@ -5,9 +5,9 @@
 	"compress/gzip"
 	"io"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarwire"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
 
@@ -19,9 +19,13 @@
 
 // Pack returns the compressed form of a configuration.
 func Pack(c fulmarroute.Config) (Packed, error) {
-	text, err := cbor.Marshal(c)
+	codec, err := fulmarwire.New()
 	if err != nil {
-		return nil, errors.Wrap(err, "fulmarsync: encode configuration")
+		return nil, err
+	}
+	text, err := codec.Marshal(c)
+	if err != nil {
+		return nil, err
 	}
 	var out bytes.Buffer
 	w := gzip.NewWriter(&out)
@@ -36,6 +40,10 @@
 
 // Unpack returns the configuration.
 func (p Packed) Unpack() (c fulmarroute.Config, err error) {
+	codec, err := fulmarwire.New()
+	if err != nil {
+		return c, err
+	}
 	r, err := gzip.NewReader(bytes.NewReader(p))
 	if err != nil {
 		return c, errors.Wrap(err, "fulmarsync: decompress configuration")
@@ -44,5 +52,5 @@
 	if err != nil {
 		return c, errors.Wrap(err, "fulmarsync: decompress configuration")
 	}
-	return c, errors.Wrap(cbor.Unmarshal(text, &c), "fulmarsync: decode configuration")
+	return c, codec.Unmarshal(text, &c)
 }
--- a/pkg/fulmarassign/plan.go
+++ b/pkg/fulmarassign/plan.go
@@ -98,11 +98,17 @@
 	return marginal(p.targets[i].Slots, p.targets[i].Time, rate)
 }
 
+// takes reports whether a target can get more keys: it is not kept for a key, and does not leave.
+func (p *planner) takes(i int) bool {
+	_, kept := p.hot[i]
+	return !kept && !p.targets[i].Leaving
+}
+
 // cheapest returns the target at which a request costs least, among those that are not kept for a key.
 func (p *planner) cheapest() int {
 	best, least := -1, 0.0
 	for i := range p.targets {
-		if _, kept := p.hot[i]; kept || p.targets[i].Leaving {
+		if !p.takes(i) {
 			continue
 		}
 		if m := p.marginal(i, p.load[i]); best < 0 || m < least {
@@ -260,7 +266,7 @@
 func (p *planner) fastest() int {
 	best := -1
 	for i := range p.targets {
-		if _, kept := p.hot[i]; !kept && !p.targets[i].Leaving && (best < 0 || p.power(i) > p.power(best)) {
+		if p.takes(i) && (best < 0 || p.power(i) > p.power(best)) {
 			best = i
 		}
 	}
--- a/pkg/fulmarorder/book.go
+++ b/pkg/fulmarorder/book.go
@@ -17,6 +17,9 @@
 	HoldMax time.Duration // longest time of any grant that an earlier sender may have sent
 }
 
+// Longest returns the time for which a target may hold keys by any grant, as its clock may be slow.
+func (t Timing) Longest() time.Duration { return t.HoldMax * 103 / 100 }
+
 // span identifies an order by its kind, its keys and the claim that it is about.
 type span struct {
 	kind     Kind
@@ -62,7 +65,7 @@
 		stalls: make(map[string]stall),
 	}
 	// The earlier sender may have extended its grants after it wrote the table, but no longer those of prior owners.
-	longest := now.Add(t.HoldMax * 103 / 100) // a target's clock may be slow
+	longest := now.Add(t.Longest())
 	prior := b.usual(now)
 	if table.Extended() {
 		prior = longest
