Share the frame of the follower's tests

Change: simulate gives them a context, a configured store and an end after the calls under way. All expectations stay.

--- a/internal/fulmarfollow/follower_test.go
+++ b/internal/fulmarfollow/follower_test.go
@@ -165,6 +165,16 @@
 	return ok && t.Leaving
 }
 
+// simulate runs a test in virtual time before a configured store, and lets calls that are under way end after it.
+func simulate(t *testing.T, test func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); time.Sleep(3 * time.Second) }()
+		test(ctx, t, NewWithT(t), configured(t))
+	})
+}
+
 // frozen is a leader that answers, but has not read the store since a moment.
 type frozen struct {
 	since   time.Time
@@ -195,11 +205,7 @@
 // Guards against a leader that is cut off from the store and makes others forget what they have read since:
 // a target that had said that it leaves got requests 2.02 s later.
 func TestStaleLeader(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		store := configured(t)
+	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
 		record, err := fulmarsnapshot.Leader{ID: "a", Address: "a"}.Encode()
 		g.Expect(err).NotTo(HaveOccurred())
 		store.Set(fulmarsnapshot.LeaderKey, record)
@@ -217,8 +223,6 @@
 			g.Expect(view.Get().Routes.Version()).To(BeEquivalentTo(2))
 			time.Sleep(50 * time.Millisecond)
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -279,11 +283,7 @@
 // Guards against daemons that wait for a frozen leader again while its lease has run out: an election came 0.9 s
 // late, and keys lost their owners meanwhile.
 func TestFrozenLeader(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		store := configured(t)
+	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
 		record, err := fulmarsnapshot.Leader{ID: "a", Address: "a", Nonce: 1}.Encode()
 		g.Expect(err).NotTo(HaveOccurred())
 		lease, err := store.Open(ctx, fulmarlead.LeaseTime)
@@ -295,8 +295,6 @@
 		f.strong(ctx, "b", 0.5, fulmarmemory.NewClient(store))
 		time.Sleep(fulmarlead.LeaseTime + 600*time.Millisecond)
 		g.Expect(leader(t, store)).To(Equal("b"))
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -366,11 +364,7 @@
 // Guards against a leader that gives up, or is not elected, while the store answers slowly: keys were without
 // owners for two seconds.
 func TestSlowStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer func() { cancel(); time.Sleep(3 * time.Second) }() // calls of the slow store end
-		store := configured(t)
+	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
 		f := &fleet{}
 		f.strong(ctx, "a", 0.5, &slow{Store: fulmarmemory.NewClient(store)})
 		time.Sleep(4 * time.Second)
@@ -399,11 +393,7 @@
 // Guards against keys that lose their owners while the store is away, because the leader notices the outage only
 // when its lease is about to end.
 func TestOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer func() { cancel(); time.Sleep(3 * time.Second) }()
-		store := configured(t)
+	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
 		client, orders := fulmarmemory.NewClient(store), &held{}
 		f := &fleet{orders: orders}
 		f.strong(ctx, "a", 0.5, client)
@@ -434,11 +424,7 @@
 func TestWithoutStore(t *testing.T) {
 	for name, fault := range map[string]fulmarmemory.Fault{"refused": fulmarmemory.Refused, "silent": fulmarmemory.Silent} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				g := NewWithT(t)
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				store := configured(t)
+			simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
 				f := &fleet{}
 				first, end := context.WithCancel(ctx)
 				f.strong(first, "a", 0.5, fulmarmemory.NewClient(store))
@@ -459,9 +445,6 @@
 				store.Set("config", encode(t, config(2)))
 				time.Sleep(time.Second)
 				g.Expect(view.Get().Routes.Version()).To(BeEquivalentTo(2))
-				cancel()
-				time.Sleep(time.Second) // for direct calls that are tried meanwhile
-				synctest.Wait()
 			})
 		})
 	}
@@ -470,11 +453,7 @@
 // Guards against a leader that sends the configuration again to all daemons that know it already: they lost the leader
 // meanwhile, asked it for all again, and lost it once more.
 func TestConfigSentOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		store := configured(t)
+	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
 		f := &fleet{}
 		first, end := context.WithCancel(ctx)
 		f.strong(first, "a", 0.5, fulmarmemory.NewClient(store))
@@ -489,19 +468,13 @@
 		time.Sleep(2 * time.Second)
 		g.Expect(view.Get().Routes.Version()).To(BeEquivalentTo(2))
 		g.Expect(f.configs.Load()).To(BeEquivalentTo(1))
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // Guards against a leader that keeps its lease through another daemon although it is cut off from most of the fleet:
 // requests reached a target 2.3 s after it had said that it leaves.
 func TestCutLeader(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		store := configured(t)
+	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
 		f := &fleet{}
 		client := fulmarmemory.NewClient(store)
 		f.strong(ctx, "a", 0.5, detour(store, client))
@@ -517,19 +490,12 @@
 		lose()
 		time.Sleep(4 * time.Second)
 		g.Expect(leader(t, store)).To(Equal("b"))
-		cancel()
-		time.Sleep(time.Second) // for direct calls that are tried meanwhile
-		synctest.Wait()
 	})
 }
 
 // Guards against daemons that know nobody through whom they could call the store.
 func TestContacts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		store := configured(t)
+	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
 		f := &fleet{}
 		leading := f.strong(ctx, "a", 0.5, fulmarmemory.NewClient(store))
 		time.Sleep(2 * time.Second)
@@ -543,8 +509,6 @@
 		g.Expect(leading.Get().Contacts).To(HaveLen(8))
 		g.Expect(leading.Get().Contacts).NotTo(ContainElement("a"))
 		g.Expect(following.Get().Contacts).To(HaveLen(8))
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -566,11 +530,7 @@
 func TestLeaderWithoutStore(t *testing.T) {
 	for name, fault := range map[string]fulmarmemory.Fault{"refused": fulmarmemory.Refused, "silent": fulmarmemory.Silent} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				g := NewWithT(t)
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				store := configured(t)
+			simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
 				sent := &notedOrders{}
 				f := &fleet{orders: sent}
 				client := fulmarmemory.NewClient(store)
@@ -591,9 +551,6 @@
 				sent.mu.Lock()
 				g.Expect(sent.longest).To(BeNumerically("<", 2*time.Second))
 				sent.mu.Unlock()
-				cancel()
-				time.Sleep(time.Second) // for direct calls that are tried meanwhile
-				synctest.Wait()
 			})
 		})
 	}
--- a/internal/fulmarfollow/past_test.go
+++ b/internal/fulmarfollow/past_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -36,11 +35,7 @@
 		"does not reach the store": func(_ context.CancelFunc, client *fulmarmemory.Client) { client.Break(fulmarmemory.Refused) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				g := NewWithT(t)
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				store := configured(t)
+			simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
 				sent := &firstGrants{at: make(map[string]time.Time)}
 				f := &fleet{orders: sent}
 				first, end := context.WithCancel(ctx)
@@ -62,9 +57,6 @@
 				g.Expect(sent.at["y"].Sub(lost)).To(BeNumerically("<", limits[name]))
 				sent.mu.Unlock()
 				end()
-				cancel()
-				time.Sleep(time.Second)
-				synctest.Wait()
 			})
 		})
 	}
@@ -72,11 +64,7 @@
 
 // Guards against the same wait when the former leader and the new one were both started again meanwhile.
 func TestWordOfOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		store := configured(t)
+	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
 		sent := &firstGrants{at: make(map[string]time.Time)}
 		f := &fleet{orders: sent}
 		first, end := context.WithCancel(ctx)
@@ -101,9 +89,6 @@
 		g.Expect(sent.at).To(HaveKey("y"))
 		g.Expect(sent.at["y"].Sub(began)).To(BeNumerically("<", 6*time.Second))
 		sent.mu.Unlock()
-		cancel()
-		time.Sleep(time.Second)
-		synctest.Wait()
 	})
 }
 
