Serve routes of the kind download, and of an unknown kind at most once

Change: fulmarroute.Kind has the kinds that the product knows. download is LargeAnswer, which is idempotent. A kind that is not known is served at most once, which every kind permits; a log line names its routes, a counter its requests. Weighed: to refuse only that route, which takes it from callers for no gain, as the kind states only what may be repeated; to fall back to a shorter prefix, which could send its requests to another service. A configuration that is damaged as a whole, or a route without a kind, still leaves the former configuration in force.

--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -81,7 +81,7 @@
 			if ctx.Err() != nil {
 				return x.fail(http.StatusGatewayTimeout, TimedOut)
 			}
-			if !x.route.Idempotent || x.sends >= x.route.Attempts {
+			if !x.route.Kind.Repeatable() || x.sends >= x.route.Attempts {
 				return x.fail(http.StatusBadGateway, Broken)
 			}
 			if x.key >= 0 {
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -65,7 +65,7 @@
 		return false
 	}
 	route, ok := v.Routes.Match(r.Host, path(r.RequestURI))
-	return ok && route.Idempotent
+	return ok && route.Kind.Repeatable()
 }
 
 func path(uri string) string {
@@ -171,5 +171,8 @@
 	if x.lastError != nil {
 		fields = append(fields, "cause", x.lastError)
 	}
+	if x.route.Kind == fulmarroute.UnknownKind {
+		d.Metrics.Count("relay.unknown_kind")
+	}
 	d.Log.Info("request finished", fields...)
 }
--- a/internal/fulmarsnapshot/reader.go
+++ b/internal/fulmarsnapshot/reader.go
@@ -156,6 +156,9 @@
 			if r.routes == nil || routes.Version() >= r.routes.Version() {
 				r.routes = routes
 				r.log.Info("configuration in force", "version", config.Version, "routes", len(config.Routes), "source", "store")
+				if names := routes.UnknownKinds(); len(names) > 0 {
+					r.log.Warn("routes of an unknown kind are served at most once", "version", config.Version, "routes", names)
+				}
 			}
 			return
 		}
--- a/pkg/fulmarroute/route_test.go
+++ b/pkg/fulmarroute/route_test.go
@@ -52,12 +52,15 @@
 // Guards against accepting a configuration with an invalid route.
 func TestInvalidRoutes(t *testing.T) {
 	for name, r := range map[string]fulmarroute.Route{
-		"no host":          route("r", "", "/"),
-		"prefix":           route("r", "h", "/x"),
-		"unknown service":  route("r", "h", "/", fulmarroute.Part{Service: "none", Weight: 1}),
-		"negative weight":  route("r", "h", "/", fulmarroute.Part{Service: "s", Weight: -1}, fulmarroute.Part{Service: "t", Weight: 2}),
-		"weights of zero":  route("r", "h", "/", fulmarroute.Part{Service: "s"}),
-		"without timeout":  {Name: "r", Host: "h", Prefix: "/", Parts: []fulmarroute.Part{{Service: "s", Weight: 1}}},
+		"no host":         route("r", "", "/"),
+		"prefix":          route("r", "h", "/x"),
+		"unknown service": route("r", "h", "/", fulmarroute.Part{Service: "none", Weight: 1}),
+		"negative weight": route("r", "h", "/", fulmarroute.Part{Service: "s", Weight: -1}, fulmarroute.Part{Service: "t", Weight: 2}),
+		"weights of zero": route("r", "h", "/", fulmarroute.Part{Service: "s"}),
+		"without timeout": {Name: "r", Host: "h", Prefix: "/", Parts: []fulmarroute.Part{{Service: "s", Weight: 1}}},
+		"invalid kind": {
+			Name: "r", Host: "h", Prefix: "/", Timeout: time.Second, Kind: 9, Parts: []fulmarroute.Part{{Service: "s", Weight: 1}},
+		},
 		"without services": {Name: "r", Host: "h", Prefix: "/", Timeout: time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/fulmarroute/table.go
+++ b/pkg/fulmarroute/table.go
@@ -20,7 +20,7 @@
 	Name             string        `cbor:"name"`
 	Host             string        `cbor:"host"`
 	Prefix           string        `cbor:"prefix"`
-	Idempotent       bool          `cbor:"idempotent"`
+	Kind             Kind          `cbor:"kind"`
 	Timeout          time.Duration `cbor:"timeout"`  // longest time that a request may take
 	LatencyObjective time.Duration `cbor:"goal"`     // latency objective
 	Priority         int           `cbor:"priority"` // 0 is the most urgent
@@ -88,6 +88,8 @@
 		return errors.Errorf("fulmarroute: route %q has no host", r.Name)
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
 		return errors.Errorf("fulmarroute: prefix %q of route %q does not begin and end with a slash", r.Prefix, r.Name)
+	case r.Kind > UnknownKind:
+		return errors.Errorf("fulmarroute: route %q has the invalid kind %d", r.Name, r.Kind)
 	case r.Timeout <= 0:
 		return errors.Errorf("fulmarroute: route %q has no timeout", r.Name)
 	case len(r.Parts) == 0:
@@ -124,6 +126,17 @@
 	return s, ok
 }
 
+// UnknownKinds returns the names of the routes whose kind is not known.
+func (t *Table) UnknownKinds() []string {
+	var names []string
+	for _, r := range t.config.Routes {
+		if r.Kind == UnknownKind {
+			names = append(names, r.Name)
+		}
+	}
+	return names
+}
+
 // Match returns the route of host with the longest prefix of path.
 // A port in host is ignored.
 func (t *Table) Match(host, path string) (Route, bool) {
