Forward large answers whole, and log how they end

Cause: an answer longer than the body limit (256 KiB) is streamed after the forwarder has returned, but the forwarder cancelled the request's context on return, which ended the connection to the target. The log line was written before and said status=200.

Change: the exchange lasts until the answer is forwarded, cut off, or past the request's deadline (fulmarforwarder/stream.go); its target counts as busy until then; the log line has the bytes and the reason: cut, late or caller-left. The server counts a request as in flight until its answer is written: before, a shutdown and the idle timeout could end the connection in the middle.

--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -163,7 +163,12 @@
 // send sends the request to a target at which choose has counted it.
 func (x *exchange) send(ctx context.Context, t fulmarcatalog.Target) (*fulmarhttpserver.Answer, result) {
 	d := &x.forwarder.deps
-	defer d.Balancer.Release(t.ID)
+	streaming := false
+	defer func() {
+		if !streaming {
+			d.Balancer.Release(t.ID)
+		}
+	}()
 	x.target = t.ID
 	if x.tried == nil {
 		x.tried = make(map[string]bool, 2)
@@ -220,6 +225,9 @@
 	} else {
 		d.Balancer.RecordFailure(now, t.ID)
 	}
+	// A streamed answer occupies its target until it has been read; see exchange.stream.
+	streaming = a.Remainder != nil
+	x.bytes = int64(len(a.Body))
 	return &fulmarhttpserver.Answer{
 		Status: a.Status, Header: fulmarlink.EndToEnd(a.Header), Body: a.Body, Remainder: a.Remainder, Length: a.Length,
 	}, delivered
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -83,22 +83,36 @@
 	id         string
 	key        int // -1 if the service is not keyed
 	deadline   time.Time
-	sends      int   // number of times the request was sent, at least in part
-	mayHaveRun bool  // a target may have executed the request
-	lastError  error // error of the last send
+	cancel     context.CancelFunc // ends the sends of the request
+	sends      int                // number of times the request was sent, at least in part
+	mayHaveRun bool               // a target may have executed the request
+	lastError  error              // error of the last send
 	tried      map[string]bool
 	target     string
 	reason     Reason
+	bytes      int64 // of the answer's body; for a streamed answer those read from the target
 }
 
 // Serve implements fulmarhttpserver.Handler.
 func (f *Forwarder) Serve(ctx context.Context, r *fulmarhttpserver.Request) *fulmarhttpserver.Answer {
 	x := &exchange{forwarder: f, request: r, view: f.deps.Views.Get(), id: r.Header.Get(f.deps.HeaderNames.RequestID), key: -1}
 	a := x.serve(ctx)
-	x.logResult(a)
+	if a.Remainder != nil {
+		x.stream(ctx, a)
+		return a
+	}
+	x.end(a)
 	return a
 }
 
+// end ends the exchange, after which nothing more of its answer is read.
+func (x *exchange) end(a *fulmarhttpserver.Answer) {
+	if x.cancel != nil {
+		x.cancel()
+	}
+	x.logResult(a)
+}
+
 func (x *exchange) serve(ctx context.Context) *fulmarhttpserver.Answer {
 	d := &x.forwarder.deps
 	if !x.awaitView(ctx) {
@@ -125,8 +139,7 @@
 		d.Loads.Note(x.service.Name, key)
 	}
 	d.RetryBudget.RecordRequest(x.request.ReceivedAt, x.service.Name)
-	ctx, cancel := context.WithDeadline(ctx, x.deadline)
-	defer cancel()
+	ctx, x.cancel = context.WithDeadline(ctx, x.deadline)
 	return x.sendUntilAnswered(ctx)
 }
 
@@ -165,7 +178,7 @@
 	}
 	fields := []any{
 		"id", x.id, "route", x.route.Name, "service", x.service.Name, "key", x.key, "target", x.target, "sends", x.sends,
-		"status", a.Status, "reason", string(x.reason), "ms", took.Milliseconds(), "config", version,
+		"status", a.Status, "reason", string(x.reason), "bytes", x.bytes, "ms", took.Milliseconds(), "config", version,
 		"age", d.Clock().Sub(x.view.AsOf).Milliseconds(),
 	}
 	if x.lastError != nil {
--- a/internal/fulmarforwarder/outcome.go
+++ b/internal/fulmarforwarder/outcome.go
@@ -23,6 +23,7 @@
 	Unsent          Reason = "unsent"    // no connection to a target could be used
 	Broken          Reason = "broken"    // sent, but no complete answer received
 	TimedOut        Reason = "late"      // no answer before the deadline of the request
+	Cut             Reason = "cut"       // the target's answer ended early, after a part of it was forwarded
 	CallerLeft      Reason = "caller-left"
 )
 
--- a/internal/fulmarhttpserver/conn.go
+++ b/internal/fulmarhttpserver/conn.go
@@ -267,40 +267,51 @@
 	c.writeAnswer(r.Request, a)
 }
 
-// writeAnswer writes an answer unless the connection has ended.
+// errNotWritten is reported for answers of connections that have ended.
+var errNotWritten = errors.New("fulmarhttpserver: connection has ended")
+
+// writeAnswer writes an answer unless the connection has ended. The request counts as in flight until the answer is
+// written, so that neither a shutdown nor the idle timeout ends the connection while a long answer is streamed.
 func (c *conn) writeAnswer(r *http.Request, a *Answer) {
+	reusable := c.sendAnswer(r, a)
 	c.mu.Lock()
 	c.inFlight--
 	last := c.inFlight == 0
-	ended := c.ended
 	c.mu.Unlock()
-	if ended || c.ctx.Err() != nil {
-		if a != nil && a.Remainder != nil {
-			a.Remainder.Close()
+	if reusable && last {
+		c.resetIdleTimeout()
+	}
+}
+
+// sendAnswer writes an answer and reports whether the connection can be reused.
+func (c *conn) sendAnswer(r *http.Request, a *Answer) bool {
+	if c.isEnded() || c.ctx.Err() != nil {
+		if a != nil {
+			a.end(errNotWritten)
 		}
-		return
+		return false
 	}
 	if a == nil || a.Status == 0 {
 		c.abort()
-		return
+		return false
 	}
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		c.abort()
-		return
+	deadline := time.Now().Add(writeTimeout)
+	if a.Remainder != nil && !a.Deadline.IsZero() && a.Deadline.Before(deadline) {
+		deadline = a.Deadline
 	}
-	closing := r.Close || c.server.draining.Load()
-	ended, err := a.write(c.Conn, r, closing)
-	if err != nil {
-		c.abort()
-		return
+	ended := false
+	err := c.SetWriteDeadline(deadline)
+	if err == nil {
+		ended, err = a.write(c.Conn, r, r.Close || c.server.draining.Load())
 	}
-	if ended {
+	a.end(err) // before abort, which ends the context of the connection as a caller does that leaves
+	switch {
+	case err != nil:
+		c.abort()
+	case ended:
 		c.finish()
-		return
-	}
-	if last {
-		c.resetIdleTimeout()
 	}
+	return err == nil && !ended
 }
 
 // resetIdleTimeout sets the idle timeout of a connection that already waits for a request without a deadline.
--- a/internal/fulmarhttpserver/message.go
+++ b/internal/fulmarhttpserver/message.go
@@ -27,6 +27,19 @@
 	Remainder io.ReadCloser // nil if Body is the whole body
 	Length    int64         // of the whole body if Remainder is set, -1 if unknown
 	Close     bool          // close the connection after the answer
+	Deadline  time.Time     // the connection is reset if Remainder has not been written by then; zero for no limit
+	// Finished is called once, after Remainder is closed, with the error of writing the answer. It may be nil.
+	Finished func(error)
+}
+
+// end closes the remainder and reports the result of writing the answer.
+func (a *Answer) end(err error) {
+	if a.Remainder != nil {
+		a.Remainder.Close()
+	}
+	if a.Finished != nil {
+		a.Finished(err)
+	}
 }
 
 // Handler serves requests.
@@ -46,9 +59,6 @@
 // write writes the answer. If closeAfter is set, it announces that the connection is closed after the answer. mustClose
 // reports that the connection cannot be reused.
 func (a *Answer) write(w io.Writer, r *http.Request, closeAfter bool) (mustClose bool, err error) {
-	if a.Remainder != nil {
-		defer a.Remainder.Close()
-	}
 	closeAfter = closeAfter || a.Close
 	var head bytes.Buffer
 	head.Grow(512 + len(a.Body))
