Limit what a target in trouble may send, and tell late copies of answers apart

Cause: found by reading for two of the faults that operators of similar systems report, and for bytes without an end. The head of a target's answer had no bound, so that a status line or header without an end filled the daemon's memory until the request's deadline. The rest of a late answer was read as the next answer once discardAnswer gave up after the body limit, and closing a chunked one read it to its end. A late answer without an id was taken for the request's own.

Change: 64 KiB for the heads of an answer and its interim answers, 4 MiB for a late answer that is skipped. An answer without an id is skipped on a connection on which the target has returned ids.

--- a/internal/fulmarlink/conn.go
+++ b/internal/fulmarlink/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -23,6 +24,24 @@
 	usedAt      time.Time     // end of the last exchange
 	idleTimeout time.Duration // longest time that it may be idle
 	written     bool          // a byte of the current request may have been sent
+	echoesID    bool          // the target has returned the request id on this connection
+	lastToken   string        // value of the token header of the last answer
+	readLimit   int           // bytes that may still be read, noReadLimit for any number
+}
+
+// noReadLimit permits any number of bytes to be read.
+const noReadLimit = math.MaxInt
+
+// Read reads at most readLimit bytes in total.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.readLimit <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.readLimit)])
+	if c.readLimit != noReadLimit {
+		c.readLimit -= n
+	}
+	return n, err
 }
 
 // dial opens a connection that fails when sent data stays unacknowledged for ackTimeout.
@@ -46,7 +65,9 @@
 		c.Close()
 		return nil, err
 	}
-	return &conn{Conn: c, raw: raw, reader: bufio.NewReaderSize(c, readBuffer)}, nil
+	out := &conn{Conn: c, raw: raw, readLimit: noReadLimit}
+	out.reader = bufio.NewReaderSize(out, readBuffer)
+	return out, nil
 }
 
 // Write sets written before it sends b.
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -21,6 +21,8 @@
 const (
 	maxStaleAnswers   = 8           // late answers skipped for one request
 	maxInterimAnswers = 8           // answers of status 1xx skipped for one request
+	maxAnswerHead     = 64 << 10    // bytes of the head of an answer, with the interim answers before it
+	maxStaleBody      = 4 << 20     // bytes of the body of a late answer that is skipped
 	chunkSize         = 4 << 10     // buffer for a body of unknown length, in bytes
 	keepAliveMargin   = time.Second // close this much before the timeout of a Keep-Alive header
 	requestBuffer     = 1 << 10
@@ -46,6 +48,12 @@
 	Length    int64       // of the body, -1 if unknown
 	ReuseOnly bool        // fail with ErrUnsent if there is no idle connection
 	MaxIdle   int         // limit on the idle connections to the address after this request, 0 for none
+	// Matches reports whether an answer can be the one to this request; others are late ones to earlier requests. It is
+	// for requests without an ID, and may be nil.
+	Matches func(status int, header http.Header) bool
+	// TokenHeader names a header whose value differs in each answer, empty for none. An answer that repeats the last
+	// value of its connection is a copy of an earlier one.
+	TokenHeader string
 }
 
 // Answer is the answer of a target.
@@ -247,6 +255,32 @@
 	p.countClosed(address)
 }
 
+// answers reports whether an answer with the given id, empty for none, is the one to the request with id want. On a
+// connection on which the target has returned ids, an answer without an id may be a late one to an earlier request.
+func (c *conn) answers(id, want string) bool {
+	if want == "" || id == "" {
+		return want == "" || !c.echoesID
+	}
+	c.echoesID = true
+	return id == want
+}
+
+// isLate reports whether an answer without an id is a late one to an earlier request.
+func (c *conn) isLate(resp *http.Response, r *Request) bool {
+	if r.Matches != nil && !r.Matches(resp.StatusCode, resp.Header) {
+		return true
+	}
+	if r.TokenHeader == "" {
+		return false
+	}
+	token := resp.Header.Get(r.TokenHeader)
+	if token != "" && token == c.lastToken {
+		return true
+	}
+	c.lastToken = token
+	return false
+}
+
 // exchange writes the request and reads the head of the answer and the body up to the body limit. keep reports whether
 // the connection can be reused.
 func (p *Pool) exchange(c *conn, r *Request) (a *Answer, keep bool, err error) {
@@ -259,7 +293,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if id := resp.Header.Get(p.settings.RequestIDHeader); r.ID != "" && id != "" && id != r.ID {
+		if !c.answers(resp.Header.Get(p.settings.RequestIDHeader), r.ID) || c.isLate(resp, r) {
 			if err := p.discardAnswer(resp); err != nil {
 				return nil, false, err
 			}
--- a/internal/fulmarlink/pool_test.go
+++ b/internal/fulmarlink/pool_test.go
@@ -147,6 +147,81 @@
 	}
 }
 
+// Guards against a late answer whose unread rest, or which itself, is taken for the answer to the next request.
+func TestLateAnswers(t *testing.T) {
+	inner := "HTTP/1.1 200 x\r\nId: two\r\nContent-Length: 4\r\n\r\nevil"
+	lateBody := func(size int) string {
+		body := strings.Repeat(inner, size/len(inner)+1)
+		return fmt.Sprintf("HTTP/1.1 200 x\r\nId: old\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	for _, c := range []struct {
+		name, second string
+		broken       bool
+	}{
+		{"longer than the body limit", lateBody(200) + okAnswer, false},
+		{"too long to be skipped", lateBody(5<<20) + okAnswer, true},
+		{"without an id, where answers have one", "HTTP/1.1 200 x\r\nContent-Length: 4\r\n\r\nevil" + okAnswer, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s, p := startTarget(t, okAnswer, c.second), newPool(t)
+			a, err := p.Do(t.Context(), s.Addr().String(), request("one", ""))
+			expectBody(g, a, err, "ok")
+			a, err = p.Do(t.Context(), s.Addr().String(), request("two", ""))
+			if c.broken {
+				g.Expect(err).To(MatchError(fulmarlink.ErrBroken))
+				return
+			}
+			expectBody(g, a, err, "ok")
+		})
+	}
+}
+
+// Guards against a target that sends bytes that are no answer without an end, which would fill the memory of the daemon
+// until the deadline of the request.
+func TestAnswerWithoutEnd(t *testing.T) {
+	for _, c := range []struct{ name, start, repeated string }{
+		{"status line", "HTTP/1.1 200 ", "x"},
+		{"header", "HTTP/1.1 200 x\r\nA: ", "x"},
+		{"headers", "HTTP/1.1 200 x\r\n", "A: x\r\n"},
+		{"interim answers", "", "HTTP/1.1 100 x\r\n\r\n"},
+		{"answers to other requests", "", "HTTP/1.1 200 x\r\nId: old\r\nContent-Length: 0\r\n\r\n"},
+		{"body of an answer to another request", "HTTP/1.1 200 x\r\nId: old\r\n\r\n", "x"},
+		{"chunk of an answer to another request", "HTTP/1.1 200 x\r\nId: old\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n", "x"},
+		{"no answer", "", "x"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			defer l.Close()
+			sent := make(chan int, 1)
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				n, _ := io.WriteString(conn, c.start)
+				piece := strings.Repeat(c.repeated, 8<<10/len(c.repeated)+1)
+				for err == nil && n < 1<<30 {
+					var m int
+					m, err = io.WriteString(conn, piece)
+					n += m
+				}
+				sent <- n
+			}()
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, err = newPool(t).Do(ctx, l.Addr().String(), request("one", ""))
+			g.Expect(err).To(MatchError(fulmarlink.ErrBroken))
+			g.Expect(ctx.Err()).NotTo(HaveOccurred())
+			// What the target could send beyond the limits lies in the buffers of the kernel.
+			g.Eventually(sent, "5s").Should(Receive(BeNumerically("<", 24<<20)))
+		})
+	}
+}
+
 // Guards against an incomplete body that looks complete when the connection is closed.
 func TestShortAnswer(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/fulmarlink/receive.go
+++ b/internal/fulmarlink/receive.go
@@ -10,20 +10,31 @@
 	"github.com/pkg/errors"
 )
 
-// discardAnswer reads and discards a late answer to an earlier request.
+// errHeadTooLarge is returned for the head of an answer over maxAnswerHead.
+var errHeadTooLarge = errors.New("fulmarlink: head of the answer is too large")
+
+// discardAnswer reads and discards a late answer to an earlier request. It fails if the answer is longer than
+// maxStaleBody, as the rest of it would be read as the next answer.
 func (p *Pool) discardAnswer(resp *http.Response) error {
-	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, p.settings.BodyLimit)); err != nil {
+	// The body is not closed, as that would read a chunked one to its end.
+	n, err := io.CopyN(io.Discard, resp.Body, maxStaleBody+1)
+	if err != nil && !errors.Is(err, io.EOF) {
 		return err
 	}
+	if n > maxStaleBody {
+		return errors.New("late answer to an earlier request is too large")
+	}
 	if resp.Close {
 		return errors.New("connection closed after a late answer to an earlier request")
 	}
 	return nil
 }
 
-// receive reads the head of the next final answer and skips interim ones.
+// receive reads the head of the next final answer and skips interim ones. A target in trouble may send bytes that are
+// no answer without an end, so the heads together are limited.
 func receive(c *conn, method string) (*http.Response, error) {
+	c.readLimit = maxAnswerHead
+	defer func() { c.readLimit = noReadLimit }()
 	for range maxInterimAnswers {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
