Notice callers that leave a connection which they announced to close

Eleven requests reached a target up to 0.9 s after their callers had left; the daemon's line of one has status 500 of the target 2.7 s after that. After a request with Connection: close the server waited for its answer and read nothing, so it did not see the caller's close.

Change: the server goes on waiting for bytes after the last request of a connection, and serves nothing that comes.

Tests: 'cancels the request of a caller that leaves after it announced to close the connection' failed before; another guards what must not be served.

--- a/internal/fulmarhttpserver/conn.go
+++ b/internal/fulmarhttpserver/conn.go
@@ -38,6 +38,7 @@
 	ctx           context.Context
 	cancel        context.CancelFunc
 	pipelineSlots chan struct{}
+	lastRead      bool // no request follows the one that was read last
 	group         sync.WaitGroup
 
 	mu              sync.Mutex
@@ -125,6 +126,10 @@
 	if err := c.awaitRequest(limits); err != nil {
 		return nil, err
 	}
+	if c.lastRead {
+		<-previous
+		return nil, net.ErrClosed
+	}
 	c.limited.remaining = int64(limits.HeaderBytes + readBuffer - c.reader.Buffered())
 	r, err := http.ReadRequest(c.reader)
 	if err != nil {
@@ -149,7 +154,9 @@
 		c.handle(req, previous, done)
 		<-c.pipelineSlots
 	})
-	if !req.Payload.Complete() || req.Close || !r.ProtoAtLeast(1, 1) {
+	// After the last request of a connection, run still waits for bytes, as it learns in this way that the caller leaves.
+	c.lastRead = req.Close && r.ProtoAtLeast(1, 1)
+	if !req.Payload.Complete() || !r.ProtoAtLeast(1, 1) {
 		// The rest of the body must be read first, or no other request follows.
 		<-done
 		if !req.Payload.Complete() {
--- a/internal/fulmarhttpserver/server_test.go
+++ b/internal/fulmarhttpserver/server_test.go
@@ -208,6 +208,29 @@
 		Eventually(f.canceled).Should(Receive())
 	})
 
+	// Guards against requests that continue after their caller has left a connection that it announced to close: eleven
+	// requests of a day were sent to a target up to a second later.
+	It("cancels the request of a caller that leaves after it announced to close the connection", func() {
+		f := start(limits)
+		c := f.dial()
+		c.send("GET /wait1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		Eventually(f.started).Should(Receive())
+		c.Close()
+		Eventually(f.canceled).Should(Receive())
+	})
+
+	It("serves nothing that follows a request which announces to close the connection", func() {
+		f := start(limits)
+		c := f.dial()
+		c.send("GET /wait1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\nGET /two HTTP/1.1\r\nHost: h\r\n\r\n")
+		Eventually(f.started).Should(Receive(Equal("/wait1")))
+		Consistently(f.started, 100*time.Millisecond).ShouldNot(Receive())
+		close(f.gate("/wait1"))
+		Expect(c.expect(200, "/wait1").Close).To(BeTrue())
+		c.expectClosed()
+		Expect(f.served.Load()).To(BeEquivalentTo(1))
+	})
+
 	DescribeTable("rejects requests that are invalid or over the limits, and closes the connection",
 		func(text string, status int) {
 			f := start(fulmarhttpserver.Limits{HeaderBytes: 1024, BodyBytes: 1000, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: time.Second})
