Wait for the reset of a new connection beyond a target's limit before writing to it

Cause: a target that has reached its limit of connections accepts a further one and resets it.

Change: before it writes to a second connection to a target, or to any for 10 s after a target has reset one, the daemon waits for a reset for the time that opening the connection took, at most 3 ms, and 3 ms more. Such a request is surely unsent: one with a key is refused at once with 503, others go to another target. A first connection is used at once.

Tests: TestConnectionLimit, TestOwnerWithoutRoom (502 before).

--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -36,6 +36,7 @@
 	delivered result = iota // the target returned a complete answer
 	notRun                  // the target stated that it did not execute the request
 	unsent                  // no byte was sent
+	noRoom                  // no byte was sent, as the target accepts no more connections
 	broken                  // sent, but no complete answer received
 )
 
@@ -67,6 +68,12 @@
 			if dials++; dials >= maxDialFailures {
 				return x.refuseOrFail(last)
 			}
+		case noRoom:
+			last = NoCapacity
+			if dials++; dials >= maxDialFailures || x.key >= 0 {
+				// Only the owner may have a key's requests, and it will not have room within the wait for another owner.
+				return x.refuseOrFail(last)
+			}
 		case notRun:
 			last = Rejected
 			if x.sends >= x.route.Attempts {
@@ -187,6 +194,10 @@
 		ID: x.id, Body: x.request.Payload.Reader(), Length: x.request.Payload.Length(), MaxIdle: x.maxIdleConnections(),
 	})
 	x.lastError = err
+	if errors.Is(err, fulmarlink.ErrNoRoom) {
+		d.Balancer.RecordFailure(d.Now(), t.ID)
+		return nil, noRoom
+	}
 	if errors.Is(err, fulmarlink.ErrUnsent) {
 		d.Balancer.RecordFailure(d.Now(), t.ID)
 		return nil, unsent
--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -152,6 +152,12 @@
 // start returns a forwarder in front of the targets. All of them serve "free", which has no keys; the first one also owns
 // all keys of "keyed".
 func start(t *testing.T, idempotent bool, targets ...*target) *fixture {
+	t.Helper()
+	return startWithMargin(t, time.Millisecond, idempotent, targets...)
+}
+
+// startWithMargin is start with a time to wait for the reset of a new connection.
+func startWithMargin(t *testing.T, margin time.Duration, idempotent bool, targets ...*target) *fixture {
 	t.Helper()
 	kind := fulmarroute.AtMostOnce
 	if idempotent {
@@ -186,7 +192,7 @@
 		v.Owners = map[string]fulmarview.Spans{"keyed": {{From: 0, To: fulmarrange.MaxKey, Target: "owner", Ready: true}}}
 	})
 	pool := fulmarlink.New(fulmarlink.Settings{
-		DialTimeout: time.Second, AckTimeout: time.Second, IdleTimeout: time.Minute, BodyLimit: 1 << 20, RequestIDHeader: names.RequestID,
+		DialTimeout: time.Second, AcceptMargin: margin, AckTimeout: time.Second, IdleTimeout: time.Minute, BodyLimit: 1 << 20, RequestIDHeader: names.RequestID,
 	})
 	t.Cleanup(pool.Close)
 	f.over = func(views *fulmarview.Holder) *fulmarforwarder.Forwarder {
@@ -465,3 +471,30 @@
 	g.Eventually(done, "200ms").Should(BeClosed())
 	g.Expect(sends(x, y)).To(Equal(1))
 }
+
+// Guards against requests that fail, or wait for another owner, because the owner of their key accepts no more
+// connections. They have not run, so their callers may try again.
+func TestOwnerWithoutRoom(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.(*net.TCPConn).SetLinger(0) // fails only on a closed connection
+			c.Close()
+		}
+	}()
+	f := startWithMargin(t, 2*time.Second, false, &target{id: "x", listener: l})
+	f.forwarder.Serve(t.Context(), request(t, "/k/1", "", "Key", "7")) // the daemon does not know of the limit yet
+	for range 5 {
+		a := f.forwarder.Serve(t.Context(), request(t, "/k/1", "", "Key", "7"))
+		expectStatus(g, a, 503)
+		g.Expect(a.Header.Get("Retry-After")).NotTo(BeEmpty())
+		g.Expect(string(a.Body)).To(Equal("full"), "it does not wait for another owner")
+	}
+}
--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -34,6 +34,9 @@
 
 const (
 	dialTimeout = 400 * time.Millisecond
+	// acceptMargin covers the way of a reset between data centres of a region (1.4 ms) and the time until a target accepts
+	// a connection.
+	acceptMargin = 3 * time.Millisecond
 	// ackTimeout is the time that sent data may stay unacknowledged before its connection fails.
 	ackTimeout  = 3 * time.Second
 	idleTimeout = 8 * time.Second
@@ -93,7 +96,7 @@
 		return nil, err
 	}
 	link := fulmarlink.Settings{
-		DialTimeout: dialTimeout, AckTimeout: ackTimeout, IdleTimeout: idleTimeout, BodyLimit: answerBodyLimit, RequestIDHeader: p.HeaderNames.RequestID,
+		DialTimeout: dialTimeout, AcceptMargin: acceptMargin, AckTimeout: ackTimeout, IdleTimeout: idleTimeout, BodyLimit: answerBodyLimit, RequestIDHeader: p.HeaderNames.RequestID,
 	}
 	f := &Daemon{
 		settings: s, platform: p, log: log, metrics: metrics, views: fulmarview.New(),
--- a/internal/fulmarlink/conn.go
+++ b/internal/fulmarlink/conn.go
@@ -5,11 +5,13 @@
 	"context"
 	"math"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -76,6 +78,15 @@
 	return c.Conn.Write(b)
 }
 
+// accepted waits on a new connection and reports whether the target has not reset or closed it by then.
+func (c *conn) accepted(wait time.Duration) bool {
+	if c.SetReadDeadline(time.Now().Add(wait)) != nil {
+		return false
+	}
+	_, err := c.reader.Peek(1)
+	return errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil
+}
+
 // usable reports whether an idle connection is open and has no unread bytes.
 func (c *conn) usable() bool {
 	if c.reader.Buffered() > 0 {
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +17,9 @@
 var (
 	// ErrUnsent means that no byte of the request was sent.
 	ErrUnsent = errors.New("fulmarlink: request not sent")
+	// ErrNoRoom means that the target reset a new connection before anything was sent on it, as targets do beyond their
+	// limit of connections. It is a case of ErrUnsent.
+	ErrNoRoom = errors.Wrap(ErrUnsent, "target accepts no more connections")
 	// ErrBroken means that the request was sent, at least in part, but no complete answer was received.
 	ErrBroken = errors.New("fulmarlink: no complete answer")
 )
@@ -26,11 +32,19 @@
 	chunkSize         = 4 << 10     // buffer for a body of unknown length, in bytes
 	keepAliveMargin   = time.Second // close this much before the timeout of a Keep-Alive header
 	requestBuffer     = 1 << 10
+
+	// A target that has reached its limit of connections accepts a further one and resets it at once. A request that was
+	// written by then may have run, for all that the daemon knows, and must fail. So the daemon waits for the reset before
+	// it writes: on a second connection to a target, and for resetMemory after a reset. A first connection to a target is
+	// used at once.
+	resetMemory = 10 * time.Second
 )
 
 // Settings holds the timeouts and limits of a pool.
 type Settings struct {
-	DialTimeout     time.Duration // longest time to open a connection
+	DialTimeout time.Duration // longest time to open a connection
+	// AcceptMargin is the wait for a reset of a new connection, besides the time that opening it took, at most as much again.
+	AcceptMargin    time.Duration
 	AckTimeout      time.Duration // longest time that sent data may stay unacknowledged
 	IdleTimeout     time.Duration // longest time that a connection stays idle
 	BodyLimit       int64         // longest body that is read into memory, in bytes; the rest of a longer one is streamed
@@ -69,13 +83,14 @@
 type Pool struct {
 	settings Settings
 	mu       sync.Mutex
-	idle     map[string][]*conn // by address, the most recently used one last
-	open     map[string]int     // number of connections by address, idle or in use
+	idle     map[string][]*conn   // by address, the most recently used one last
+	open     map[string]int       // number of connections by address, idle or in use
+	resetAt  map[string]time.Time // by address: when the target last reset a connection before it answered on it
 }
 
 // New returns an empty pool.
 func New(s Settings) *Pool {
-	return &Pool{settings: s, idle: make(map[string][]*conn), open: make(map[string]int)}
+	return &Pool{settings: s, idle: make(map[string][]*conn), open: make(map[string]int), resetAt: make(map[string]time.Time)}
 }
 
 // Idle returns the number of idle connections to address.
@@ -115,6 +130,7 @@
 	}
 	var expired []pooled
 	p.mu.Lock()
+	p.forgetResets(now)
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
@@ -205,17 +221,40 @@
 	if reuseOnly {
 		return nil, errors.Wrap(ErrUnsent, "no idle connection to the target")
 	}
+	started := time.Now()
 	p.mu.Lock()
 	p.open[address]++
+	nearLimit := p.open[address] > 1 || started.Sub(p.resetAt[address]) < resetMemory
 	p.mu.Unlock()
 	c, err := dial(ctx, address, p.settings.DialTimeout, p.settings.AckTimeout)
 	if err != nil {
 		p.countClosed(address)
+		if errors.Is(err, syscall.ECONNRESET) {
+			p.recordReset(address)
+			return nil, ErrNoRoom
+		}
 		return nil, errors.Wrap(ErrUnsent, err.Error())
 	}
+	if nearLimit && !c.accepted(min(time.Since(started), p.settings.AcceptMargin)+p.settings.AcceptMargin) {
+		p.recordReset(address)
+		p.closeConn(address, c)
+		return nil, ErrNoRoom
+	}
 	return c, nil
 }
 
+// recordReset records that the target reset a new connection.
+func (p *Pool) recordReset(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resetAt[address] = time.Now()
+}
+
+// forgetResets drops the resets before now that are too old to matter. The caller holds mu.
+func (p *Pool) forgetResets(now time.Time) {
+	maps.DeleteFunc(p.resetAt, func(_ string, at time.Time) bool { return now.Sub(at) >= resetMemory })
+}
+
 // Do sends the request to address once and returns the answer. Cancelling ctx aborts the exchange. If the answer has a
 // Remainder, the caller must read it to its end or close it.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
@@ -232,6 +271,9 @@
 		if !c.written {
 			return nil, errors.Wrap(ErrUnsent, err.Error())
 		}
+		if c.usedAt.IsZero() && !errors.Is(err, os.ErrDeadlineExceeded) {
+			p.recordReset(address) // the first request of the connection met its end, not a deadline
+		}
 		return nil, errors.Wrap(ErrBroken, err.Error())
 	}
 	finish := func(whole bool) {
--- a/internal/fulmarlink/pool_test.go
+++ b/internal/fulmarlink/pool_test.go
@@ -83,11 +83,22 @@
 
 func newPool(t *testing.T) *fulmarlink.Pool {
 	t.Helper()
-	p := fulmarlink.New(fulmarlink.Settings{DialTimeout: time.Second, AckTimeout: time.Second, IdleTimeout: time.Minute, BodyLimit: 64, RequestIDHeader: "Id"})
+	return newPoolWithMargin(t, time.Millisecond)
+}
+
+// newPoolWithMargin returns a pool that waits for margin for the reset of a new connection.
+func newPoolWithMargin(t *testing.T, margin time.Duration) *fulmarlink.Pool {
+	t.Helper()
+	p := fulmarlink.New(fulmarlink.Settings{
+		DialTimeout: time.Second, AcceptMargin: margin, AckTimeout: time.Second, IdleTimeout: time.Minute, BodyLimit: 64, RequestIDHeader: "Id",
+	})
 	t.Cleanup(p.Close)
 	return p
 }
 
+// resetMargin is long enough for a reset on a busy machine.
+const resetMargin = 2 * time.Second
+
 func request(id, body string) *fulmarlink.Request {
 	return &fulmarlink.Request{
 		Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{"Id": {id}}, ID: id,
@@ -348,3 +359,83 @@
 	}
 	g.Expect(p.Open(s.Addr().String())).To(Equal(2))
 }
+
+// limitedTarget accepts connections, serves the first ones up to limit and resets the others at once.
+func limitedTarget(t *testing.T, limit int, serve func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if n < limit {
+				go serve(c)
+				continue
+			}
+			_ = c.(*net.TCPConn).SetLinger(0) // fails only on a closed connection
+			c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against requests that are written to a connection which the target resets because it has too many: nobody can
+// tell whether they ran, so their callers got 502 and could not try again. At a fleet of 120 daemons these were 4,142
+// requests of a day.
+func TestConnectionLimit(t *testing.T) {
+	t.Run("second connection", func(t *testing.T) {
+		g := NewWithT(t)
+		busy := make(chan struct{})
+		address := limitedTarget(t, 1, func(c net.Conn) {
+			defer c.Close()
+			close(busy)
+			_, _ = io.Copy(io.Discard, c)
+		})
+		p := newPoolWithMargin(t, resetMargin)
+		ctx, cancel := context.WithCancel(t.Context())
+		first := make(chan error, 1)
+		go func() {
+			_, err := p.Do(ctx, address, request("one", ""))
+			first <- err
+		}()
+		<-busy
+		_, err := p.Do(t.Context(), address, request("two", ""))
+		g.Expect(err).To(MatchError(fulmarlink.ErrNoRoom))
+		g.Expect(err).To(MatchError(fulmarlink.ErrUnsent))
+		g.Expect(p.Open(address)).To(Equal(1))
+		cancel()
+		<-first
+	})
+	t.Run("after a reset", func(t *testing.T) {
+		g := NewWithT(t)
+		address := limitedTarget(t, 0, nil)
+		p := newPoolWithMargin(t, resetMargin)
+		// The first request may find the reset before or after it is written.
+		_, err := p.Do(t.Context(), address, request("one", ""))
+		g.Expect(err).To(HaveOccurred())
+		for range 5 {
+			_, err = p.Do(t.Context(), address, request("two", ""))
+			g.Expect(err).To(MatchError(fulmarlink.ErrNoRoom))
+		}
+		g.Expect(p.Open(address)).To(BeZero())
+	})
+	t.Run("room", func(t *testing.T) {
+		g := NewWithT(t)
+		s, p := startTarget(t, "HTTP/1.1 200 x\r\nContent-Length: 100\r\n\r\n"+strings.Repeat("a", 100)), newPool(t)
+		var answers []*fulmarlink.Answer
+		for range 3 {
+			a, err := p.Do(t.Context(), s.Addr().String(), request("one", ""))
+			g.Expect(err).NotTo(HaveOccurred())
+			answers = append(answers, a) // not read to its end, so that the connection stays in use
+		}
+		for _, a := range answers {
+			expectBody(g, a, nil, strings.Repeat("a", 100))
+		}
+	})
+}
--- a/internal/fulmarreplay/patterns.go
+++ b/internal/fulmarreplay/patterns.go
@@ -23,6 +23,17 @@
 	}
 }
 
+// taggingPattern returns a load on the keyed service of the third users, whose targets have more slots and do not answer
+// requests when they are full.
+func taggingPattern(name string, rate float64) Pattern {
+	return Pattern{
+		Name: name, Rate: rate, Amplitude: 0.15, Period: 11 * time.Second, Duration: 30 * time.Second, ZipfExponent: 0.632,
+		ServiceTime: ServiceTime{Mean: 240 * time.Millisecond, LogSigma: 0.5, TailShare: 0.01, TailFactor: 3, Max: 1300 * time.Millisecond},
+		Targets:     25, TargetSpeeds: []float64{0.6, 1, 1.4}, Slots: 6, Queue: 24, HangsWhenFull: true, Daemons: 21,
+		Goal: 500 * time.Millisecond, Timeout: 2 * time.Second, LateWorth: 0.04, MoveCost: 60,
+	}
+}
+
 // Hot periods of a range of keys and of a single key.
 var (
 	hotRangePeriods = []HotPeriod{
@@ -58,6 +69,9 @@
 		cataloguePattern("catalogue-quiet-range", 148).with(func(p *Pattern) { p.HotPeriods = hotRangePeriods }),
 		cataloguePattern("catalogue-crest-range", 360).with(func(p *Pattern) { p.HotPeriods = hotRangePeriods }),
 		cataloguePattern("catalogue-crest-key", 360).with(func(p *Pattern) { p.HotPeriods = hotKeyPeriods }),
+		taggingPattern("tagging-quiet", 240),
+		taggingPattern("tagging-quiet-key", 240).with(func(p *Pattern) { p.HotPeriods = hotKeyPeriods }),
+		taggingPattern("tagging-crest-range", 400).with(func(p *Pattern) { p.HotPeriods = hotRangePeriods }),
 		cataloguePattern("catalogue-crest-slow", 300).with(func(p *Pattern) {
 			p.SlowPeriods = []SlowPeriod{{Start: 8 * time.Second, Duration: 8 * time.Second, TargetShare: 0.4, Factor: 5}}
 		}),
