Answer the requests that are still in flight when the grace period ends

A download was sent to a target that was full and answers nothing then; its daemon got SIGTERM, waited 5.6 s for the answer and exited, which closed the caller's connection without an answer.

Change: 0.8 s before the end of the grace period the server interrupts its requests, and their answers are written: 504 for those that a target may have run, 503 for the others, each with reason=shutdown in the log. Requests that arrive later are refused at once.

Ruled out: the target's silence is no reason to end a request sooner, as it may still be at work.

Tests: 'answers the requests that it interrupts' and TestShutdownAnswers; Interrupt did not exist before.

--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -43,6 +43,9 @@
 // sendUntilAnswered sends the request until a target answers or no further send is allowed.
 func (x *exchange) sendUntilAnswered(ctx context.Context) *fulmarhttpserver.Answer {
 	last := NoCapacity
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return x.refuseOrFail(cancelReason(ctx)) // a send would count as one that may have run
+	}
 	for dials := 0; ; {
 		target, reason := x.choose(ctx)
 		if reason != "" {
@@ -83,7 +86,7 @@
 			last = Broken
 			x.mayHaveRun = true
 			if errors.Is(ctx.Err(), context.Canceled) {
-				return x.fail(http.StatusGatewayTimeout, CallerLeft)
+				return x.fail(http.StatusGatewayTimeout, cancelReason(ctx))
 			}
 			if ctx.Err() != nil {
 				return x.fail(http.StatusGatewayTimeout, TimedOut)
--- a/internal/fulmarforwarder/outcome.go
+++ b/internal/fulmarforwarder/outcome.go
@@ -1,10 +1,13 @@
 package fulmarforwarder
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"github.com/fulmarbend/fulmarbend/internal/fulmarhttpserver"
 )
 
@@ -25,6 +28,7 @@
 	TimedOut        Reason = "late"      // no answer before the deadline of the request
 	Cut             Reason = "cut"       // the target's answer ended early, after a part of it was forwarded
 	CallerLeft      Reason = "caller-left"
+	Interrupted     Reason = "shutdown" // still without an answer when the grace period of the daemon's shutdown ended
 )
 
 // metricLabel returns the reason in the form used in a metric's name.
@@ -44,6 +48,14 @@
 	return errorAnswer(status, string(reason))
 }
 
+// cancelReason returns why ctx was cancelled.
+func cancelReason(ctx context.Context) Reason {
+	if errors.Is(context.Cause(ctx), fulmarhttpserver.ErrInterrupted) {
+		return Interrupted
+	}
+	return CallerLeft
+}
+
 // errorAnswer returns an answer with a plain text body.
 func errorAnswer(status int, text string) *fulmarhttpserver.Answer {
 	return &fulmarhttpserver.Answer{
--- a/internal/fulmarforwarder/stream.go
+++ b/internal/fulmarforwarder/stream.go
@@ -50,7 +50,7 @@
 func (x *exchange) cutReason(ctx context.Context, readErr error) Reason {
 	switch {
 	case ctx.Err() != nil:
-		return CallerLeft
+		return cancelReason(ctx)
 	case !x.forwarder.deps.Now().Before(x.deadline):
 		return TimedOut
 	case readErr != nil && !errors.Is(readErr, io.EOF):
--- a/internal/fulmarforwarder/stream_test.go
+++ b/internal/fulmarforwarder/stream_test.go
@@ -296,3 +296,23 @@
 		g.Expect(size).To(Equal(answerSize))
 	}
 }
+
+// Guards against a shutdown that ends connections without an answer, or that states that a request has not run which its
+// target has received.
+func TestShutdownAnswers(t *testing.T) {
+	g := NewWithT(t)
+	x := newTarget(t, "x", noAnswer)
+	s := serve(t, x)
+	c := s.call(t)
+	g.Eventually(func() int { return sends(x) }).Should(Equal(1))
+	s.server.Drain()
+	s.server.Interrupt()
+	status, _, err := c.receive()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(504))
+	s.expectLogged(g, "reason=shutdown")
+	status, _, err = s.call(t).receive()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(503), "not sent to any target")
+	g.Expect(sends(x)).To(Equal(1))
+}
--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -48,8 +48,11 @@
 
 	// readinessDelay is the time after SIGTERM until callers are routed to other daemons: the readiness check
 	// must fail twice, a second apart.
-	readinessDelay       = 2300 * time.Millisecond
-	exitReserve          = 400 * time.Millisecond // part of the grace period that is reserved for the exit of the process
+	readinessDelay = 2300 * time.Millisecond
+	exitReserve    = 400 * time.Millisecond // part of the grace period that is reserved for the exit of the process
+	// answerReserve is the part of the grace period before its end in which requests that still have no answer are
+	// answered by the daemon, as its exit would cut them off.
+	answerReserve        = 800 * time.Millisecond
 	shutdownPollInterval = 20 * time.Millisecond
 	// drainMargin covers the transmission of a request to a leaving target.
 	drainMargin = 150 * time.Millisecond
@@ -210,7 +213,13 @@
 	close(f.shutdownStarted)
 	f.server.Drain()
 	resign()
+	interrupted := false
 	for time.Since(began) < f.currentSettings.Load().GracePeriod-exitReserve {
+		if !interrupted && time.Since(began) >= f.currentSettings.Load().GracePeriod-answerReserve {
+			interrupted = true
+			f.log.Warn("grace period ends, answering the requests in flight", "busy", f.server.InFlight())
+			f.server.Interrupt()
+		}
 		if time.Since(began) > readinessDelay {
 			f.server.CloseIdle()
 			if f.server.InFlight() == 0 && f.server.Connections() == 0 {
--- a/internal/fulmarhttpserver/conn.go
+++ b/internal/fulmarhttpserver/conn.go
@@ -269,7 +269,10 @@
 			return
 		}
 	}
-	a := c.server.handler.Serve(c.ctx, r)
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(c.server.requests, func() { cancel(ErrInterrupted) })()
+	a := c.server.handler.Serve(ctx, r)
 	<-previous
 	c.writeAnswer(r.Request, a)
 }
--- a/internal/fulmarhttpserver/message.go
+++ b/internal/fulmarhttpserver/message.go
@@ -47,7 +47,8 @@
 	// Repeatable reports whether the request is idempotent and may start before earlier requests of its connection
 	// are answered.
 	Repeatable(r *Request) bool
-	// Serve returns the answer. ctx is cancelled when the caller closes the connection.
+	// Serve returns the answer. ctx is cancelled when the caller closes the connection, and with the cause
+	// ErrInterrupted when the server interrupts its requests. It lasts until the answer is written.
 	Serve(ctx context.Context, r *Request) *Answer
 }
 
--- a/internal/fulmarhttpserver/server.go
+++ b/internal/fulmarhttpserver/server.go
@@ -28,11 +28,19 @@
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	inFlight atomic.Int64
+
+	requests  context.Context // ends when the requests in flight are interrupted
+	interrupt context.CancelFunc
 }
 
+// ErrInterrupted is the cause of the end of a request's context after Interrupt.
+var ErrInterrupted = errors.New("fulmarhttpserver: request interrupted by the shutdown")
+
 // New returns a server that calls limits for each request.
 func New(handler Handler, limits func() Limits, log *slog.Logger) *Server {
-	return &Server{handler: handler, limits: limits, log: log, conns: make(map[*conn]struct{})}
+	s := &Server{handler: handler, limits: limits, log: log, conns: make(map[*conn]struct{})}
+	s.requests, s.interrupt = context.WithCancel(context.Background())
+	return s
 }
 
 // Serve accepts connections until ctx ends, and returns when all of them have ended.
@@ -84,6 +92,9 @@
 // Drain makes each later answer the last one of its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Interrupt ends the contexts of the requests in flight and of later ones, whose answers are still written.
+func (s *Server) Interrupt() { s.interrupt() }
+
 // CloseIdle closes the connections without a request in flight.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
--- a/internal/fulmarhttpserver/server_test.go
+++ b/internal/fulmarhttpserver/server_test.go
@@ -28,6 +28,8 @@
 	canceled chan string // paths of requests that were canceled while they waited
 	served   atomic.Int64
 	answer   func(r *fulmarhttpserver.Request) *fulmarhttpserver.Answer
+	// answerCanceled makes canceled requests return the cause as their answer.
+	answerCanceled bool
 }
 
 func newHandler() *handler {
@@ -53,6 +55,9 @@
 		case <-h.gate(r.RequestURI):
 		case <-ctx.Done():
 			h.canceled <- r.RequestURI
+			if h.answerCanceled {
+				return &fulmarhttpserver.Answer{Status: http.StatusGatewayTimeout, Header: http.Header{}, Body: []byte(context.Cause(ctx).Error())}
+			}
 			return nil
 		}
 	}
@@ -303,6 +308,23 @@
 		Entry("of unknown length", int64(-1)),
 	)
 
+	// Guards against requests whose connections end without an answer because their target has not answered when the
+	// daemon's shutdown ends: two downloads of a day were cut off in this way, 5.6 s after SIGTERM.
+	It("answers the requests that it interrupts", func() {
+		f := start(limits)
+		c := f.dial()
+		f.answerCanceled = true
+		c.get("/wait1")
+		Eventually(f.started).Should(Receive())
+		f.server.Drain()
+		f.server.Interrupt()
+		Expect(c.expect(504, fulmarhttpserver.ErrInterrupted.Error()).Close).To(BeTrue())
+		c.expectClosed()
+		later := f.dial()
+		later.get("/wait2")
+		later.expect(504, "")
+	})
+
 	It("closes idle connections on request", func() {
 		f := start(limits)
 		c := f.dial()
