Refuse at once what can't be served

A request for a key of a service that has no target waited a third of its objective for an owner.

Change: a daemon waits for its first configuration only within 2 s of its start, when it may be about to arrive; a keyed service without a target is refused with no-target.

Ruled out: no wait at all, as a daemon that has just started serves most of the requests that wait (TestStarting holds).

Tests: TestRefusedAtOnce failed before.

--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -160,6 +160,9 @@
 				return t, ""
 			}
 		}
+		if len(view.Catalog.Service(x.service.Name)) == 0 {
+			return fulmarcatalog.Target{}, NoTarget // no target could become the owner
+		}
 		select {
 		case <-changed:
 		case <-ownerTimeout.C:
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -16,8 +16,13 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
 
-// viewTimeout covers the first read of the store when all daemons start at the same time.
-const viewTimeout = 400 * time.Millisecond
+const (
+	// viewTimeout covers the first read of the store when all daemons start at the same time.
+	viewTimeout = 400 * time.Millisecond
+	// startupTime is the time after the start of the daemon in which its configuration may be about to arrive. Later,
+	// requests that find none are refused at once.
+	startupTime = 2 * time.Second
+)
 
 // Metrics records the outcomes of requests and the retries.
 type Metrics interface {
@@ -52,11 +57,14 @@
 // Forwarder forwards callers' requests to targets; it is safe for concurrent use.
 type Forwarder struct {
 	deps        Deps
+	startedAt   time.Time
 	preferences preferences
 }
 
 // New returns a Forwarder.
-func New(d Deps) *Forwarder { return &Forwarder{deps: d, preferences: preferences{id: d.ID, dc: d.DC}} }
+func New(d Deps) *Forwarder {
+	return &Forwarder{deps: d, startedAt: d.Now(), preferences: preferences{id: d.ID, dc: d.DC}}
+}
 
 // Repeatable reports whether the request's route is idempotent.
 func (f *Forwarder) Repeatable(r *fulmarhttpserver.Request) bool {
@@ -145,6 +153,12 @@
 
 // awaitView waits up to viewTimeout for the configuration, which a daemon that has just started does not have yet.
 func (x *exchange) awaitView(ctx context.Context) bool {
+	if x.view.Ready() {
+		return true
+	}
+	if d := &x.forwarder.deps; d.Now().Sub(x.forwarder.startedAt) >= startupTime {
+		return false
+	}
 	timer := time.NewTimer(viewTimeout)
 	defer timer.Stop()
 	for {
--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -444,6 +445,31 @@
 	expectStatus(g, none.Serve(t.Context(), request(t, "/f/1", "")), 503)
 }
 
+// Guards against requests that are held although nothing can serve them: while no configuration was in force for a whole
+// day, each waited 400 ms for its refusal.
+func TestRefusedAtOnce(t *testing.T) {
+	t.Run("no configuration long after the start", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			f := fulmarforwarder.New(fulmarforwarder.Deps{
+				HeaderNames: names, Views: fulmarview.New(), Metrics: noMetrics{}, Log: slog.New(slog.DiscardHandler), Now: time.Now, Clock: time.Now,
+			})
+			time.Sleep(time.Minute)
+			began := time.Now()
+			expectStatus(g, f.Serve(t.Context(), request(t, "/f/1", "")), 503)
+			g.Expect(time.Since(began)).To(BeZero())
+		})
+	})
+	t.Run("keyed service without a target", func(t *testing.T) {
+		g := NewWithT(t)
+		f := start(t, true, newTarget(t, "x"))
+		f.views.Update(func(v *fulmarview.View) { v.Owners, v.Catalog = nil, fulmarcatalog.New(nil) })
+		a := f.forwarder.Serve(t.Context(), request(t, "/k/1", "", "Key", "7"))
+		expectStatus(g, a, 503)
+		g.Expect(string(a.Body)).To(Equal("no-target"), "it does not wait for an owner")
+	})
+}
+
 // Guards against requests that are refused although the daemon is about to receive the configuration.
 func TestStarting(t *testing.T) {
 	g := NewWithT(t)
