Let reads of the whole store through other daemons end, and make them through the strongest ones

A leader that is cut off from the store calls it through other daemons.

Change: a forwarded scan has 650 ms and is made through a further daemon after 250 ms; daemons that have not answered when a call ends are tried last by the next one; the contacts that the leader tells are the daemons with the largest CPU share.

Ruled out: the target's own report, which the store had acknowledged in time; the drain margin.

Tests: TestLongScan failed before; TestPartialOutage and TestStoreOutage hold.

--- a/internal/fulmarkvforwarder/store.go
+++ b/internal/fulmarkvforwarder/store.go
@@ -24,11 +24,13 @@
 	// limit for one.
 	probeInterval = 500 * time.Millisecond
 	probeTimeout  = 400 * time.Millisecond
-	// forwardTimeout bounds a call through one daemon, which may not reach the store either.
-	forwardTimeout = 300 * time.Millisecond
-	// forwardHedgeDelay is the time after which a repeatable call is made through the next daemon as well. A call
-	// through a daemon that reaches the store takes 10 to 30 ms.
+	// forwardTimeout bounds a call through one daemon, which may not reach the store either. forwardHedgeDelay is the time
+	// after which a repeatable call is made through the next daemon as well. A call of one key through a daemon that
+	// reaches the store takes 10 to 30 ms; a scan reads a page after the other and takes over 300 ms at 220 targets.
+	forwardTimeout    = 300 * time.Millisecond
 	forwardHedgeDelay = 100 * time.Millisecond
+	scanTimeout       = 650 * time.Millisecond
+	scanHedgeDelay    = 250 * time.Millisecond
 	// maxForwardAttempts bounds the daemons that are tried for a call. After all contacts have failed within
 	// failureBackoff, no calls are forwarded for that time, and after a direct call has failed, a daemon rejects
 	// forwarded calls for that time: if no daemon reaches the store, the store must not receive a multiple of the normal
@@ -36,7 +38,7 @@
 	maxForwardAttempts = 4
 	failureBackoff     = 2 * time.Second
 	// serveTimeout bounds the calls that are made for other daemons.
-	serveTimeout = 500 * time.Millisecond
+	serveTimeout = scanTimeout
 )
 
 // Daemon is a connection to another daemon, which forwards calls to the store.
@@ -247,7 +249,7 @@
 }
 
 // forward makes a call through other daemons until one reaches the store. A repeatable call is made through the next
-// daemon if one fails or does not answer within forwardHedgeDelay, another call only if one surely had no effect.
+// daemon if one fails or does not answer within the hedge delay, another call only if one surely had no effect.
 func (s *Store) forward(ctx context.Context, c *fulmarleaderrpc.StoreCall, repeatable bool) result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -257,21 +259,33 @@
 	}
 	last := result{err: errors.Wrap(fulmarkv.ErrUnavailable, "fulmarkvforwarder: no other daemon could be called")}
 	candidates := s.candidates()
+	hedgeDelay := forwardHedgeDelay
+	if c.Scan != nil {
+		hedgeDelay = scanHedgeDelay
+	}
 	attempts := make(chan attempt, len(candidates))
+	pending := make(map[string]bool) // daemons that have not answered yet; the next call tries them last
+	defer func() {
+		for address := range pending {
+			s.recordPeer(address, false)
+		}
+	}()
 	for running := 0; ctx.Err() == nil && (len(candidates) > 0 || running > 0); {
 		var hedge <-chan time.Time // nil, and so never ready, while no further daemon may be called
 		if len(candidates) > 0 && (running == 0 || repeatable) {
 			address := candidates[0]
 			candidates = candidates[1:]
 			running++
+			pending[address] = true
 			go func() { attempts <- attempt{address, s.forwardThrough(ctx, address, c)} }()
 			if repeatable && len(candidates) > 0 {
-				hedge = time.After(forwardHedgeDelay)
+				hedge = time.After(hedgeDelay)
 			}
 		}
 		select {
 		case a := <-attempts:
 			running--
+			delete(pending, a.address)
 			last = a.result
 			s.recordPeer(a.address, last.answered())
 			if !errors.Is(last.err, fulmarkv.ErrUnavailable) {
@@ -334,7 +348,11 @@
 
 // forwardThrough makes a call through one daemon.
 func (s *Store) forwardThrough(ctx context.Context, address string, c *fulmarleaderrpc.StoreCall) result {
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	timeout := forwardTimeout
+	if c.Scan != nil {
+		timeout = scanTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	daemon, err := s.dial(ctx, address)
 	if err != nil {
--- a/internal/fulmarkvforwarder/store_test.go
+++ b/internal/fulmarkvforwarder/store_test.go
@@ -50,10 +50,16 @@
 type scanCounter struct {
 	fulmarkv.Store
 	scans int
+	delay time.Duration // of each scan
 }
 
 func (c *scanCounter) Scan(ctx context.Context, prefix string) ([]fulmarkv.Item, error) {
 	c.scans++
+	select {
+	case <-time.After(c.delay):
+	case <-ctx.Done():
+		return nil, errors.Wrap(fulmarkv.ErrUnavailable, ctx.Err().Error())
+	}
 	return c.Store.Scan(ctx, prefix)
 }
 
@@ -201,6 +207,22 @@
 	}
 }
 
+// Guards against reads of the whole store that are given up while a daemon makes them: a leader that was cut off from the
+// store made none for seconds at 220 targets, where one takes over 300 ms, kept its state for too long, and requests
+// reached a target 2.6 s after it had said that it leaves.
+func TestLongScan(t *testing.T) {
+	runInVirtualTime(t, "through another daemon", func(t *testing.T) {
+		f := newFixture(t, "x", "y", "z")
+		f.direct.SetFault(fulmarmemory.NoResponse)
+		f.peerScans.delay = 500 * time.Millisecond
+		for range 10 {
+			_, err := f.store.Scan(callContext(t), "")
+			f.Expect(err).NotTo(HaveOccurred())
+		}
+		time.Sleep(time.Second) // lets the last probe of the store end
+	})
+}
+
 // Guards against a store that receives a multiple of the normal calls while it answers none.
 func TestStoreOutage(t *testing.T) {
 	runInVirtualTime(t, "affects all daemons", func(t *testing.T) {
--- a/internal/fulmarleader/fleet.go
+++ b/internal/fulmarleader/fleet.go
@@ -1,6 +1,10 @@
 package fulmarleader
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// memberTimeout is the time after its last report at which a daemon is removed from the fleet.
@@ -55,17 +59,20 @@
 	return float64(n) / float64(len(f.members))
 }
 
-// contacts returns the addresses of up to maxContacts daemons, in random order.
+// contacts returns the addresses of up to maxContacts daemons, those with the largest CPU share first and equal ones in
+// random order. A weak daemon takes most of a second to read the whole store for another one.
 func (f *fleet) contacts(now time.Time) []string {
-	var out []string
-	for _, m := range f.members {
+	candidates := make([]member, 0, len(f.members))
+	for _, m := range f.members { // in random order
 		if m.address != "" && now.Sub(m.lastReport) <= memberTimeout {
-			out = append(out, m.address)
-		}
-		if len(out) == maxContacts {
-			break
+			candidates = append(candidates, m)
 		}
 	}
+	slices.SortStableFunc(candidates, func(a, b member) int { return cmp.Compare(b.cpuShare, a.cpuShare) })
+	out := make([]string, 0, maxContacts)
+	for _, m := range candidates[:min(len(candidates), maxContacts)] {
+		out = append(out, m.address)
+	}
 	return out
 }
 
