Split the reaction to a failed send from the loop that sends

The loop was over the linter's bound of complexity after it had got another outcome. No behaviour changes: the same outcomes lead to the same answers and sends; the tests of fulmarforwarder pass unchanged. A test of fulmarlink checks an error that it had dropped.

--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -46,7 +46,7 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return x.refuseOrFail(cancelReason(ctx)) // a send would count as one that may have run
 	}
-	for dials := 0; ; {
+	for {
 		target, reason := x.choose(ctx)
 		if reason != "" {
 			if x.sends > 0 {
@@ -59,44 +59,15 @@
 			x.forwarder.deps.Metrics.Count("relay.retry_denied")
 			return x.refuseOrFail(last)
 		}
-		if x.sends > 0 || dials > 0 {
+		if x.sends > 0 || x.dials > 0 {
 			x.forwarder.deps.Metrics.Count("relay.retry_" + metricLabel(last))
 		}
 		answer, res := x.send(ctx, target)
-		switch res {
-		case delivered:
+		if res == delivered {
+			return answer
+		}
+		if last, answer = x.afterFailure(ctx, target, res); answer != nil {
 			return answer
-		case unsent:
-			last = Unsent
-			if dials++; dials >= maxDialFailures {
-				return x.refuseOrFail(last)
-			}
-		case noRoom:
-			last = NoCapacity
-			if dials++; dials >= maxDialFailures || x.key >= 0 {
-				// Only the owner may have a key's requests, and it will not have room within the wait for another owner.
-				return x.refuseOrFail(last)
-			}
-		case notRun:
-			last = Rejected
-			if x.sends >= x.route.Attempts {
-				return x.refuseOrFail(last)
-			}
-		case broken:
-			last = Broken
-			x.mayHaveRun = true
-			if errors.Is(ctx.Err(), context.Canceled) {
-				return x.fail(http.StatusGatewayTimeout, cancelReason(ctx))
-			}
-			if ctx.Err() != nil {
-				return x.fail(http.StatusGatewayTimeout, TimedOut)
-			}
-			if !x.route.Kind.Repeatable() || x.sends >= x.route.Attempts {
-				return x.fail(http.StatusBadGateway, Broken)
-			}
-			if x.key >= 0 {
-				delete(x.tried, target.ID) // no other target has the key
-			}
 		}
 		if ctx.Err() != nil {
 			return x.refuseOrFail(last)
@@ -104,6 +75,43 @@
 	}
 }
 
+// afterFailure returns why a send to target got no answer, and the answer to the caller unless the request may be sent
+// again.
+func (x *exchange) afterFailure(ctx context.Context, target fulmarcatalog.Target, res result) (Reason, *fulmarhttpserver.Answer) {
+	switch res {
+	case unsent:
+		if x.dials++; x.dials >= maxDialFailures {
+			return Unsent, x.refuseOrFail(Unsent)
+		}
+		return Unsent, nil
+	case noRoom:
+		if x.dials++; x.dials >= maxDialFailures || x.key >= 0 {
+			// Only the owner may have a key's requests, and it will not have room within the wait for another owner.
+			return NoCapacity, x.refuseOrFail(NoCapacity)
+		}
+		return NoCapacity, nil
+	case notRun:
+		if x.sends >= x.route.Attempts {
+			return Rejected, x.refuseOrFail(Rejected)
+		}
+		return Rejected, nil
+	}
+	x.mayHaveRun = true
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return Broken, x.fail(http.StatusGatewayTimeout, cancelReason(ctx))
+	}
+	if ctx.Err() != nil {
+		return Broken, x.fail(http.StatusGatewayTimeout, TimedOut)
+	}
+	if !x.route.Kind.Repeatable() || x.sends >= x.route.Attempts {
+		return Broken, x.fail(http.StatusBadGateway, Broken)
+	}
+	if x.key >= 0 {
+		delete(x.tried, target.ID) // no other target has the key
+	}
+	return Broken, nil
+}
+
 // refuseOrFail answers a request that no target answered. It refuses the request, which states that it was not
 // executed, only if no target may have executed it.
 func (x *exchange) refuseOrFail(reason Reason) *fulmarhttpserver.Answer {
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -93,6 +93,7 @@
 	deadline   time.Time
 	cancel     context.CancelFunc // ends the sends of the request
 	sends      int                // number of times the request was sent, at least in part
+	dials      int                // number of targets to which no byte could be sent
 	mayHaveRun bool               // a target may have executed the request
 	lastError  error              // error of the last send
 	tried      map[string]bool
--- a/internal/fulmarlink/pool_test.go
+++ b/internal/fulmarlink/pool_test.go
@@ -410,7 +410,7 @@
 		g.Expect(err).To(MatchError(fulmarlink.ErrUnsent))
 		g.Expect(p.Open(address)).To(Equal(1))
 		cancel()
-		<-first
+		g.Expect(<-first).To(MatchError(fulmarlink.ErrBroken))
 	})
 	t.Run("after a reset", func(t *testing.T) {
 		g := NewWithT(t)
