Refuse requests that may not end before the exit of a stopping daemon

A stopping daemon still got requests, as too few others were ready. A download that arrived 4.9 s after SIGTERM was sent to a target and given up 0.3 s later, when the daemon answered its requests in flight before the exit.

Change: from 3 s after SIGTERM on, a request whose deadline lies beyond that moment is refused with 503 before it is sent, so that its caller reaches another daemon.

Ruled out: to refuse all requests during a shutdown; callers are routed to the daemon for 2.3 s after SIGTERM.

Tests: TestRefusedBeforeExit; the dependency did not exist before.

--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -52,6 +52,9 @@
 	Now         func() time.Time
 	Clock       func() time.Time     // clock that the times in views refer to
 	DrainTime   func() time.Duration // time for which a leaving target still accepts requests for its keys
+	// LatestEnd returns the time by which requests that arrive now must have ended, zero for no limit. During a shutdown,
+	// those that may last longer are refused, as their callers can still reach another daemon. It may be nil.
+	LatestEnd func() time.Time
 }
 
 // Forwarder forwards callers' requests to targets; it is safe for concurrent use.
@@ -138,6 +141,11 @@
 			x.deadline = end
 		}
 	}
+	if d.LatestEnd != nil {
+		if end := d.LatestEnd(); !end.IsZero() && x.deadline.After(end) {
+			return x.refuse(Interrupted)
+		}
+	}
 	x.service, _ = x.view.Routes.Service(d.Splitter.Next(route))
 	if x.service.Keyed {
 		key, err := strconv.Atoi(x.request.Header.Get(d.HeaderNames.Key))
--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -470,6 +470,32 @@
 	})
 }
 
+// Guards against requests that a daemon takes shortly before its exit and then gives up: a download that arrived 4.9 s
+// after SIGTERM was broken off 0.3 s later.
+func TestRefusedBeforeExit(t *testing.T) {
+	x := newTarget(t, "x")
+	f := start(t, false, x)
+	for _, c := range []struct {
+		name          string
+		end           time.Duration // from now; the route's timeout is 400 ms
+		status, sends int
+	}{
+		{"ends in time", time.Second, 200, 1},
+		{"may last longer", 300 * time.Millisecond, 503, 0},
+		{"end has passed", -time.Second, 503, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			d := f.deps
+			end := time.Now().Add(c.end)
+			d.LatestEnd = func() time.Time { return end }
+			before := sends(x)
+			expectStatus(g, fulmarforwarder.New(d).Serve(t.Context(), request(t, "/f/1", "body")), c.status)
+			g.Expect(sends(x) - before).To(Equal(c.sends))
+		})
+	}
+}
+
 // Guards against requests that are refused although the daemon is about to receive the configuration.
 func TestStarting(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/fulmarforwarder/outcome.go
+++ b/internal/fulmarforwarder/outcome.go
@@ -28,7 +28,7 @@
 	TimedOut        Reason = "late"      // no answer before the deadline of the request
 	Cut             Reason = "cut"       // the target's answer ended early, after a part of it was forwarded
 	CallerLeft      Reason = "caller-left"
-	Interrupted     Reason = "shutdown" // still without an answer when the grace period of the daemon's shutdown ended
+	Interrupted     Reason = "shutdown" // not answered, or not certain to be, before the grace period of the daemon's shutdown ends
 )
 
 // metricLabel returns the reason in the form used in a metric's name.
--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -52,7 +52,10 @@
 	exitReserve    = 400 * time.Millisecond // part of the grace period that is reserved for the exit of the process
 	// answerReserve is the part of the grace period before its end in which requests that still have no answer are
 	// answered by the daemon, as its exit would cut them off.
-	answerReserve        = 800 * time.Millisecond
+	answerReserve = 800 * time.Millisecond
+	// acceptTime is the time after SIGTERM after which only requests are taken that end before the exit. Callers are routed
+	// to other daemons by then, unless too few of these are ready.
+	acceptTime           = 3 * time.Second
 	shutdownPollInterval = 20 * time.Millisecond
 	// drainMargin covers the transmission of a request to a leaving target.
 	drainMargin = 150 * time.Millisecond
@@ -90,6 +93,7 @@
 	follower        *fulmarfollower.Follower
 	server          *fulmarhttpserver.Server
 	shutdownStarted chan struct{}
+	shutdownBegan   atomic.Pointer[time.Time]
 }
 
 // New returns a daemon that is started by Run.
@@ -122,6 +126,7 @@
 		HeaderNames: p.HeaderNames, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.requestPool, Balancer: f.balancer,
 		Splitter: fulmarroute.NewSplitter(), RetryBudget: f.retryBudget, Loads: loads,
 		Metrics: metrics, Log: log, Now: time.Now, Clock: fulmarclock.Now, DrainTime: func() time.Duration { return f.currentSettings.Load().DrainTime - drainMargin },
+		LatestEnd: func() time.Time { return f.latestEnd(time.Now()) },
 	})
 	f.server = fulmarhttpserver.New(relay, f.limits, log)
 	return f, nil
@@ -210,6 +215,7 @@
 func (f *Daemon) shutdown(resign context.CancelFunc) {
 	began := time.Now()
 	f.log.Info("shutdown started", "busy", f.server.InFlight(), "connections", f.server.Connections())
+	f.shutdownBegan.Store(&began)
 	close(f.shutdownStarted)
 	f.server.Drain()
 	resign()
@@ -231,6 +237,15 @@
 	f.log.Info("shutdown finished", "busy", f.server.InFlight(), "connections", f.server.Connections(), "took", time.Since(began))
 }
 
+// latestEnd returns the time by which requests that arrive at now must have ended, zero for no limit.
+func (f *Daemon) latestEnd(now time.Time) time.Time {
+	began := f.shutdownBegan.Load()
+	if began == nil || now.Sub(*began) < acceptTime {
+		return time.Time{}
+	}
+	return began.Add(f.currentSettings.Load().GracePeriod - answerReserve)
+}
+
 // sweep regularly closes expired idle connections and drops the data of targets that left the catalog.
 func (f *Daemon) sweep(ctx context.Context) {
 	recent := fulmarretention.New(time.Now(), targetRetention)
