Report a change as ambiguous if the caller's time ends while another daemon makes it

Cause: found in the review of the hedged calls. forward selects between the result of a call and the end of its context; for a call that must not be repeated, the end of the context could win, and the call was reported as surely without effect although it was under way.

Change: only repeatable calls end with the context; others end with the result of the call, which has the same context.

Test: TestCommitInterrupted failed without the line.

--- a/internal/fulmarkvforwarder/store.go
+++ b/internal/fulmarkvforwarder/store.go
@@ -259,6 +259,10 @@
 	}
 	last := result{err: errors.Wrap(fulmarkv.ErrUnavailable, "fulmarkvforwarder: no other daemon could be called")}
 	candidates := s.candidates()
+	ended := ctx.Done()
+	if !repeatable {
+		ended = nil // the call ends with ctx, and only its own result tells whether it may have had an effect
+	}
 	hedgeDelay := forwardHedgeDelay
 	if c.Scan != nil {
 		hedgeDelay = scanHedgeDelay
@@ -292,7 +296,7 @@
 				return last
 			}
 		case <-hedge:
-		case <-ctx.Done():
+		case <-ended:
 		}
 	}
 	s.recordForwardFailure()
--- a/internal/fulmarkvforwarder/store_test.go
+++ b/internal/fulmarkvforwarder/store_test.go
@@ -261,3 +261,18 @@
 		})
 	}
 }
+
+// Guards against a change that is reported to have had no effect because the caller's time ended while another daemon was
+// making it.
+func TestCommitInterrupted(t *testing.T) {
+	runInVirtualTime(t, "caller's time ends first", func(t *testing.T) {
+		for range 50 {
+			f := newFixture(t, "silent")
+			f.direct.SetFault(fulmarmemory.Rejected)
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			_, err := f.store.Commit(ctx, fulmarkv.Txn{Writes: []fulmarkv.Write{{Key: "k", Value: []byte("v")}}})
+			cancel()
+			f.Expect(err).To(MatchError(fulmarkv.ErrAmbiguous))
+		}
+	})
+}
