Recognise a late copy of a release's answer also after a grant

Cause: found in the review. An answer without handover data, as each grant has it, erased the value that was last seen on the connection, so that a copy of an earlier release's answer counted as that of the next release.

Change: only an answer that has the value replaces it, as the contract of TokenHeader says.

Test: the case with a grant between two releases failed before.

--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -316,11 +316,12 @@
 		return false
 	}
 	token := resp.Header.Get(r.TokenHeader)
-	if token != "" && token == c.lastToken {
-		return true
+	if token == "" {
+		return false
 	}
+	repeated := token == c.lastToken
 	c.lastToken = token
-	return false
+	return repeated
 }
 
 // exchange writes the request and reads the head of the answer and the body up to the body limit. keep reports whether
