Share a listener of the forwarder's tests and the end of a shutdown

Found in the review. The loop that accepts connections stood three times in the tests of fulmarforwarder; listen serves all of them. The moment at which a stopping daemon answers its requests was derived twice; interruptTime has it. Behaviour and assertions are the same.

--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -57,12 +57,19 @@
 }
 
 func newTarget(t *testing.T, id string, script ...string) *target {
+	t.Helper()
+	s := &target{id: id, script: script}
+	s.listener = listen(t, s.serve)
+	return s
+}
+
+// listen accepts connections until the test ends, and hands each to serve in a goroutine of its own.
+func listen(t *testing.T, serve func(net.Conn)) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &target{id: id, listener: l, script: script}
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -70,10 +77,10 @@
 			if err != nil {
 				return
 			}
-			go s.serve(c)
+			go serve(c)
 		}
 	}()
-	return s
+	return l
 }
 
 func (s *target) serve(c net.Conn) {
@@ -528,19 +535,10 @@
 // connections. They have not run, so their callers may try again.
 func TestOwnerWithoutRoom(t *testing.T) {
 	g := NewWithT(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_ = c.(*net.TCPConn).SetLinger(0) // fails only on a closed connection
-			c.Close()
-		}
-	}()
+	l := listen(t, func(c net.Conn) {
+		_ = c.(*net.TCPConn).SetLinger(0) // fails only on a closed connection
+		c.Close()
+	})
 	f := startWithMargin(t, 2*time.Second, false, &target{id: "x", listener: l})
 	f.forwarder.Serve(t.Context(), request(t, "/k/1", "", "Key", "7")) // the daemon does not know of the limit yet
 	for range 5 {
--- a/internal/fulmarforwarder/stream_test.go
+++ b/internal/fulmarforwarder/stream_test.go
@@ -26,34 +26,20 @@
 // largeTarget answers each request with the head, and then hands the connection to send.
 func largeTarget(t *testing.T, id, head string, send func(net.Conn)) *target {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
+	return &target{id: id, listener: listen(t, func(c net.Conn) {
+		defer c.Close()
+		r := bufio.NewReader(c)
 		for {
-			c, err := l.Accept()
+			req, err := http.ReadRequest(r)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					if _, err := io.WriteString(c, strings.ReplaceAll(head, "ID", req.Header.Get("Id"))); err != nil {
-						return
-					}
-					send(c)
-				}
-			}()
+			if _, err := io.WriteString(c, strings.ReplaceAll(head, "ID", req.Header.Get("Id"))); err != nil {
+				return
+			}
+			send(c)
 		}
-	}()
-	return &target{id: id, listener: l}
+	})}
 }
 
 func largeHead(length string) string {
--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -221,7 +221,7 @@
 	resign()
 	interrupted := false
 	for time.Since(began) < f.currentSettings.Load().GracePeriod-exitReserve {
-		if !interrupted && time.Since(began) >= f.currentSettings.Load().GracePeriod-answerReserve {
+		if !interrupted && !time.Now().Before(f.interruptTime(began)) {
 			interrupted = true
 			f.log.Warn("grace period ends, answering the requests in flight", "busy", f.server.InFlight())
 			f.server.Interrupt()
@@ -243,6 +243,11 @@
 	if began == nil || now.Sub(*began) < acceptTime {
 		return time.Time{}
 	}
+	return f.interruptTime(*began)
+}
+
+// interruptTime returns when a shutdown that began at the given time answers the requests that are still in flight.
+func (f *Daemon) interruptTime(began time.Time) time.Time {
 	return began.Add(f.currentSettings.Load().GracePeriod - answerReserve)
 }
 
