--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -195,7 +195,7 @@
 		x.tried = make(map[string]bool, 2)
 	}
 	x.tried[t.ID] = true
-	started := d.Now()
+	started, sentAt := d.Now(), d.Clock()
 	left := time.Until(x.deadline).Milliseconds()
 	if left <= 0 {
 		return nil, unsent
@@ -225,6 +225,7 @@
 		}
 		return nil, broken
 	}
+	x.recordLimit(t.ID, a.Header, sentAt)
 	now := d.Now()
 	if load, ok := parseLoad(a.Header.Get(d.HeaderNames.Load)); ok {
 		d.Balancer.RecordLoad(now, t.ID, load)
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarallowance"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarbalancer"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
 
@@ -44,6 +45,7 @@
 	Views       *fulmarview.Holder
 	Pool        *fulmarlink.Pool
 	Balancer    *fulmarbalancer.Balancer
+	Limits      *fulmarlimit.Board // limits that targets have stated
 	Splitter    *fulmarroute.Splitter
 	RetryBudget *fulmarallowance.RetryBudget
 	Loads       Loads
@@ -204,6 +206,9 @@
 		"status", a.Status, "reason", string(x.reason), "bytes", x.bytes, "ms", took.Milliseconds(), "config", version,
 		"age", d.Clock().Sub(x.view.AsOf).Milliseconds(),
 	}
+	if rate, ok := d.Limits.Rate(x.target); ok {
+		fields = append(fields, "limit", rate)
+	}
 	if x.lastError != nil {
 		fields = append(fields, "cause", x.lastError)
 	}
--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -25,13 +25,14 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarallowance"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarbalancer"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
 
 var names = fulmarforwarder.HeaderNames{
 	RequestID: "Id", Deadline: "Left", Signature: "Sign", ExpectedTarget: "Target", Load: "Load", NotRun: "Not-Run", Key: "Key",
-	RetryAfter: "Retry-After",
+	RetryAfter: "Retry-After", Limit: "Limit",
 }
 
 // Answers of a test target; ordinary stands for a complete answer to the request.
@@ -209,7 +210,7 @@
 		return fulmarforwarder.New(d)
 	}
 	f.deps = fulmarforwarder.Deps{
-		HeaderNames: names, ID: "d", DC: "a", Views: f.views, Pool: pool, Balancer: fulmarbalancer.New(1, rand.NewPCG(1, 2)),
+		HeaderNames: names, ID: "d", DC: "a", Views: f.views, Pool: pool, Balancer: fulmarbalancer.New(1, rand.NewPCG(1, 2)), Limits: fulmarlimit.New(),
 		Splitter: fulmarroute.NewSplitter(), RetryBudget: fulmarallowance.New(f.rule), Loads: noLoads{}, Metrics: noMetrics{},
 		Log: slog.New(slog.DiscardHandler), Now: time.Now, Clock: time.Now, DrainTime: func() time.Duration { return time.Second },
 	}
@@ -447,7 +448,7 @@
 	f := start(t, true, newTarget(t, "x"))
 	expectStatus(g, f.forwarder.Serve(t.Context(), request(t, "/other", "")), 404)
 	none := fulmarforwarder.New(fulmarforwarder.Deps{
-		HeaderNames: names, Views: fulmarview.New(), Metrics: noMetrics{}, Log: slog.New(slog.DiscardHandler), Now: time.Now, Clock: time.Now,
+		HeaderNames: names, Views: fulmarview.New(), Limits: fulmarlimit.New(), Metrics: noMetrics{}, Log: slog.New(slog.DiscardHandler), Now: time.Now, Clock: time.Now,
 	})
 	expectStatus(g, none.Serve(t.Context(), request(t, "/f/1", "")), 503)
 }
@@ -459,7 +460,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
 			f := fulmarforwarder.New(fulmarforwarder.Deps{
-				HeaderNames: names, Views: fulmarview.New(), Metrics: noMetrics{}, Log: slog.New(slog.DiscardHandler), Now: time.Now, Clock: time.Now,
+				HeaderNames: names, Views: fulmarview.New(), Limits: fulmarlimit.New(), Metrics: noMetrics{}, Log: slog.New(slog.DiscardHandler), Now: time.Now, Clock: time.Now,
 			})
 			time.Sleep(time.Minute)
 			began := time.Now()
--- /dev/null
+++ b/internal/fulmarforwarder/limit.go
@@ -0,0 +1,34 @@
+package fulmarforwarder
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
+)
+
+// recordLimit records what an answer of a target states about the target's limit. A target states the end of a limit
+// only in answers that it has signed: those of a target that rejects requests need not state the limit.
+func (x *exchange) recordLimit(target string, answer http.Header, sentAt time.Time) {
+	d := &x.forwarder.deps
+	s := fulmarlimit.Statement{Target: target, SentAt: sentAt, ReceivedAt: d.Clock()}
+	text := answer.Get(d.HeaderNames.Limit)
+	if text == "" && answer.Get(d.HeaderNames.Signature) == "" {
+		return
+	}
+	if text != "" {
+		rate, err := strconv.ParseFloat(text, 64)
+		if err != nil || rate < 0 || math.IsInf(rate, 0) || math.IsNaN(rate) {
+			d.Metrics.Count("relay.limit_malformed")
+			d.Log.Warn("target states a malformed limit", "target", target, "value", text)
+			return
+		}
+		s.Limited, s.Rate = true, rate
+	}
+	if d.Limits.Record(s) {
+		d.Metrics.Count("relay.limit_changed")
+		d.Log.Info("limit of target changed", "target", target, "limited", s.Limited, "rate", s.Rate, "source", "answer")
+	}
+}
--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarallowance"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarbalancer"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
 
@@ -89,6 +90,7 @@
 	store           *replaceableStore
 	forwardedStore  *fulmarkvforwarder.Store
 	balancer        *fulmarbalancer.Balancer
+	targetLimits    *fulmarlimit.Board // limits that targets have stated
 	retryBudget     *fulmarallowance.RetryBudget
 	follower        *fulmarfollower.Follower
 	server          *fulmarhttpserver.Server
@@ -107,7 +109,7 @@
 	}
 	f := &Daemon{
 		settings: s, platform: p, log: log, metrics: metrics, views: fulmarview.New(),
-		requestPool: fulmarlink.New(link), orderPool: fulmarlink.New(link), shutdownStarted: make(chan struct{}),
+		requestPool: fulmarlink.New(link), orderPool: fulmarlink.New(link), shutdownStarted: make(chan struct{}), targetLimits: fulmarlimit.New(),
 		store: newReplaceableStore(p.NewStore(s.Store, storeClient())), retryBudget: fulmarallowance.New(s.RetryRule),
 	}
 	f.currentSettings.Store(&s)
@@ -123,7 +125,7 @@
 		return fulmarleaderrpc.Dial(ctx, address)
 	})
 	relay := fulmarforwarder.New(fulmarforwarder.Deps{
-		HeaderNames: p.HeaderNames, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.requestPool, Balancer: f.balancer,
+		HeaderNames: p.HeaderNames, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.requestPool, Balancer: f.balancer, Limits: f.targetLimits,
 		Splitter: fulmarroute.NewSplitter(), RetryBudget: f.retryBudget, Loads: loads,
 		Metrics: metrics, Log: log, Now: time.Now, Clock: fulmarclock.Now, DrainTime: func() time.Duration { return f.currentSettings.Load().DrainTime - drainMargin },
 		LatestEnd: func() time.Time { return f.latestEnd(time.Now()) },
@@ -262,6 +264,7 @@
 			f.requestPool.CloseExpired(now)
 			if c := f.views.Get().Catalog; c != nil && recent.Advance(now, c) {
 				f.balancer.Retain(recent.Has)
+				f.targetLimits.Retain(recent.Has)
 			}
 		case <-ctx.Done():
 			return
--- /dev/null
+++ b/pkg/fulmarlimit/board.go
@@ -0,0 +1,96 @@
+package fulmarlimit
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Statement is what a target stated about its limit in one answer.
+type Statement struct {
+	Target     string
+	Limited    bool
+	Rate       float64   // requests per second, if Limited
+	SentAt     time.Time // when the answered request was sent
+	ReceivedAt time.Time // when the answer was received
+}
+
+// sameLimit reports whether both statements state the same limit, or none.
+func (s Statement) sameLimit(o Statement) bool {
+	return s.Limited == o.Limited && (!s.Limited || s.Rate == o.Rate)
+}
+
+// supersedes reports whether s is known to have been made after old. A statement without a limit may have been made
+// before any answer that was received after its request had been sent; a limit must not end by mistake.
+func (s Statement) supersedes(old Statement) bool {
+	if !s.Limited && old.Limited {
+		return !s.SentAt.Before(old.ReceivedAt)
+	}
+	return s.ReceivedAt.After(old.ReceivedAt)
+}
+
+// Board holds the latest statement of each target that has stated a limit; it is safe for concurrent use.
+type Board struct {
+	mu         sync.Mutex
+	statements map[string]Statement
+	version    int64
+}
+
+// New returns a board without statements.
+func New() *Board { return &Board{statements: make(map[string]Statement)} }
+
+// Record takes a statement into account and reports whether the limit of its target has changed.
+func (b *Board) Record(s Statement) (changed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old, known := b.statements[s.Target]
+	if !known && !s.Limited || known && !s.supersedes(old) {
+		return false
+	}
+	b.statements[s.Target] = s
+	if known && s.sameLimit(old) {
+		return false
+	}
+	b.version++
+	return true
+}
+
+// Rate returns the limit of a target in requests per second; ok is false if it has none.
+func (b *Board) Rate(target string) (rate float64, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.statements[target]
+	return s.Rate, s.Limited
+}
+
+// Statements returns the latest statements, sorted by target, and the version that they belong to. They include those
+// that ended a limit, so that an older statement of a limit is recognised.
+func (b *Board) Statements() ([]Statement, int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.SortedFunc(maps.Values(b.statements), func(x, y Statement) int { return cmp.Compare(x.Target, y.Target) }), b.version
+}
+
+// Version returns the number of changes of a limit so far.
+func (b *Board) Version() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.version
+}
+
+// Retain drops the statements of targets for which keep returns false.
+func (b *Board) Retain(keep func(target string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for target, s := range b.statements {
+		if keep(target) {
+			continue
+		}
+		delete(b.statements, target)
+		if s.Limited {
+			b.version++
+		}
+	}
+}
