--- a/internal/fulmarlink/pool_test.go
+++ b/internal/fulmarlink/pool_test.go
@@ -394,6 +394,7 @@
 		busy := make(chan struct{})
 		address := limitedTarget(t, 1, func(c net.Conn) {
 			defer c.Close()
+			_, _ = c.Read(make([]byte, 1)) // the request may still be unsent when the connection is accepted
 			close(busy)
 			_, _ = io.Copy(io.Discard, c)
 		})
