--- a/cmd/fulmarlab/soak.go
+++ b/cmd/fulmarlab/soak.go
@@ -27,6 +27,7 @@
 			&cli.IntFlag{Name: "seeds", Usage: "number of seeds", Value: 50},
 			&cli.IntFlag{Name: "daemons", Usage: "daemon processes per run", Value: 5},
 			&cli.IntFlag{Name: "jobs", Usage: "concurrent runs", Value: 2},
+			&cli.StringSliceFlag{Name: "fault", Usage: "inject only faults of this `KIND`; may be repeated"},
 			&cli.DurationFlag{Name: "length", Usage: "duration of the faults in a run", Value: 20 * time.Second},
 		},
 		Action: runSoak,
@@ -47,6 +48,7 @@
 			}
 			r, err := fulmarsoak.Run(ctx, fulmarsoak.Options{
 				Program: cmd.String("program"), Dir: folder, Seed: seed, Daemons: cmd.Int("daemons"), FaultDuration: cmd.Duration("length"),
+				Faults: cmd.StringSlice("fault"),
 			})
 			if err != nil {
 				return errors.Wrapf(err, "fulmarlab: seed %d", seed)
--- /dev/null
+++ b/internal/fulmaradmission/gate.go
@@ -0,0 +1,227 @@
+package fulmaradmission
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrotation"
+)
+
+const (
+	// maxPending bounds the requests that wait for an answer of the leader.
+	maxPending = 512
+	// callTimeout bounds a call of the leader; an answer takes some milliseconds.
+	callTimeout = 150 * time.Millisecond
+	// failureBackoff is the time after a failed call in which the leader is not asked again, so that requests do not wait
+	// for a leader that does not answer.
+	failureBackoff = 250 * time.Millisecond
+	// raisedRate is the ratio of limits from which the leader is asked again before the time that it has said.
+	raisedRate = 1.1
+	// pausePerDaemon is the pause after a call for each daemon of the fleet. It bounds the calls that the leader gets.
+	pausePerDaemon = 100 * time.Microsecond
+)
+
+// Leader dispenses permits.
+type Leader interface {
+	// AskPermits returns a permit for each one that r asks for.
+	AskPermits(ctx context.Context, r *fulmarleaderrpc.PermitRequest) (*fulmarleaderrpc.PermitAnswer, error)
+}
+
+// Metrics counts events.
+type Metrics interface {
+	Count(name string)
+}
+
+// Deps holds the dependencies of a Gate.
+type Deps struct {
+	Limits   *fulmarlimit.Board
+	Leader   Leader
+	Rotation *fulmarrotation.Rotation
+	Daemons  func() int // number of daemons of the fleet
+	Metrics  Metrics
+	Log      *slog.Logger
+	Now      func() time.Time // the clock of the board
+}
+
+// pending is a request that waits for a permit.
+type pending struct {
+	ask    fulmarleaderrpc.PermitAsk
+	answer chan fulmarleaderrpc.Permit // has room for the answer
+}
+
+// refusal is the latest refusal of the leader for a target.
+type refusal struct {
+	rate  float64   // limit of the target at that time
+	until time.Time // no permit becomes available earlier
+}
+
+// Gate admits requests; it is safe for concurrent use.
+type Gate struct {
+	deps    Deps
+	pending chan pending
+
+	mu         sync.Mutex
+	refusals   map[string]refusal // by target
+	retryAfter time.Time          // the leader is not asked before
+}
+
+// New returns a gate. Requests are admitted while Run runs.
+func New(d Deps) *Gate {
+	return &Gate{deps: d, pending: make(chan pending, maxPending), refusals: make(map[string]refusal)}
+}
+
+// Admit waits for a permit to send a request to target and reports whether it may be sent now. It waits at most about
+// maxWait. Otherwise, retryAfter is the time in which no permit becomes available, zero if that is not known.
+func (g *Gate) Admit(ctx context.Context, target string, maxWait time.Duration) (retryAfter time.Duration, ok bool) {
+	rate, limited := g.deps.Limits.Rate(target)
+	if !limited {
+		return 0, true
+	}
+	now := g.deps.Now()
+	if left, leaderless := g.known(now, target, rate); left > maxWait {
+		return left, false
+	} else if leaderless {
+		return 0, g.takeTurn(now, target)
+	}
+	p := pending{fulmarleaderrpc.PermitAsk{Target: target, MaxWait: maxWait}, make(chan fulmarleaderrpc.Permit, 1)}
+	select {
+	case g.pending <- p:
+	default:
+		g.deps.Metrics.Count("relay.permit_overflow")
+		return 0, false
+	}
+	select {
+	case permit := <-p.answer:
+		if !permit.Granted {
+			return permit.Wait, false
+		}
+		return 0, permit.Wait <= 0 || fulmarclock.Sleep(ctx, permit.Wait)
+	case <-ctx.Done():
+		return 0, false
+	}
+}
+
+// known returns the time in which the leader has no permit for target, as far as it has said, and whether it does not
+// answer.
+func (g *Gate) known(now time.Time, target string, rate float64) (left time.Duration, leaderless bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r, ok := g.refusals[target]; ok && rate <= r.rate*raisedRate {
+		left = r.until.Sub(now)
+	}
+	return left, now.Before(g.retryAfter)
+}
+
+// takeTurn reports whether the daemon may send a request to target without a leader.
+func (g *Gate) takeTurn(now time.Time, target string) bool {
+	rate, limited := g.deps.Limits.Rate(target)
+	if !limited {
+		return true
+	}
+	ok := g.deps.Rotation.Take(now, target, rate, g.deps.Daemons())
+	if ok {
+		g.deps.Metrics.Count("relay.permit_turn")
+	}
+	return ok
+}
+
+// Run asks the leader for permits until ctx ends.
+func (g *Gate) Run(ctx context.Context) {
+	for {
+		select {
+		case first := <-g.pending:
+			g.ask(ctx, g.collect(first))
+		case <-ctx.Done():
+			return
+		}
+		if !fulmarclock.Sleep(ctx, time.Duration(g.deps.Daemons())*pausePerDaemon) {
+			return
+		}
+	}
+}
+
+// collect returns all requests that wait now.
+func (g *Gate) collect(first pending) []pending {
+	list := []pending{first}
+	for {
+		select {
+		case p := <-g.pending:
+			list = append(list, p)
+		default:
+			return list
+		}
+	}
+}
+
+// ask asks the leader for permits and hands them out.
+func (g *Gate) ask(ctx context.Context, list []pending) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	answer, err := g.deps.Leader.AskPermits(ctx, g.request(list))
+	cancel()
+	if err == nil && len(answer.Permits) != len(list) {
+		err = errors.Errorf("fulmaradmission: %d permits for %d requests", len(answer.Permits), len(list))
+	}
+	now := g.deps.Now()
+	if err != nil {
+		g.deps.Metrics.Count("relay.permit_failed")
+		g.deps.Log.Info("permits not received from leader", "requests", len(list), "error", err)
+		g.mu.Lock()
+		g.retryAfter = now.Add(failureBackoff)
+		g.mu.Unlock()
+		for _, p := range list {
+			p.answer <- fulmarleaderrpc.Permit{Granted: g.takeTurn(now, p.ask.Target)}
+		}
+		return
+	}
+	for i, permit := range answer.Permits {
+		if !permit.Granted {
+			g.recordRefusal(now, list[i].ask.Target, permit.Wait)
+		}
+		list[i].answer <- permit
+	}
+}
+
+// request returns the message that asks for the permits.
+func (g *Gate) request(list []pending) *fulmarleaderrpc.PermitRequest {
+	r := &fulmarleaderrpc.PermitRequest{Permits: make([]fulmarleaderrpc.PermitAsk, 0, len(list))}
+	asked := make(map[string]bool, len(list))
+	for _, p := range list {
+		r.Permits = append(r.Permits, p.ask)
+		asked[p.ask.Target] = true
+	}
+	now := g.deps.Now()
+	statements, _ := g.deps.Limits.Statements()
+	for _, s := range statements {
+		if asked[s.Target] {
+			r.Limits = append(r.Limits, fulmarleaderrpc.PackLimit(now, s))
+		}
+	}
+	return r
+}
+
+// recordRefusal records that no permit for target becomes available before wait has passed.
+func (g *Gate) recordRefusal(now time.Time, target string, wait time.Duration) {
+	rate, _ := g.deps.Limits.Rate(target)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refusals[target] = refusal{rate, now.Add(wait)}
+}
+
+// Retain drops the state of targets for which keep returns false.
+func (g *Gate) Retain(keep func(target string) bool) {
+	g.deps.Rotation.Retain(keep)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for target := range g.refusals {
+		if !keep(target) {
+			delete(g.refusals, target)
+		}
+	}
+}
--- a/internal/fulmarfollower/follower.go
+++ b/internal/fulmarfollower/follower.go
@@ -54,6 +54,7 @@
 // Leader is a connection to the leader.
 type Leader interface {
 	Sync(ctx context.Context, r *fulmarleaderrpc.Report) (*fulmarleaderrpc.Update, error)
+	Permits(ctx context.Context, r *fulmarleaderrpc.PermitRequest) (*fulmarleaderrpc.PermitAnswer, error)
 	Close()
 }
 
@@ -77,9 +78,12 @@
 
 	inquiries errgroup.Group // to former leaders
 
-	mu         sync.Mutex
-	term       *fulmarleader.Term
-	grantLapse map[int64]time.Time // by term: when all of its grants have lapsed
+	permits permitLink
+
+	mu            sync.Mutex
+	term          *fulmarleader.Term
+	leaderAddress string              // of the leader that this daemon follows, empty for none
+	grantLapse    map[int64]time.Time // by term: when all of its grants have lapsed
 }
 
 // New returns a follower.
@@ -263,6 +267,12 @@
 		return false
 	}
 	defer leader.Close()
+	f.setLeaderAddress(address)
+	defer func() {
+		if ctx.Err() == nil { // a daemon that stops still needs permits for its last requests
+			f.setLeaderAddress("")
+		}
+	}()
 	f.log.Info("following leader", "address", address)
 	received := &leaderState{}
 	if routes := f.views.Get().Routes; routes != nil {
@@ -273,7 +283,7 @@
 	for ctx.Err() == nil {
 		began := f.deps.Now()
 		callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
-		u, err := leader.Sync(callCtx, f.report(received.versions))
+		u, err := leader.Sync(callCtx, f.reportTo(received))
 		timedOut = callCtx.Err() != nil
 		cancel()
 		if err != nil {
@@ -297,6 +307,7 @@
 			f.log.Error("configuration from leader is invalid", "error", err)
 			return false
 		}
+		f.recordLimits(u.Limits)
 		if !asOf.Before(lastRead) {
 			f.updateView(received, u, asOf)
 		}
@@ -312,6 +323,7 @@
 	owners   map[string]fulmarview.Spans
 	// contacts are addresses of some other daemons.
 	contacts []string
+	limits   map[string]fulmarleaderrpc.TargetLimit // by target, as the leader has sent them
 }
 
 // apply merges an update that was received at now.
@@ -347,6 +359,12 @@
 	if len(u.Contacts) > 0 {
 		s.contacts = u.Contacts
 	}
+	if u.Versions.Limits != s.versions.Limits || u.Versions.Term != s.versions.Term {
+		s.limits = make(map[string]fulmarleaderrpc.TargetLimit, len(u.Limits))
+		for _, l := range u.Limits {
+			s.limits[l.Target] = l
+		}
+	}
 	s.versions = u.Versions
 	return nil
 }
--- a/internal/fulmarfollower/follower_test.go
+++ b/internal/fulmarfollower/follower_test.go
@@ -22,6 +22,7 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarorder"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
@@ -154,7 +155,7 @@
 	}
 	d := fulmarfollower.New(fulmarleader.Deps{
 		ID: id, Address: id, Store: store, Registry: registry, Orders: orders, Views: views,
-		MaxGrantDuration: 10 * time.Second, CPUShare: cpuShare, Log: slog.New(slog.DiscardHandler), Now: time.Now, StoreForwarded: forwarded,
+		MaxGrantDuration: 10 * time.Second, CPUShare: cpuShare, Log: slog.New(slog.DiscardHandler), Now: time.Now, Limits: fulmarlimit.New(), StoreForwarded: forwarded,
 	}, noLoad{}, f.dial)
 	f.setLeader(id, inProcessLeader{d, &f.configs})
 	go d.Run(ctx)
@@ -181,8 +182,16 @@
 	})
 }
 
+// noPermits dispenses no permits.
+type noPermits struct{}
+
+func (noPermits) Permits(context.Context, *fulmarleaderrpc.PermitRequest) (*fulmarleaderrpc.PermitAnswer, error) {
+	return nil, fulmarleaderrpc.ErrNotLeader
+}
+
 // staleLeader is a leader that answers reports but has not read the store since lastRead.
 type staleLeader struct {
+	noPermits
 	lastRead time.Time
 	targets  []fulmarcatalog.Target
 	config   fulmarroute.Config
@@ -277,7 +286,7 @@
 }
 
 // unresponsiveLeader is a leader that accepts reports and never answers.
-type unresponsiveLeader struct{}
+type unresponsiveLeader struct{ noPermits }
 
 func (unresponsiveLeader) Sync(ctx context.Context, _ *fulmarleaderrpc.Report) (*fulmarleaderrpc.Update, error) {
 	<-ctx.Done()
--- /dev/null
+++ b/internal/fulmarfollower/permit.go
@@ -0,0 +1,100 @@
+package fulmarfollower
+
+import (
+	"context"
+	"sync"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
+)
+
+// permitLink is the connection over which permits are asked for. It is not the one for reports, on which a call waits
+// for changes.
+type permitLink struct {
+	mu      sync.Mutex
+	address string
+	leader  Leader
+}
+
+// setLeaderAddress sets the address of the leader that this daemon follows, or an empty one if it follows none.
+func (f *Follower) setLeaderAddress(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaderAddress = address
+}
+
+// Permits dispenses permits if this daemon leads; see fulmarleaderrpc.Handler.
+func (f *Follower) Permits(_ context.Context, r *fulmarleaderrpc.PermitRequest) (*fulmarleaderrpc.PermitAnswer, error) {
+	f.mu.Lock()
+	term := f.term
+	f.mu.Unlock()
+	if term == nil {
+		return nil, fulmarleaderrpc.ErrNotLeader
+	}
+	return term.Permits(r)
+}
+
+// AskPermits asks the leader, which may be this daemon, for permits.
+func (f *Follower) AskPermits(ctx context.Context, r *fulmarleaderrpc.PermitRequest) (*fulmarleaderrpc.PermitAnswer, error) {
+	f.mu.Lock()
+	term, address := f.term, f.leaderAddress
+	f.mu.Unlock()
+	if term != nil {
+		return term.Permits(r)
+	}
+	return f.permits.ask(ctx, f.dial, address, r)
+}
+
+// ask sends r to the leader at address, over the connection of the last call if it was to the same address.
+func (l *permitLink) ask(ctx context.Context, dial Dial, address string, r *fulmarleaderrpc.PermitRequest) (*fulmarleaderrpc.PermitAnswer, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.address != address {
+		l.close()
+	}
+	if address == "" {
+		return nil, fulmarleaderrpc.ErrNotLeader
+	}
+	if l.leader == nil {
+		leader, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		l.address, l.leader = address, leader
+	}
+	answer, err := l.leader.Permits(ctx, r)
+	if err != nil {
+		l.close()
+	}
+	return answer, err
+}
+
+// close closes the connection, if there is one. The caller holds mu.
+func (l *permitLink) close() {
+	if l.leader != nil {
+		l.leader.Close()
+	}
+	l.address, l.leader = "", nil
+}
+
+// reportTo returns a report to the leader from which this daemon has received s.
+func (f *Follower) reportTo(s *leaderState) *fulmarleaderrpc.Report {
+	r := f.report(s.versions)
+	now := f.deps.Now()
+	statements, _ := f.deps.Limits.Statements()
+	for _, own := range statements {
+		if !own.SameLimit(s.limits[own.Target].Unpack(now)) {
+			r.Limits = append(r.Limits, fulmarleaderrpc.PackLimit(now, own))
+		}
+	}
+	return r
+}
+
+// recordLimits records the limits that the leader has sent.
+func (f *Follower) recordLimits(limits []fulmarleaderrpc.TargetLimit) {
+	now := f.deps.Now()
+	for _, l := range limits {
+		if f.deps.Limits.Record(l.Unpack(now)) {
+			f.log.Info("limit of target changed", "target", l.Target, "limited", l.Limited, "rate", l.Rate, "source", "leader")
+		}
+	}
+}
--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -25,6 +25,8 @@
 	maxInFlightPerTarget = 4
 	// idleConnectionShare is the share of a target's connection limit that all daemons together may keep idle.
 	idleConnectionShare = 0.7
+	// permitWaitDivisor is the part of the latency objective that a request waits for a permit at the owner of its key.
+	permitWaitDivisor = 3
 	// maxDialFailures limits the targets that cannot be reached before a request is refused.
 	maxDialFailures = 3
 )
@@ -127,18 +129,32 @@
 	if x.key >= 0 {
 		return x.awaitOwner(ctx)
 	}
+	for {
+		t, reason := x.chooseByLoad()
+		if reason != "" || x.admit(ctx, t.ID, 0) {
+			return t, reason
+		}
+	}
+}
+
+// chooseByLoad returns the cheapest target below its limit of requests in flight and counts the request as in flight
+// there.
+func (x *exchange) chooseByLoad() (fulmarcatalog.Target, Reason) {
 	d := &x.forwarder.deps
 	now, clock := d.Now(), d.Clock()
 	targets := x.forwarder.preferences.targets(x.view.Catalog, x.service.Name)
 	usable := make([]fulmarcatalog.Target, 0, len(targets))
 	candidates := make([]fulmarbalancer.Candidate, 0, len(targets))
 	for _, t := range targets {
-		if t.Leaving || x.tried[t.ID] {
+		if t.Leaving || x.tried[t.ID] || x.overLimit[t.ID] {
 			continue
 		}
 		usable = append(usable, t)
 		candidates = append(candidates, fulmarbalancer.Candidate{ID: t.ID, Slots: t.Slots, Remote: t.DC != d.DC, Cold: t.IsWarmingUp(clock)})
 	}
+	if len(usable) == 0 && len(x.overLimit) > 0 {
+		return fulmarcatalog.Target{}, OverLimit
+	}
 	if len(usable) == 0 {
 		return fulmarcatalog.Target{}, NoTarget
 	}
@@ -165,6 +181,9 @@
 				if !d.Balancer.Acquire(t.ID, maxInFlightPerTarget) {
 					return t, NoCapacity
 				}
+				if !x.admit(ctx, t.ID, min(x.route.LatencyObjective/permitWaitDivisor, time.Until(x.deadline)/2)) {
+					return t, OverLimit
+				}
 				return t, ""
 			}
 		}
@@ -225,7 +244,9 @@
 		}
 		return nil, broken
 	}
-	x.recordLimit(t.ID, a.Header, sentAt)
+	if a.Status != http.StatusMisdirectedRequest { // such an answer may be another target's
+		x.recordLimit(t.ID, a.Header, sentAt)
+	}
 	now := d.Now()
 	if load, ok := parseLoad(a.Header.Get(d.HeaderNames.Load)); ok {
 		d.Balancer.RecordLoad(now, t.ID, load)
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -37,6 +37,13 @@
 	Note(service string, key int)
 }
 
+// Gate admits requests to targets that have stated a limit.
+type Gate interface {
+	// Admit waits for up to maxWait until a request to target may be sent, and reports whether it may. Otherwise,
+	// retryAfter is the time in which no request may be sent, zero if that is not known.
+	Admit(ctx context.Context, target string, maxWait time.Duration) (retryAfter time.Duration, ok bool)
+}
+
 // Deps holds the dependencies of a Forwarder.
 type Deps struct {
 	HeaderNames HeaderNames
@@ -46,6 +53,7 @@
 	Pool        *fulmarlink.Pool
 	Balancer    *fulmarbalancer.Balancer
 	Limits      *fulmarlimit.Board // limits that targets have stated
+	Gate        Gate
 	Splitter    *fulmarroute.Splitter
 	RetryBudget *fulmarallowance.RetryBudget
 	Loads       Loads
@@ -104,7 +112,9 @@
 	tried      map[string]bool
 	target     string
 	reason     Reason
-	bytes      int64 // of the answer's body; for a streamed answer those read from the target
+	retryAfter time.Duration   // least time after which a refused request may be admitted, zero if it is not known
+	overLimit  map[string]bool // targets whose limit did not admit the request
+	bytes      int64           // of the answer's body; for a streamed answer those read from the target
 }
 
 // Serve implements fulmarhttpserver.Handler.
--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -154,6 +154,11 @@
 func (noMetrics) Served(string, string, time.Duration) {}
 func (noMetrics) Count(string)                         {}
 
+// openGate admits every request.
+type openGate struct{}
+
+func (openGate) Admit(context.Context, string, time.Duration) (time.Duration, bool) { return 0, true }
+
 type noLoads struct{}
 
 func (noLoads) Note(string, int) {}
@@ -210,7 +215,7 @@
 		return fulmarforwarder.New(d)
 	}
 	f.deps = fulmarforwarder.Deps{
-		HeaderNames: names, ID: "d", DC: "a", Views: f.views, Pool: pool, Balancer: fulmarbalancer.New(1, rand.NewPCG(1, 2)), Limits: fulmarlimit.New(),
+		HeaderNames: names, ID: "d", DC: "a", Views: f.views, Pool: pool, Balancer: fulmarbalancer.New(1, rand.NewPCG(1, 2)), Limits: fulmarlimit.New(), Gate: openGate{},
 		Splitter: fulmarroute.NewSplitter(), RetryBudget: fulmarallowance.New(f.rule), Loads: noLoads{}, Metrics: noMetrics{},
 		Log: slog.New(slog.DiscardHandler), Now: time.Now, Clock: time.Now, DrainTime: func() time.Duration { return time.Second },
 	}
--- a/internal/fulmarforwarder/limit.go
+++ b/internal/fulmarforwarder/limit.go
@@ -1,7 +1,9 @@
 package fulmarforwarder
 
 import (
+	"context"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -32,3 +34,30 @@
 		d.Log.Info("limit of target changed", "target", target, "limited", s.Limited, "rate", s.Rate, "source", "answer")
 	}
 }
+
+// admit reports whether the limit of a target admits the request, at which choose has counted it. If not, the request
+// is no longer counted there.
+func (x *exchange) admit(ctx context.Context, target string, maxWait time.Duration) bool {
+	d := &x.forwarder.deps
+	after, ok := d.Gate.Admit(ctx, target, maxWait)
+	if ok {
+		return true
+	}
+	d.Balancer.Release(target)
+	if x.overLimit == nil {
+		x.overLimit = make(map[string]bool, 1)
+	}
+	if len(x.overLimit) == 0 || after < x.retryAfter {
+		x.retryAfter = after
+	}
+	x.overLimit[target] = true
+	x.target = target
+	return false
+}
+
+// retryAfterLimit returns the Retry-After value of a request that no limit admitted. Callers that were refused for the
+// same target return at different times, as it admits only one of them at a time.
+func (x *exchange) retryAfterLimit() time.Duration {
+	after := max(x.retryAfter, retryAfter)
+	return after + rand.N(after)
+}
--- a/internal/fulmarforwarder/limit_test.go
+++ b/internal/fulmarforwarder/limit_test.go
@@ -1,9 +1,15 @@
 package fulmarforwarder_test
 
 import (
+	"context"
+	"net/http"
+	"strconv"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarforwarder"
 )
 
 // Answers of a target in need.
@@ -11,6 +17,7 @@
 	limitedAnswer   = "HTTP/1.1 200 x\r\nSign: s\r\nId: one\r\nLimit: 4.5\r\nContent-Length: 4\r\n\r\nfrom"
 	malformedLimit  = "HTTP/1.1 200 x\r\nSign: s\r\nId: one\r\nLimit: many\r\nContent-Length: 4\r\n\r\nfrom"
 	limitedNotRun   = "HTTP/1.1 503 x\r\nNot-Run: 1\r\nId: one\r\nLimit: 4.5\r\nContent-Length: 0\r\n\r\n"
+	otherTarget     = "HTTP/1.1 421 x\r\nLimit: 4.5\r\nContent-Length: 0\r\n\r\n"
 	unlimitedNotRun = "HTTP/1.1 503 x\r\nNot-Run: 1\r\nId: one\r\nContent-Length: 0\r\n\r\n"
 )
 
@@ -24,6 +31,7 @@
 		{"none", []string{ordinary, ordinary}, false},
 		{"answer", []string{limitedAnswer, limitedAnswer}, true},
 		{"rejection", []string{limitedNotRun, unlimitedNotRun}, true},
+		{"other target at the address", []string{otherTarget, otherTarget}, false},
 		{"malformed", []string{malformedLimit, malformedLimit}, false},
 		{"end", []string{limitedAnswer, ordinary}, false},
 		{"rejection without a limit", []string{limitedAnswer, unlimitedNotRun}, true},
@@ -43,3 +51,47 @@
 		})
 	}
 }
+
+// closedGate admits no request to the targets that it holds.
+type closedGate map[string]time.Duration
+
+func (c closedGate) Admit(_ context.Context, target string, _ time.Duration) (time.Duration, bool) {
+	after, closed := c[target]
+	return after, !closed
+}
+
+// Guards against requests beyond a target's limit that are sent, refused although another target could serve them, or
+// told to return when the target still admits none.
+func TestOverLimit(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		closed     closedGate
+		status     int
+		sends      int
+	}{
+		{"another target serves it", "/f/1", closedGate{"x": time.Second}, http.StatusOK, 1},
+		{"all targets", "/f/1", closedGate{"x": time.Second, "y": 2 * time.Second}, http.StatusServiceUnavailable, 0},
+		{"owner of the key", "/k/1", closedGate{"owner": time.Second}, http.StatusServiceUnavailable, 0},
+		{"another owner", "/k/1", closedGate{"y": time.Second}, http.StatusOK, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			x, y := newTarget(t, "x"), newTarget(t, "y")
+			f := start(t, false, x, y)
+			deps := f.deps
+			deps.Gate = c.closed
+			forwarder := fulmarforwarder.New(deps)
+			// As many requests as may be in flight at a target show that refused ones do not count.
+			for range 6 {
+				a := forwarder.Serve(t.Context(), request(t, c.path, "", "Key", "7"))
+				expectStatus(g, a, c.status)
+				if c.status == http.StatusServiceUnavailable {
+					after, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+					g.Expect(err).NotTo(HaveOccurred())
+					g.Expect(after).To(BeNumerically(">=", 1))
+				}
+			}
+			g.Expect(sends(x, y)).To(Equal(6 * c.sends))
+		})
+	}
+}
--- a/internal/fulmarforwarder/outcome.go
+++ b/internal/fulmarforwarder/outcome.go
@@ -22,6 +22,7 @@
 	NoOwner         Reason = "no-owner"  // the key has no owner or is being moved
 	NoTarget        Reason = "no-target" // the service has no usable target
 	NoCapacity      Reason = "full"      // all usable targets are at the limit of requests in flight
+	OverLimit       Reason = "limit"     // the target's limit, or those of all usable targets, did not admit the request
 	Rejected        Reason = "rejected"  // targets stated that they did not execute the request
 	Unsent          Reason = "unsent"    // no connection to a target could be used
 	Broken          Reason = "broken"    // sent, but no complete answer received
@@ -38,7 +39,11 @@
 func (x *exchange) refuse(reason Reason) *fulmarhttpserver.Answer {
 	x.reason = reason
 	a := errorAnswer(http.StatusServiceUnavailable, string(reason))
-	a.Header.Set(x.forwarder.deps.HeaderNames.RetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	after := retryAfter
+	if reason == OverLimit {
+		after = x.retryAfterLimit()
+	}
+	a.Header.Set(x.forwarder.deps.HeaderNames.RetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	return a
 }
 
--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmaradmission"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarfollower"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarforwarder"
@@ -30,6 +31,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarbalancer"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrotation"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
 
@@ -91,6 +93,7 @@
 	forwardedStore  *fulmarkvforwarder.Store
 	balancer        *fulmarbalancer.Balancer
 	targetLimits    *fulmarlimit.Board // limits that targets have stated
+	gate            *fulmaradmission.Gate
 	retryBudget     *fulmarallowance.RetryBudget
 	follower        *fulmarfollower.Follower
 	server          *fulmarhttpserver.Server
@@ -120,12 +123,16 @@
 	loads := fulmarkeyload.New(f.balancer)
 	f.follower = fulmarfollower.New(fulmarleader.Deps{
 		ID: s.ID, Address: s.Listen.Peers, Store: f.forwardedStore, Registry: p.Registry,
-		Orders: p.NewOrders(f.orderPool), Views: f.views, MaxGrantDuration: s.MaxGrant, CPUShare: s.CPUShare, Log: log, Now: fulmarclock.Now, StoreForwarded: f.forwardedStore.Forwarding,
+		Orders: p.NewOrders(f.orderPool), Views: f.views, MaxGrantDuration: s.MaxGrant, CPUShare: s.CPUShare, Log: log, Now: fulmarclock.Now, Limits: f.targetLimits, StoreForwarded: f.forwardedStore.Forwarding,
 	}, loads, func(ctx context.Context, address string) (fulmarfollower.Leader, error) {
 		return fulmarleaderrpc.Dial(ctx, address)
 	})
+	f.gate = fulmaradmission.New(fulmaradmission.Deps{
+		Limits: f.targetLimits, Leader: f.follower, Rotation: fulmarrotation.New(s.ID), Daemons: func() int { return f.views.Get().Daemons },
+		Metrics: metrics, Log: log, Now: fulmarclock.Now,
+	})
 	relay := fulmarforwarder.New(fulmarforwarder.Deps{
-		HeaderNames: p.HeaderNames, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.requestPool, Balancer: f.balancer, Limits: f.targetLimits,
+		HeaderNames: p.HeaderNames, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.requestPool, Balancer: f.balancer, Limits: f.targetLimits, Gate: f.gate,
 		Splitter: fulmarroute.NewSplitter(), RetryBudget: f.retryBudget, Loads: loads,
 		Metrics: metrics, Log: log, Now: time.Now, Clock: fulmarclock.Now, DrainTime: func() time.Duration { return f.currentSettings.Load().DrainTime - drainMargin },
 		LatestEnd: func() time.Time { return f.latestEnd(time.Now()) },
@@ -196,6 +203,7 @@
 	group.Go(func() error { return f.server.Serve(base, callers) })
 	group.Go(func() error { return syncServer.Serve(base, peers) })
 	group.Go(func() error { f.follower.Run(lead); return nil })
+	group.Go(func() error { f.gate.Run(base); return nil })
 	group.Go(func() error { return f.serveHTTP(base, f.settings.Listen.Ready, f.readyHandler()) })
 	if f.settings.Listen.Metrics != "" {
 		group.Go(func() error { return f.serveHTTP(base, f.settings.Listen.Metrics, f.metrics.Handler()) })
@@ -265,6 +273,7 @@
 			if c := f.views.Get().Catalog; c != nil && recent.Advance(now, c) {
 				f.balancer.Retain(recent.Has)
 				f.targetLimits.Retain(recent.Has)
+				f.gate.Retain(recent.Has)
 			}
 		case <-ctx.Done():
 			return
--- /dev/null
+++ b/internal/fulmarleader/permit.go
@@ -0,0 +1,65 @@
+package fulmarleader
+
+import (
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarassign"
+)
+
+// Permits dispenses permits for requests to targets with a limit. A term gives none after its lease, so that no other
+// leader dispenses permits at the same time.
+func (t *Term) Permits(r *fulmarleaderrpc.PermitRequest) (*fulmarleaderrpc.PermitAnswer, error) {
+	now := t.deps.Now()
+	if !t.holdsLease(now) {
+		return nil, fulmarleaderrpc.ErrNotLeader
+	}
+	t.recordLimits(now, r.Limits)
+	out := &fulmarleaderrpc.PermitAnswer{Permits: make([]fulmarleaderrpc.Permit, 0, len(r.Permits))}
+	for _, ask := range r.Permits {
+		p := fulmarleaderrpc.Permit{Granted: true}
+		if rate, limited := t.deps.Limits.Rate(ask.Target); limited {
+			p.Wait, p.Granted = t.permits.Take(now, ask.Target, rate, ask.MaxWait)
+		}
+		out.Permits = append(out.Permits, p)
+	}
+	return out, nil
+}
+
+// recordLimits records what another daemon knows of limits and requests the publication of changes.
+func (t *Term) recordLimits(now time.Time, limits []fulmarleaderrpc.TargetLimit) {
+	for _, l := range limits {
+		if t.deps.Limits.Record(l.Unpack(now)) {
+			t.deps.Log.Info("limit of target changed", "target", l.Target, "limited", l.Limited, "rate", l.Rate, "source", "daemon")
+			t.requestPublish()
+		}
+	}
+}
+
+// packLimits returns all statements of limits.
+func (t *Term) packLimits(now time.Time) []fulmarleaderrpc.TargetLimit {
+	statements, _ := t.deps.Limits.Statements()
+	out := make([]fulmarleaderrpc.TargetLimit, 0, len(statements))
+	for _, s := range statements {
+		out = append(out, fulmarleaderrpc.PackLimit(now, s))
+	}
+	return out
+}
+
+// needMemory is the time after the latest statement of a target's limit in which the target gets no keys that others can
+// have. A target whose load has become low may end its limit and state it again once the load is back. One that has lost
+// all of its keys gets no requests, so that nobody would learn of the end of its limit.
+const needMemory = 10 * time.Second
+
+// withLimit returns a target with the capacity that its limit leaves.
+func (t *Term) withLimit(now time.Time, target fulmarassign.Target) fulmarassign.Target {
+	s, ok := t.deps.Limits.Latest(target.Incarnation.ID)
+	if !ok {
+		return target
+	}
+	if s.Limited {
+		target = target.WithLimit(s.Rate)
+	}
+	target.InNeed = now.Sub(s.ReceivedAt) < needMemory
+	return target
+}
--- a/internal/fulmarleader/plan.go
+++ b/internal/fulmarleader/plan.go
@@ -124,9 +124,10 @@
 		if !reachable || target.Leaving && (!unanswered || s.orders.IsAnswering(incarnation)) {
 			continue
 		}
-		out = append(out, fulmarassign.Target{
+		candidate := fulmarassign.Target{
 			Incarnation: incarnation, Slots: target.Slots, ServiceTime: s.responseTimes.Get(now, target.ID), HasUnansweredGrant: unanswered, Leaving: target.Leaving,
-		})
+		}
+		out = append(out, t.withLimit(now, candidate))
 	}
 	return out
 }
--- a/internal/fulmarleader/publish.go
+++ b/internal/fulmarleader/publish.go
@@ -72,6 +72,7 @@
 		next.versions.Owners++
 		t.ownerHistory.add(next.versions.Owners, next.owners)
 	}
+	next.versions.Limits = t.deps.Limits.Version()
 	versionsChanged := next.versions != t.published.versions
 	t.published = next
 	clear(t.cachedUpdates)
@@ -126,6 +127,11 @@
 	if r.ID != t.deps.ID && t.fleet.recordReport(now, r.ID, r.Address, r.CPUShare) {
 		t.requestPublish()
 	}
+	t.recordLimits(now, r.Limits)
+	// The leader also receives answers of targets itself.
+	if t.published.versions.Limits != t.deps.Limits.Version() {
+		t.requestPublish()
+	}
 	for service, counts := range r.Keys {
 		s := t.services[service]
 		if s == nil {
@@ -210,6 +216,9 @@
 	if s.routes != nil && since.Config != s.versions.Config {
 		u.Config = t.packConfig()
 	}
+	if otherTerm || since.Limits != s.versions.Limits {
+		u.Limits = t.packLimits(now)
+	}
 	catalog, hasTargets := t.catalogHistory.get(since.Targets)
 	owners, hasOwners := t.ownerHistory.get(since.Owners)
 	if otherTerm || !hasTargets || !hasOwners {
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -15,7 +15,9 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarassign"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarorder"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
@@ -57,9 +59,10 @@
 	Registry         fulmarsnapshot.Decoder
 	Orders           OrderSender
 	Views            *fulmarview.Holder
-	MaxGrantDuration time.Duration // longest grant that targets accept
-	CPUShare         float64       // usable share of a CPU core of this daemon
-	StoreForwarded   func() bool   // reports whether calls to the store are forwarded through other daemons
+	MaxGrantDuration time.Duration      // longest grant that targets accept
+	CPUShare         float64            // usable share of a CPU core of this daemon
+	Limits           *fulmarlimit.Board // limits that targets have stated
+	StoreForwarded   func() bool        // reports whether calls to the store are forwarded through other daemons
 	// FindGrantLapse returns the time at which all grants of an earlier term have lapsed; ok is false if no daemon
 	// knows it. It may ask the daemon at address, which led in that term.
 	FindGrantLapse func(ctx context.Context, term int64, address string) (latest time.Time, ok bool)
@@ -100,6 +103,7 @@
 	ownerHistory     history[map[string]fulmarview.Spans]
 	publishedChanged chan struct{} // closed when published changes
 	publishRequested chan struct{} // holds a value while there are changes to publish
+	permits          *fulmarpermit.Dispenser
 	cachedUpdates    map[fulmarleaderrpc.Versions]cachedUpdate
 	group            sync.WaitGroup
 }
@@ -123,7 +127,7 @@
 	return &Term{
 		deps: d, reader: reader, lease: acquired, validUntil: acquired.validUntil, lastRenewal: d.Now(), snapshot: s,
 		services: make(map[string]*keyedService), workers: make(map[fulmarrange.Incarnation]*worker),
-		fleet: newFleet(), recentTargets: fulmarretention.New(d.Now(), targetRetention),
+		fleet: newFleet(), recentTargets: fulmarretention.New(d.Now(), targetRetention), permits: fulmarpermit.New(),
 		publishedChanged: make(chan struct{}), publishRequested: make(chan struct{}, 1), cachedUpdates: make(map[fulmarleaderrpc.Versions]cachedUpdate),
 	}, nil
 }
@@ -236,6 +240,7 @@
 	if !t.recentTargets.Advance(now, t.snapshot.Catalog) {
 		return
 	}
+	t.permits.Retain(t.recentTargets.Has)
 	for _, s := range t.services {
 		s.responseTimes.Retain(t.recentTargets.Has)
 		maps.DeleteFunc(s.reachable, func(life fulmarrange.Incarnation, _ bool) bool { return !t.recentTargets.Has(life.ID) })
--- a/internal/fulmarleaderrpc/message.go
+++ b/internal/fulmarleaderrpc/message.go
@@ -14,6 +14,7 @@
 	Config  uint64 `cbor:"config"`
 	Targets int64  `cbor:"targets"`
 	Owners  int64  `cbor:"owners"`
+	Limits  int64  `cbor:"limits,omitempty"`
 }
 
 // KeyCount is the number of requests for a key since the last report.
@@ -43,6 +44,7 @@
 	Versions Versions              `cbor:"have"`
 	Keys     map[string][]KeyCount `cbor:"keys,omitempty"` // by service
 	Targets  []TargetLoad          `cbor:"targets,omitempty"`
+	Limits   []TargetLimit         `cbor:"limits,omitempty"` // those that differ from what the leader has sent
 }
 
 // Update is the leader's answer to a report. It omits the state that the daemon has already.
@@ -60,6 +62,7 @@
 	Targets        []fulmarcatalog.Target      `cbor:"targets,omitempty"` // new or changed
 	RemovedTargets []string                    `cbor:"gone,omitempty"`    // ids
 	Owners         map[string]fulmarview.Spans `cbor:"owners,omitempty"`  // keys with changed routing, by service
+	Limits         []TargetLimit               `cbor:"limits,omitempty"`  // all that are known, if they have changed
 	// Complete states that Targets and Owners are the full state, which replaces that of the daemon.
 	Complete bool `cbor:"all,omitempty"`
 }
--- a/internal/fulmarleaderrpc/transport.go
+++ b/internal/fulmarleaderrpc/transport.go
@@ -22,6 +22,7 @@
 const (
 	rpcSync             = "/fulmarbend.Leader/Sync"
 	rpcForward          = "/fulmarbend.Leader/Forward"
+	rpcPermits          = "/fulmarbend.Leader/Permits"
 	maxMessageSize      = 2 << 20 // bytes
 	dialTimeout         = 300 * time.Millisecond
 	acceptRetryInterval = 10 * time.Millisecond
@@ -34,6 +35,8 @@
 type Handler interface {
 	// Sync answers a report. It may wait for a change.
 	Sync(ctx context.Context, r *Report) (*Update, error)
+	// Permits dispenses permits for requests to targets with a limit.
+	Permits(ctx context.Context, r *PermitRequest) (*PermitAnswer, error)
 	// Forward makes a call to the store on behalf of another daemon.
 	Forward(ctx context.Context, c *StoreCall) (*StoreAnswer, error)
 }
@@ -41,7 +44,7 @@
 // rpcDescription describes the methods to the drpc multiplexer.
 type rpcDescription struct{ codec fulmarwire.Codec }
 
-func (rpcDescription) NumMethods() int { return 2 }
+func (rpcDescription) NumMethods() int { return 3 }
 
 func (d rpcDescription) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
 	switch n {
@@ -49,6 +52,8 @@
 		return rpcSync, d.codec, receiver(Handler.Sync), Handler.Sync, true
 	case 1:
 		return rpcForward, d.codec, receiver(Handler.Forward), Handler.Forward, true
+	case 2:
+		return rpcPermits, d.codec, receiver(Handler.Permits), Handler.Permits, true
 	}
 	return "", nil, nil, nil, false
 }
@@ -143,6 +148,11 @@
 	return call[Update](ctx, c, rpcSync, r)
 }
 
+// Permits asks the leader for permits.
+func (c *Client) Permits(ctx context.Context, r *PermitRequest) (*PermitAnswer, error) {
+	return call[PermitAnswer](ctx, c, rpcPermits, r)
+}
+
 // Forward makes a call to the store through the daemon.
 func (c *Client) Forward(ctx context.Context, s *StoreCall) (*StoreAnswer, error) {
 	return call[StoreAnswer](ctx, c, rpcForward, s)
--- a/pkg/fulmarassign/plan.go
+++ b/pkg/fulmarassign/plan.go
@@ -17,6 +17,10 @@
 	// owner would have to wait until it expires.
 	HasUnansweredGrant bool
 	Leaving            bool // the target receives no more keys
+	// InNeed keeps keys away from a target while others can receive them. If its keys returned as soon as it has capacity
+	// left, they would move back and forth, as a target without keys asks for none of its limit.
+	InNeed     bool
+	limitDelay float64 // part of ServiceTime in seconds that a limit adds; it is no time that a request takes
 }
 
 // Policy sets the costs and limits of moves in a plan.
@@ -47,6 +51,7 @@
 	index          map[fulmarrange.Incarnation]int
 	profile        *Profile
 	load           []float64   // requests per second by target
+	allInNeed      bool        // of the targets that are not leaving
 	hotKeyByTarget map[int]int // the key to which each dedicated target is reserved
 }
 
@@ -59,6 +64,7 @@
 	for i, t := range targets {
 		p.index[t.Incarnation] = i
 	}
+	p.allInNeed = !slices.ContainsFunc(targets, func(t Target) bool { return !t.Leaving && !t.InNeed })
 	p.profile = rates.Profile(policy.UniformShare)
 	p.computeLoads()
 	p.reassignOrphans()
@@ -97,13 +103,18 @@
 
 // marginalCostAt returns the marginal cost of a request at target i with the given request rate.
 func (p *planner) marginalCostAt(i int, rate float64) float64 {
-	return marginalCost(p.targets[i].Slots, p.targets[i].ServiceTime, rate)
+	return marginalCost(p.targets[i].Slots, p.targets[i].ServiceTime, rate) - p.targets[i].limitDelay
 }
 
-// canReceive reports whether a target can receive more keys: it is neither dedicated to a hot key nor leaving.
+// acceptsKeys reports whether a target may get more keys: it is neither leaving nor in need, unless all are in need.
+func (p *planner) acceptsKeys(i int) bool {
+	return !p.targets[i].Leaving && (!p.targets[i].InNeed || p.allInNeed)
+}
+
+// canReceive reports whether a target can receive more keys: it accepts them and is not dedicated to a hot key.
 func (p *planner) canReceive(i int) bool {
 	_, dedicated := p.hotKeyByTarget[i]
-	return !dedicated && !p.targets[i].Leaving
+	return !dedicated && p.acceptsKeys(i)
 }
 
 // cheapest returns the target with the lowest marginal cost among those that can receive keys, or -1.
@@ -310,8 +321,8 @@
 // loadIdleTarget assigns a share of the load to a target without keys.
 func (p *planner) loadIdleTarget() bool {
 	excluded := make([]bool, len(p.targets)) // true if the target owns keys or must not receive any
-	for i, t := range p.targets {
-		excluded[i] = t.Leaving
+	for i := range p.targets {
+		excluded[i] = !p.acceptsKeys(i)
 	}
 	for _, s := range p.table.Segments() {
 		if i, ok := p.index[s.Owner.Incarnation]; ok {
@@ -443,7 +454,7 @@
 				continue
 			}
 			to, ok := p.index[segments[j].Owner.Incarnation]
-			if _, dedicated := p.hotKeyByTarget[to]; !ok || dedicated || from == to || p.targets[to].Leaving {
+			if _, dedicated := p.hotKeyByTarget[to]; !ok || dedicated || from == to || !p.acceptsKeys(to) {
 				continue
 			}
 			if p.isWorthMoving(s.From, s.To, from, to) {
@@ -457,7 +468,7 @@
 
 // totalTime returns the total response time of all requests at a target with the given rate, in seconds per second.
 func (p *planner) totalTime(i int, rate float64) float64 {
-	return rate * responseTime(p.targets[i].Slots, p.targets[i].ServiceTime, rate)
+	return rate * (responseTime(p.targets[i].Slots, p.targets[i].ServiceTime, rate) - p.targets[i].limitDelay)
 }
 
 // equalisingRate returns the rate that must be moved to make the marginal costs at both targets equal.
--- a/pkg/fulmarlimit/board.go
+++ b/pkg/fulmarlimit/board.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -17,9 +17,13 @@
 	ReceivedAt time.Time // when the answer was received
 }
 
-// sameLimit reports whether both statements state the same limit, or none.
-func (s Statement) sameLimit(o Statement) bool {
-	return s.Limited == o.Limited && (!s.Limited || s.Rate == o.Rate)
+// rateTolerance is the relative difference up to which limits count as equal. A target may state another rate in each
+// answer, and every change is sent to all daemons.
+const rateTolerance = 0.1
+
+// SameLimit reports whether both statements state about the same limit, or none.
+func (s Statement) SameLimit(o Statement) bool {
+	return s.Limited == o.Limited && (!s.Limited || math.Abs(s.Rate-o.Rate) <= rateTolerance*max(s.Rate, o.Rate))
 }
 
 // supersedes reports whether s is known to have been made after old. A statement without a limit may have been made
@@ -34,27 +38,35 @@
 // Board holds the latest statement of each target that has stated a limit; it is safe for concurrent use.
 type Board struct {
 	mu         sync.Mutex
-	statements map[string]Statement
+	statements map[string]entry
 	version    int64
 }
 
+// entry is the latest statement of a target.
+type entry struct {
+	Statement
+	noted Statement // the statement that last changed the limit notably
+}
+
 // New returns a board without statements.
-func New() *Board { return &Board{statements: make(map[string]Statement)} }
+func New() *Board { return &Board{statements: make(map[string]entry)} }
 
-// Record takes a statement into account and reports whether the limit of its target has changed.
+// Record takes a statement into account and reports whether the limit of its target has changed notably.
 func (b *Board) Record(s Statement) (changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	old, known := b.statements[s.Target]
-	if !known && !s.Limited || known && !s.supersedes(old) {
+	e, known := b.statements[s.Target]
+	if !known && !s.Limited || known && !s.supersedes(e.Statement) {
 		return false
 	}
-	b.statements[s.Target] = s
-	if known && s.sameLimit(old) {
-		return false
+	changed = !known || !s.SameLimit(e.noted)
+	if changed {
+		b.version++
+		e.noted = s
 	}
-	b.version++
-	return true
+	e.Statement = s
+	b.statements[s.Target] = e
+	return changed
 }
 
 // Rate returns the limit of a target in requests per second; ok is false if it has none.
@@ -65,15 +77,32 @@
 	return s.Rate, s.Limited
 }
 
+// Latest returns the latest statement of a target that states a limit or has ended it. An end is dated by the answer that
+// first showed it.
+func (b *Board) Latest(target string) (s Statement, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, ok := b.statements[target]
+	if ok && !e.Limited {
+		return e.noted, true
+	}
+	return e.Statement, ok
+}
+
 // Statements returns the latest statements, sorted by target, and the version that they belong to. They include those
 // that ended a limit, so that an older statement of a limit is recognised.
 func (b *Board) Statements() ([]Statement, int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return slices.SortedFunc(maps.Values(b.statements), func(x, y Statement) int { return cmp.Compare(x.Target, y.Target) }), b.version
+	out := make([]Statement, 0, len(b.statements))
+	for _, e := range b.statements {
+		out = append(out, e.Statement)
+	}
+	slices.SortFunc(out, func(x, y Statement) int { return cmp.Compare(x.Target, y.Target) })
+	return out, b.version
 }
 
-// Version returns the number of changes of a limit so far.
+// Version returns the number of notable changes of a limit so far.
 func (b *Board) Version() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
