--- a/internal/fulmaradmission/fleet_test.go
+++ b/internal/fulmaradmission/fleet_test.go
@@ -44,15 +44,16 @@
 	random *rand.Rand
 	audit  *fulmarlimitaudit.Audit
 
-	mu      sync.Mutex
-	leader  *leader        // nil while nobody leads
-	daemons []*daemon      // that run
-	asked   map[int64]int  // requests by second of virtual time
-	served  map[int64]int  // admitted ones of them
-	joined  int            // daemons so far
-	weights []float64      // demand by daemon, of which the sum is 1
-	rate    float64        // demand of all daemons in requests per second
-	group   sync.WaitGroup // of the goroutines of daemons
+	mu       sync.Mutex
+	leader   *leader        // nil while nobody leads
+	daemons  []*daemon      // that run
+	asked    map[int64]int  // requests by second of virtual time
+	served   map[int64]int  // admitted ones of them
+	joined   int            // daemons so far
+	weights  []float64      // demand by daemon, of which the sum is 1
+	priority int            // of all requests
+	rate     float64        // demand of all daemons in requests per second
+	group    sync.WaitGroup // of the goroutines of daemons
 }
 
 // daemon is a simulated daemon.
@@ -92,7 +93,7 @@
 	for _, ask := range r.Permits {
 		p := fulmarleaderrpc.Permit{Granted: true}
 		if rate, limited := l.board.Rate(ask.Target); limited {
-			p.Wait, p.Granted = l.permits.Take(time.Now(), ask.Target, rate, ask.MaxWait)
+			p.Wait, p.Granted = l.permits.Take(time.Now(), rate, fulmarpermit.Request(ask))
 		}
 		a.Permits = append(a.Permits, p)
 	}
@@ -158,7 +159,7 @@
 	f.mu.Lock()
 	f.asked[time.Now().Unix()]++
 	f.mu.Unlock()
-	if _, ok := d.gate.Admit(ctx, targetID, 100*time.Millisecond); !ok || ctx.Err() != nil {
+	if _, ok := d.gate.Admit(ctx, fulmarpermit.Request{Target: targetID, MaxWait: 50 * time.Millisecond, Priority: d.fleet.priority}); !ok || ctx.Err() != nil {
 		return
 	}
 	sent := time.Now()
@@ -246,6 +247,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					g := NewWithT(t)
 					f := newFleet(daemons, rate, seed)
+					f.priority = int(seed) % 3
 					ctx, cancel := context.WithCancel(t.Context())
 					start := time.Now()
 					for i := range daemons {
--- a/internal/fulmaradmission/gate.go
+++ b/internal/fulmaradmission/gate.go
@@ -11,6 +11,7 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrotation"
 )
 
@@ -52,11 +53,17 @@
 
 // pending is a request that waits for a permit.
 type pending struct {
-	ask    fulmarleaderrpc.PermitAsk
+	fulmarpermit.Request
 	answer chan fulmarleaderrpc.Permit // has room for the answer
 }
 
-// refusal is the latest refusal of the leader for a target.
+// refusalKey identifies the requests that a refusal applies to.
+type refusalKey struct {
+	target   string
+	priority int
+}
+
+// refusal is the latest refusal of the leader.
 type refusal struct {
 	rate  float64   // limit of the target at that time
 	until time.Time // no permit becomes available earlier
@@ -68,29 +75,29 @@
 	pending chan pending
 
 	mu         sync.Mutex
-	refusals   map[string]refusal // by target
-	retryAfter time.Time          // the leader is not asked before
+	refusals   map[refusalKey]refusal
+	retryAfter time.Time // the leader is not asked before
 }
 
 // New returns a gate. Requests are admitted while Run runs.
 func New(d Deps) *Gate {
-	return &Gate{deps: d, pending: make(chan pending, maxPending), refusals: make(map[string]refusal)}
+	return &Gate{deps: d, pending: make(chan pending, maxPending), refusals: make(map[refusalKey]refusal)}
 }
 
-// Admit waits for a permit to send a request to target and reports whether it may be sent now. It waits at most about
-// maxWait. Otherwise, retryAfter is the time in which no permit becomes available, zero if that is not known.
-func (g *Gate) Admit(ctx context.Context, target string, maxWait time.Duration) (retryAfter time.Duration, ok bool) {
-	rate, limited := g.deps.Limits.Rate(target)
+// Admit waits for a permit to send a request and reports whether it may be sent now. It waits little longer than the
+// request's MaxWait. Otherwise, retryAfter is the time in which no permit becomes available, zero if that is not known.
+func (g *Gate) Admit(ctx context.Context, r fulmarpermit.Request) (retryAfter time.Duration, ok bool) {
+	rate, limited := g.deps.Limits.Rate(r.Target)
 	if !limited {
 		return 0, true
 	}
 	now := g.deps.Now()
-	if left, leaderless := g.known(now, target, rate); left > maxWait {
+	if left, leaderless := g.known(now, r, rate); left > r.MaxWait {
 		return left, false
 	} else if leaderless {
-		return 0, g.takeTurn(now, target)
+		return 0, g.takeTurn(now, r.Target)
 	}
-	p := pending{fulmarleaderrpc.PermitAsk{Target: target, MaxWait: maxWait}, make(chan fulmarleaderrpc.Permit, 1)}
+	p := pending{r, make(chan fulmarleaderrpc.Permit, 1)}
 	select {
 	case g.pending <- p:
 	default:
@@ -108,12 +115,12 @@
 	}
 }
 
-// known returns the time in which the leader has no permit for target, as far as it has said, and whether it does not
-// answer.
-func (g *Gate) known(now time.Time, target string, rate float64) (left time.Duration, leaderless bool) {
+// known returns the time in which the leader has no permit for such a request, as far as it has said, and whether it does
+// not answer.
+func (g *Gate) known(now time.Time, request fulmarpermit.Request, rate float64) (left time.Duration, leaderless bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if r, ok := g.refusals[target]; ok && rate <= r.rate*raisedRate {
+	if r, ok := g.refusals[refusalKey{request.Target, request.Priority}]; ok && rate <= r.rate*raisedRate {
 		left = r.until.Sub(now)
 	}
 	return left, now.Before(g.retryAfter)
@@ -176,13 +183,13 @@
 		g.retryAfter = now.Add(failureBackoff)
 		g.mu.Unlock()
 		for _, p := range list {
-			p.answer <- fulmarleaderrpc.Permit{Granted: g.takeTurn(now, p.ask.Target)}
+			p.answer <- fulmarleaderrpc.Permit{Granted: g.takeTurn(now, p.Target)}
 		}
 		return
 	}
 	for i, permit := range answer.Permits {
 		if !permit.Granted {
-			g.recordRefusal(now, list[i].ask.Target, permit.Wait)
+			g.recordRefusal(now, list[i].Request, permit.Wait)
 		}
 		list[i].answer <- permit
 	}
@@ -193,8 +200,8 @@
 	r := &fulmarleaderrpc.PermitRequest{Permits: make([]fulmarleaderrpc.PermitAsk, 0, len(list))}
 	asked := make(map[string]bool, len(list))
 	for _, p := range list {
-		r.Permits = append(r.Permits, p.ask)
-		asked[p.ask.Target] = true
+		r.Permits = append(r.Permits, fulmarleaderrpc.PermitAsk(p.Request))
+		asked[p.Target] = true
 	}
 	now := g.deps.Now()
 	statements, _ := g.deps.Limits.Statements()
@@ -206,12 +213,12 @@
 	return r
 }
 
-// recordRefusal records that no permit for target becomes available before wait has passed.
-func (g *Gate) recordRefusal(now time.Time, target string, wait time.Duration) {
-	rate, _ := g.deps.Limits.Rate(target)
+// recordRefusal records that no permit for such a request becomes available before wait has passed.
+func (g *Gate) recordRefusal(now time.Time, request fulmarpermit.Request, wait time.Duration) {
+	rate, _ := g.deps.Limits.Rate(request.Target)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.refusals[target] = refusal{rate, now.Add(wait)}
+	g.refusals[refusalKey{request.Target, request.Priority}] = refusal{rate, now.Add(wait)}
 }
 
 // Retain drops the state of targets for which keep returns false.
@@ -219,9 +226,9 @@
 	g.deps.Rotation.Retain(keep)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for target := range g.refusals {
-		if !keep(target) {
-			delete(g.refusals, target)
+	for key := range g.refusals {
+		if !keep(key.target) {
+			delete(g.refusals, key)
 		}
 	}
 }
--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -25,8 +25,6 @@
 	maxInFlightPerTarget = 4
 	// idleConnectionShare is the share of a target's connection limit that all daemons together may keep idle.
 	idleConnectionShare = 0.7
-	// permitWaitDivisor is the part of the latency objective that a request waits for a permit at the owner of its key.
-	permitWaitDivisor = 3
 	// maxDialFailures limits the targets that cannot be reached before a request is refused.
 	maxDialFailures = 3
 )
@@ -181,7 +179,7 @@
 				if !d.Balancer.Acquire(t.ID, maxInFlightPerTarget) {
 					return t, NoCapacity
 				}
-				if !x.admit(ctx, t.ID, min(x.route.LatencyObjective/permitWaitDivisor, time.Until(x.deadline)/2)) {
+				if !x.admit(ctx, t.ID, x.maxPermitWait()) {
 					return t, OverLimit
 				}
 				return t, ""
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarallowance"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarbalancer"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
 
@@ -39,9 +40,9 @@
 
 // Gate admits requests to targets that have stated a limit.
 type Gate interface {
-	// Admit waits for up to maxWait until a request to target may be sent, and reports whether it may. Otherwise,
-	// retryAfter is the time in which no request may be sent, zero if that is not known.
-	Admit(ctx context.Context, target string, maxWait time.Duration) (retryAfter time.Duration, ok bool)
+	// Admit waits until a request may be sent, and reports whether it may. Otherwise, retryAfter is the time in which no
+	// such request may be sent, zero if that is not known.
+	Admit(ctx context.Context, r fulmarpermit.Request) (retryAfter time.Duration, ok bool)
 }
 
 // Deps holds the dependencies of a Forwarder.
--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -26,6 +26,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarbalancer"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
@@ -157,7 +158,7 @@
 // openGate admits every request.
 type openGate struct{}
 
-func (openGate) Admit(context.Context, string, time.Duration) (time.Duration, bool) { return 0, true }
+func (openGate) Admit(context.Context, fulmarpermit.Request) (time.Duration, bool) { return 0, true }
 
 type noLoads struct{}
 
--- a/internal/fulmarforwarder/limit.go
+++ b/internal/fulmarforwarder/limit.go
@@ -9,8 +9,26 @@
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 )
 
+const (
+	// A request waits at the owner of its key for a permit, the most urgent ones for this part of their latency objective.
+	// The others wait so shortly that they do not take the permits for which those wait.
+	urgentWaitDivisor = 3
+	waitDivisor       = 8
+	maxWait           = 50 * time.Millisecond
+)
+
+// maxPermitWait returns how long the request waits for a permit at the owner of its key.
+func (x *exchange) maxPermitWait() time.Duration {
+	wait := min(x.route.LatencyObjective/waitDivisor, maxWait)
+	if x.route.Priority == 0 {
+		wait = x.route.LatencyObjective / urgentWaitDivisor
+	}
+	return min(wait, time.Until(x.deadline)/2)
+}
+
 // recordLimit records what an answer of a target states about the target's limit. A target states the end of a limit
 // only in answers that it has signed: those of a target that rejects requests need not state the limit.
 func (x *exchange) recordLimit(target string, answer http.Header, sentAt time.Time) {
@@ -39,7 +57,7 @@
 // is no longer counted there.
 func (x *exchange) admit(ctx context.Context, target string, maxWait time.Duration) bool {
 	d := &x.forwarder.deps
-	after, ok := d.Gate.Admit(ctx, target, maxWait)
+	after, ok := d.Gate.Admit(ctx, fulmarpermit.Request{Target: target, MaxWait: maxWait, Priority: x.route.Priority})
 	if ok {
 		return true
 	}
--- a/internal/fulmarforwarder/limit_test.go
+++ b/internal/fulmarforwarder/limit_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarforwarder"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 )
 
 // Answers of a target in need.
@@ -55,8 +56,8 @@
 // closedGate admits no request to the targets that it holds.
 type closedGate map[string]time.Duration
 
-func (c closedGate) Admit(_ context.Context, target string, _ time.Duration) (time.Duration, bool) {
-	after, closed := c[target]
+func (c closedGate) Admit(_ context.Context, r fulmarpermit.Request) (time.Duration, bool) {
+	after, closed := c[r.Target]
 	return after, !closed
 }
 
--- a/internal/fulmarleader/permit.go
+++ b/internal/fulmarleader/permit.go
@@ -5,6 +5,7 @@
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarassign"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 )
 
 // Permits dispenses permits for requests to targets with a limit. A term gives none after its lease, so that no other
@@ -19,7 +20,7 @@
 	for _, ask := range r.Permits {
 		p := fulmarleaderrpc.Permit{Granted: true}
 		if rate, limited := t.deps.Limits.Rate(ask.Target); limited {
-			p.Wait, p.Granted = t.permits.Take(now, ask.Target, rate, ask.MaxWait)
+			p.Wait, p.Granted = t.permits.Take(now, rate, fulmarpermit.Request(ask))
 		}
 		out.Permits = append(out.Permits, p)
 	}
--- a/internal/fulmarleaderrpc/limit.go
+++ b/internal/fulmarleaderrpc/limit.go
@@ -34,8 +34,9 @@
 
 // PermitAsk asks for a permit for one request.
 type PermitAsk struct {
-	Target  string        `cbor:"target"`
-	MaxWait time.Duration `cbor:"wait"` // longest time until the request may be sent
+	Target   string        `cbor:"target"`
+	MaxWait  time.Duration `cbor:"wait"`               // longest time until the request may be sent
+	Priority int           `cbor:"priority,omitempty"` // 0 is the most urgent
 }
 
 // PermitAnswer has a permit for each one that was asked for, in the same order.
--- a/pkg/fulmarpermit/doc.go
+++ b/pkg/fulmarpermit/doc.go
@@ -7,5 +7,8 @@
 // limit of 8 requests a second is less than one request for each of 300
 // daemons, and unused parts of many shares add up to bursts.
 //
+// Requests of lower priority leave some permits to more urgent ones, so that a
+// surge of the former does not take all of a small limit.
+//
 // The package has no I/O and no clock.
 package fulmarpermit
