--- a/internal/fulmaradmission/fleet_test.go
+++ b/internal/fulmaradmission/fleet_test.go
@@ -111,8 +111,7 @@
 		return false
 	}
 	for _, boards := range [][2]*fulmarlimit.Board{{d.board, l.board}, {l.board, d.board}} {
-		statements, _ := boards[0].Statements()
-		for _, s := range statements {
+		for _, s := range boards[0].Statements(0) {
 			boards[1].Record(s)
 		}
 	}
--- a/internal/fulmaradmission/gate.go
+++ b/internal/fulmaradmission/gate.go
@@ -204,8 +204,7 @@
 		asked[p.Target] = true
 	}
 	now := g.deps.Now()
-	statements, _ := g.deps.Limits.Statements()
-	for _, s := range statements {
+	for _, s := range g.deps.Limits.Statements(0) {
 		if asked[s.Target] {
 			r.Limits = append(r.Limits, fulmarleaderrpc.PackLimit(now, s))
 		}
--- a/internal/fulmarfollower/follower.go
+++ b/internal/fulmarfollower/follower.go
@@ -324,6 +324,7 @@
 	// contacts are addresses of some other daemons.
 	contacts []string
 	limits   map[string]fulmarleaderrpc.TargetLimit // by target, as the leader has sent them
+	reported map[string]reportedLimit               // by target
 }
 
 // apply merges an update that was received at now.
@@ -359,11 +360,11 @@
 	if len(u.Contacts) > 0 {
 		s.contacts = u.Contacts
 	}
-	if u.Versions.Limits != s.versions.Limits || u.Versions.Term != s.versions.Term {
+	if u.Versions.Term != s.versions.Term || s.limits == nil {
 		s.limits = make(map[string]fulmarleaderrpc.TargetLimit, len(u.Limits))
-		for _, l := range u.Limits {
-			s.limits[l.Target] = l
-		}
+	}
+	for _, l := range u.Limits {
+		s.limits[l.Target] = l
 	}
 	s.versions = u.Versions
 	return nil
--- a/internal/fulmarfollower/permit.go
+++ b/internal/fulmarfollower/permit.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 )
 
 // permitLink is the connection over which permits are asked for. It is not the one for reports, on which a call waits
@@ -76,15 +78,32 @@
 	l.address, l.leader = "", nil
 }
 
-// reportTo returns a report to the leader from which this daemon has received s.
+// limitReportInterval is the time after which a limit is reported again that the leader has not taken into account.
+const limitReportInterval = time.Second
+
+// reportedLimit is the latest report of a limit.
+type reportedLimit struct {
+	fulmarlimit.Statement
+	at time.Time
+}
+
+// reportTo returns a report to the leader from which this daemon has received s. It contains the limits that the leader
+// does not know.
 func (f *Follower) reportTo(s *leaderState) *fulmarleaderrpc.Report {
 	r := f.report(s.versions)
 	now := f.deps.Now()
-	statements, _ := f.deps.Limits.Statements()
-	for _, own := range statements {
-		if !own.SameLimit(s.limits[own.Target].Unpack(now)) {
-			r.Limits = append(r.Limits, fulmarleaderrpc.PackLimit(now, own))
+	for _, own := range f.deps.Limits.Statements(0) {
+		if own.SameLimit(s.limits[own.Target].Unpack(now)) {
+			continue
+		}
+		if last, ok := s.reported[own.Target]; ok && own.SameLimit(last.Statement) && now.Sub(last.at) < limitReportInterval {
+			continue
+		}
+		if s.reported == nil {
+			s.reported = make(map[string]reportedLimit)
 		}
+		s.reported[own.Target] = reportedLimit{own, now}
+		r.Limits = append(r.Limits, fulmarleaderrpc.PackLimit(now, own))
 	}
 	return r
 }
--- a/internal/fulmarleader/lease.go
+++ b/internal/fulmarleader/lease.go
@@ -88,7 +88,10 @@
 }
 
 // endTermLocked permanently stops orders and lease renewals. The caller holds mu.
-func (t *Term) endTermLocked() { t.validUntil, t.ended = time.Time{}, true }
+func (t *Term) endTermLocked() {
+	t.validUntil, t.ended = time.Time{}, true
+	t.permitsUntil.Store(&time.Time{})
+}
 
 // EndIfExpired ends the term if its lease has expired and returns when its grants lapse. ok is false if the term still
 // holds its lease.
@@ -121,6 +124,8 @@
 		return // a call that began later has already renewed the lease
 	}
 	t.validUntil, t.lastRenewal = began.Add(LeaseDuration-leaseMargin), began
+	validUntil := t.validUntil
+	t.permitsUntil.Store(&validUntil)
 	if t.grantsExtended {
 		t.grantsExtended = false
 		t.deps.Log.Info("store answers again, grants return to their normal duration", "term", t.lease.revision)
--- a/internal/fulmarleader/permit.go
+++ b/internal/fulmarleader/permit.go
@@ -12,7 +12,7 @@
 // leader dispenses permits at the same time.
 func (t *Term) Permits(r *fulmarleaderrpc.PermitRequest) (*fulmarleaderrpc.PermitAnswer, error) {
 	now := t.deps.Now()
-	if !t.holdsLease(now) {
+	if !now.Before(*t.permitsUntil.Load()) {
 		return nil, fulmarleaderrpc.ErrNotLeader
 	}
 	t.recordLimits(now, r.Limits)
@@ -27,19 +27,18 @@
 	return out, nil
 }
 
-// recordLimits records what another daemon knows of limits and requests the publication of changes.
+// recordLimits records what another daemon knows of limits.
 func (t *Term) recordLimits(now time.Time, limits []fulmarleaderrpc.TargetLimit) {
 	for _, l := range limits {
 		if t.deps.Limits.Record(l.Unpack(now)) {
 			t.deps.Log.Info("limit of target changed", "target", l.Target, "limited", l.Limited, "rate", l.Rate, "source", "daemon")
-			t.requestPublish()
 		}
 	}
 }
 
-// packLimits returns all statements of limits.
-func (t *Term) packLimits(now time.Time) []fulmarleaderrpc.TargetLimit {
-	statements, _ := t.deps.Limits.Statements()
+// packLimits returns the statements of limits that have changed after a version.
+func (t *Term) packLimits(now time.Time, since int64) []fulmarleaderrpc.TargetLimit {
+	statements := t.deps.Limits.Statements(since)
 	out := make([]fulmarleaderrpc.TargetLimit, 0, len(statements))
 	for _, s := range statements {
 		out = append(out, fulmarleaderrpc.PackLimit(now, s))
--- a/internal/fulmarleader/publish.go
+++ b/internal/fulmarleader/publish.go
@@ -20,6 +20,9 @@
 	publishDelayPerDaemon = 300 * time.Microsecond
 	minPublishDelay       = 5 * time.Millisecond
 	maxPublishDelay       = 250 * time.Millisecond
+	// limitPublishInterval is the least time between two publications of limits. Daemons ask for permits as soon as they
+	// have received a limit themselves, and many targets may come to state limits one after another.
+	limitPublishInterval = 500 * time.Millisecond
 )
 
 // ownerChangesPerContacts is the number of owner changes after which updates contain the contacts again.
@@ -72,7 +75,9 @@
 		next.versions.Owners++
 		t.ownerHistory.add(next.versions.Owners, next.owners)
 	}
-	next.versions.Limits = t.deps.Limits.Version()
+	if now.Sub(t.limitsPublishedAt) >= limitPublishInterval && next.versions.Limits != t.deps.Limits.Version() {
+		next.versions.Limits, t.limitsPublishedAt = t.deps.Limits.Version(), now
+	}
 	versionsChanged := next.versions != t.published.versions
 	t.published = next
 	clear(t.cachedUpdates)
@@ -129,7 +134,7 @@
 	}
 	t.recordLimits(now, r.Limits)
 	// The leader also receives answers of targets itself.
-	if t.published.versions.Limits != t.deps.Limits.Version() {
+	if t.published.versions.Limits != t.deps.Limits.Version() && now.Sub(t.limitsPublishedAt) >= limitPublishInterval {
 		t.requestPublish()
 	}
 	for service, counts := range r.Keys {
@@ -216,8 +221,10 @@
 	if s.routes != nil && since.Config != s.versions.Config {
 		u.Config = t.packConfig()
 	}
-	if otherTerm || since.Limits != s.versions.Limits {
-		u.Limits = t.packLimits(now)
+	if otherTerm {
+		u.Limits = t.packLimits(now, 0)
+	} else if since.Limits != s.versions.Limits {
+		u.Limits = t.packLimits(now, since.Limits)
 	}
 	catalog, hasTargets := t.catalogHistory.get(since.Targets)
 	owners, hasOwners := t.ownerHistory.get(since.Owners)
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
@@ -85,27 +86,29 @@
 	reader *fulmarsnapshot.Reader
 	lease  acquiredLease
 
-	mu               sync.Mutex
-	validUntil       time.Time // the lease is certain to be valid until then
-	lastRenewal      time.Time // start of the latest call that renewed the lease
-	ended            bool      // the lease is known to have ended
-	grantsExtended   bool
-	snapshot         *fulmarsnapshot.Snapshot
-	tablesRevision   int64
-	services         map[string]*keyedService
-	workers          map[fulmarrange.Incarnation]*worker
-	fleet            *fleet
-	recentTargets    *fulmarretention.Window
-	packedConfig     packedConfig
-	formerWriter     fulmarsnapshot.Writer // last writer of the tables before this term
-	published        publishedState
-	catalogHistory   history[*fulmarcatalog.Catalog]
-	ownerHistory     history[map[string]fulmarview.Spans]
-	publishedChanged chan struct{} // closed when published changes
-	publishRequested chan struct{} // holds a value while there are changes to publish
-	permits          *fulmarpermit.Dispenser
-	cachedUpdates    map[fulmarleaderrpc.Versions]cachedUpdate
-	group            sync.WaitGroup
+	mu                sync.Mutex
+	validUntil        time.Time // the lease is certain to be valid until then
+	lastRenewal       time.Time // start of the latest call that renewed the lease
+	ended             bool      // the lease is known to have ended
+	grantsExtended    bool
+	snapshot          *fulmarsnapshot.Snapshot
+	tablesRevision    int64
+	services          map[string]*keyedService
+	workers           map[fulmarrange.Incarnation]*worker
+	fleet             *fleet
+	recentTargets     *fulmarretention.Window
+	packedConfig      packedConfig
+	formerWriter      fulmarsnapshot.Writer // last writer of the tables before this term
+	published         publishedState
+	catalogHistory    history[*fulmarcatalog.Catalog]
+	ownerHistory      history[map[string]fulmarview.Spans]
+	publishedChanged  chan struct{} // closed when published changes
+	publishRequested  chan struct{} // holds a value while there are changes to publish
+	permits           *fulmarpermit.Dispenser
+	permitsUntil      atomic.Pointer[time.Time] // validUntil; it is read without mu, which a publication may hold for long
+	limitsPublishedAt time.Time
+	cachedUpdates     map[fulmarleaderrpc.Versions]cachedUpdate
+	group             sync.WaitGroup
 }
 
 // publishedState is the state that the leader sends to the other daemons.
@@ -124,12 +127,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Term{
+	t := &Term{
 		deps: d, reader: reader, lease: acquired, validUntil: acquired.validUntil, lastRenewal: d.Now(), snapshot: s,
 		services: make(map[string]*keyedService), workers: make(map[fulmarrange.Incarnation]*worker),
 		fleet: newFleet(), recentTargets: fulmarretention.New(d.Now(), targetRetention), permits: fulmarpermit.New(),
 		publishedChanged: make(chan struct{}), publishRequested: make(chan struct{}, 1), cachedUpdates: make(map[fulmarleaderrpc.Versions]cachedUpdate),
-	}, nil
+	}
+	t.permitsUntil.Store(&acquired.validUntil)
+	return t, nil
 }
 
 // Run performs the leader's duties until the lease is lost or ctx ends, and then releases the lease.
--- a/pkg/fulmarlimit/board.go
+++ b/pkg/fulmarlimit/board.go
@@ -47,7 +47,8 @@
 // entry is the latest statement of a target.
 type entry struct {
 	Statement
-	noted Statement // the statement that last changed the limit notably
+	noted   Statement // the statement that last changed the limit notably
+	version int64     // of the board after that change
 }
 
 // New returns a board without statements.
@@ -67,7 +68,7 @@
 	changed = !known || !s.SameLimit(e.noted)
 	if changed {
 		b.version++
-		e.noted = s
+		e.noted, e.version = s, b.version
 	}
 	e.Statement = s
 	b.statements[s.Target] = e
@@ -94,17 +95,19 @@
 	return e.Statement, ok
 }
 
-// Statements returns the latest statements, sorted by target, and the version that they belong to. They include those
-// that ended a limit, so that an older statement of a limit is recognised.
-func (b *Board) Statements() ([]Statement, int64) {
+// Statements returns the latest statements of the targets whose limit has changed notably after the given version, 0 for
+// all, sorted by target. They include those that ended a limit, so that an older statement of a limit is recognised.
+func (b *Board) Statements(since int64) []Statement {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make([]Statement, 0, len(b.statements))
 	for _, e := range b.statements {
-		out = append(out, e.Statement)
+		if e.version > since {
+			out = append(out, e.Statement)
+		}
 	}
 	slices.SortFunc(out, func(x, y Statement) int { return cmp.Compare(x.Target, y.Target) })
-	return out, b.version
+	return out
 }
 
 // Version returns the number of notable changes of a limit so far.
--- a/pkg/fulmarlimit/board_test.go
+++ b/pkg/fulmarlimit/board_test.go
@@ -62,14 +62,26 @@
 			g.Expect(b.Version()).To(Equal(c.version))
 		})
 	}
+	// Guards against all limits of a fleet that are sent to each daemon whenever one of them changes.
+	t.Run("changes since a version", func(t *testing.T) {
+		g := NewWithT(t)
+		b := fulmarlimit.New()
+		b.Record(limited(8, 0, 10))
+		other := limited(5, 0, 20)
+		other.Target = "y"
+		b.Record(other)
+		b.Record(limited(8.1, 20, 30))
+		g.Expect(b.Statements(0)).To(HaveLen(2))
+		g.Expect(b.Statements(1)).To(ConsistOf(HaveField("Target", "y")))
+		g.Expect(b.Statements(2)).To(BeEmpty())
+	})
 	t.Run("forgets targets that are gone", func(t *testing.T) {
 		g := NewWithT(t)
 		b := fulmarlimit.New()
 		b.Record(limited(8, 0, 10))
 		b.Retain(func(string) bool { return false })
 		expectRate(g, b, 0, false)
-		list, version := b.Statements()
-		g.Expect(list).To(BeEmpty())
-		g.Expect(version).To(Equal(int64(2)))
+		g.Expect(b.Statements(0)).To(BeEmpty())
+		g.Expect(b.Version()).To(Equal(int64(2)))
 	})
 }
