--- a/internal/fulmarfollower/follower_test.go
+++ b/internal/fulmarfollower/follower_test.go
@@ -92,13 +92,14 @@
 	mu      sync.Mutex
 	leaders map[string]fulmarfollower.Leader // by address
 	configs atomic.Int64                     // number of configurations that leaders have sent
+	limits  atomic.Int64                     // number of limits that leaders have sent
 	orders  fulmarleader.OrderSender         // used by all daemons; nil acknowledges every order
 }
 
 // inProcessLeader passes the reports of a daemon to a Follower in the same process.
 type inProcessLeader struct {
 	*fulmarfollower.Follower
-	configs *atomic.Int64 // number of configurations sent
+	configs, limits *atomic.Int64 // numbers of configurations and of limits sent
 }
 
 // Sync returns a copy of the update, so that daemons share no memory, as over a network.
@@ -109,6 +110,7 @@
 	}
 	out := *u
 	out.Targets = slices.Clone(u.Targets)
+	l.limits.Add(int64(len(u.Limits)))
 	if u.Config != nil {
 		l.configs.Add(1)
 	}
@@ -144,7 +146,13 @@
 
 // startWithCPUShare starts a follower with the given CPU share and returns its view.
 func (f *fleet) startWithCPUShare(ctx context.Context, id string, cpuShare float64, store fulmarkv.Store) *fulmarview.Holder {
-	views := fulmarview.New()
+	views, _ := f.startWithLimits(ctx, id, cpuShare, store)
+	return views
+}
+
+// startWithLimits starts a follower and returns its view and the limits that it knows.
+func (f *fleet) startWithLimits(ctx context.Context, id string, cpuShare float64, store fulmarkv.Store) (*fulmarview.Holder, *fulmarlimit.Board) {
+	views, limits := fulmarview.New(), fulmarlimit.New()
 	orders := f.orders
 	if orders == nil {
 		orders = acknowledgingSender{}
@@ -155,11 +163,11 @@
 	}
 	d := fulmarfollower.New(fulmarleader.Deps{
 		ID: id, Address: id, Store: store, Registry: registry, Orders: orders, Views: views,
-		MaxGrantDuration: 10 * time.Second, CPUShare: cpuShare, Log: slog.New(slog.DiscardHandler), Now: time.Now, Limits: fulmarlimit.New(), StoreForwarded: forwarded,
+		MaxGrantDuration: 10 * time.Second, CPUShare: cpuShare, Log: slog.New(slog.DiscardHandler), Now: time.Now, Limits: limits, StoreForwarded: forwarded,
 	}, noLoad{}, f.dial)
-	f.setLeader(id, inProcessLeader{d, &f.configs})
+	f.setLeader(id, inProcessLeader{d, &f.configs, &f.limits})
 	go d.Run(ctx)
-	return views
+	return views, limits
 }
 
 // leaving reports whether the view shows the target as leaving.
