--- a/internal/fulmaradmission/fleet_test.go
+++ b/internal/fulmaradmission/fleet_test.go
@@ -111,7 +111,7 @@
 		return false
 	}
 	for _, boards := range [][2]*fulmarlimit.Board{{d.board, l.board}, {l.board, d.board}} {
-		for _, s := range boards[0].Statements(0) {
+		for _, s := range boards[0].Statements() {
 			boards[1].Record(s)
 		}
 	}
--- a/internal/fulmaradmission/gate.go
+++ b/internal/fulmaradmission/gate.go
@@ -204,7 +204,7 @@
 		asked[p.Target] = true
 	}
 	now := g.deps.Now()
-	for _, s := range g.deps.Limits.Statements(0) {
+	for _, s := range g.deps.Limits.Statements() {
 		if asked[s.Target] {
 			r.Limits = append(r.Limits, fulmarleaderrpc.PackLimit(now, s))
 		}
--- a/internal/fulmarfollower/permit.go
+++ b/internal/fulmarfollower/permit.go
@@ -92,7 +92,7 @@
 func (f *Follower) reportTo(s *leaderState) *fulmarleaderrpc.Report {
 	r := f.report(s.versions)
 	now := f.deps.Now()
-	for _, own := range f.deps.Limits.Statements(0) {
+	for _, own := range f.deps.Limits.Statements() {
 		if own.SameLimit(s.limits[own.Target].Unpack(now)) {
 			continue
 		}
--- a/internal/fulmarleader/permit.go
+++ b/internal/fulmarleader/permit.go
@@ -36,9 +36,9 @@
 	}
 }
 
-// packLimits returns the statements of limits that have changed after a version.
+// packLimits returns the published limits that have changed after a version.
 func (t *Term) packLimits(now time.Time, since int64) []fulmarleaderrpc.TargetLimit {
-	statements := t.deps.Limits.Statements(since)
+	statements := t.deps.Limits.Changes(since, t.published.versions.Limits)
 	out := make([]fulmarleaderrpc.TargetLimit, 0, len(statements))
 	for _, s := range statements {
 		out = append(out, fulmarleaderrpc.PackLimit(now, s))
--- a/pkg/fulmarlimit/board.go
+++ b/pkg/fulmarlimit/board.go
@@ -95,14 +95,18 @@
 	return e.Statement, ok
 }
 
-// Statements returns the latest statements of the targets whose limit has changed notably after the given version, 0 for
-// all, sorted by target. They include those that ended a limit, so that an older statement of a limit is recognised.
-func (b *Board) Statements(since int64) []Statement {
+// Statements returns the latest statements of all targets, sorted by target. They include those that ended a limit, so that
+// an older statement of a limit is recognised.
+func (b *Board) Statements() []Statement { return b.Changes(0, math.MaxInt64) }
+
+// Changes returns the latest statements of the targets whose limit last changed notably after version after and up to
+// version upTo, sorted by target.
+func (b *Board) Changes(after, upTo int64) []Statement {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make([]Statement, 0, len(b.statements))
 	for _, e := range b.statements {
-		if e.version > since {
+		if e.version > after && e.version <= upTo {
 			out = append(out, e.Statement)
 		}
 	}
--- a/pkg/fulmarlimit/board_test.go
+++ b/pkg/fulmarlimit/board_test.go
@@ -71,9 +71,10 @@
 		other.Target = "y"
 		b.Record(other)
 		b.Record(limited(8.1, 20, 30))
-		g.Expect(b.Statements(0)).To(HaveLen(2))
-		g.Expect(b.Statements(1)).To(ConsistOf(HaveField("Target", "y")))
-		g.Expect(b.Statements(2)).To(BeEmpty())
+		g.Expect(b.Statements()).To(HaveLen(2))
+		g.Expect(b.Changes(0, 1)).To(ConsistOf(HaveField("Target", "x")))
+		g.Expect(b.Changes(1, 2)).To(ConsistOf(HaveField("Target", "y")))
+		g.Expect(b.Changes(2, 2)).To(BeEmpty())
 	})
 	t.Run("forgets targets that are gone", func(t *testing.T) {
 		g := NewWithT(t)
@@ -81,7 +82,7 @@
 		b.Record(limited(8, 0, 10))
 		b.Retain(func(string) bool { return false })
 		expectRate(g, b, 0, false)
-		g.Expect(b.Statements(0)).To(BeEmpty())
+		g.Expect(b.Statements()).To(BeEmpty())
 		g.Expect(b.Version()).To(Equal(int64(2)))
 	})
 }
