--- a/internal/fulmarfollower/follower.go
+++ b/internal/fulmarfollower/follower.go
@@ -213,6 +213,7 @@
 			return // the leader has sent newer state in the meantime
 		}
 		v.Routes, v.Catalog, v.Owners, v.AsOf = s.Routes, s.Catalog, s.Spans(), s.ReadAt
+		v.Daemons = max(v.Daemons, s.Fleet.Daemons)
 	})
 	return s, nil
 }
--- a/internal/fulmarleader/plan.go
+++ b/internal/fulmarleader/plan.go
@@ -54,7 +54,8 @@
 	return nil
 }
 
-// computeTables returns the planned tables of all keyed services and whether any of them changed.
+// computeTables returns the planned tables of all keyed services and whether they or the record of the daemons, which is
+// written with them, changed.
 func (t *Term) computeTables() (tables map[string]fulmarrange.Table, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -72,6 +73,9 @@
 		s.orders.SetPendingTable(next)
 		tables[name] = next
 	}
+	if _, grown := t.fleetRecord(now); grown {
+		changed = true
+	}
 	return tables, changed
 }
 
--- a/internal/fulmarleader/publish.go
+++ b/internal/fulmarleader/publish.go
@@ -117,11 +117,16 @@
 	return true
 }
 
-// countDaemons returns the number of daemons, including this one, and the largest CPU share among the others. The caller
-// holds mu.
+// countDaemons returns the number of daemons, including this one, and the largest CPU share among the others. At the begin
+// of the term it is at least the number that was known before: bounds of the fleet are divided by it, and daemons that have
+// yet to report still exist. The caller holds mu.
 func (t *Term) countDaemons(now time.Time) (count int, maxCPUShare float64) {
 	count, maxCPUShare = t.fleet.countMembers(now)
-	return count + 1, maxCPUShare
+	count++
+	if now.Sub(t.beganAt) < memberTimeout {
+		count = max(count, t.formerDaemons, t.snapshot.Fleet.Daemons)
+	}
+	return count, maxCPUShare
 }
 
 // RecordReport records the load in a report of another daemon or of the leader itself.
--- a/internal/fulmarleader/tables.go
+++ b/internal/fulmarleader/tables.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -18,9 +19,7 @@
 	t.mu.Lock()
 	known := maps.Clone(t.snapshot.Tables)
 	revision := t.tablesRevision
-	stored := t.snapshot.Fleet.MaxCPUShare
-	_, maxCPUShare := t.countDaemons(t.deps.Now())
-	maxCPUShare = max(maxCPUShare, t.deps.CPUShare)
+	fleet, fleetChanged := t.fleetRecord(t.deps.Now())
 	t.mu.Unlock()
 	if known == nil {
 		known = make(map[string]fulmarrange.Table)
@@ -37,8 +36,8 @@
 		},
 		Writes: []fulmarkv.Write{{Key: fulmarsnapshot.TablesKey, Value: value}},
 	}
-	if stored < maxCPUShare {
-		record, err := fulmarsnapshot.Fleet{MaxCPUShare: maxCPUShare}.Encode()
+	if fleetChanged {
+		record, err := fleet.Encode()
 		if err != nil {
 			return 0, err
 		}
@@ -68,6 +67,14 @@
 	}
 }
 
+// fleetRecord returns the record of the daemons, and whether it differs from the stored one. The caller holds mu.
+func (t *Term) fleetRecord(now time.Time) (record fulmarsnapshot.Fleet, changed bool) {
+	stored := t.snapshot.Fleet
+	daemons, maxCPUShare := t.countDaemons(now)
+	record = fulmarsnapshot.Fleet{MaxCPUShare: max(stored.MaxCPUShare, maxCPUShare, t.deps.CPUShare), Daemons: max(stored.Daemons, daemons)}
+	return record, record != stored
+}
+
 // findWrite returns the revision of the stored tables if they equal value; ok is false otherwise.
 func (t *Term) findWrite(ctx context.Context, value []byte) (int64, bool) {
 	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -96,6 +96,8 @@
 	services          map[string]*keyedService
 	workers           map[fulmarrange.Incarnation]*worker
 	fleet             *fleet
+	beganAt           time.Time
+	formerDaemons     int // number of daemons that was known when the term began
 	recentTargets     *fulmarretention.Window
 	packedConfig      packedConfig
 	formerWriter      fulmarsnapshot.Writer // last writer of the tables before this term
@@ -130,7 +132,7 @@
 	t := &Term{
 		deps: d, reader: reader, lease: acquired, validUntil: acquired.validUntil, lastRenewal: d.Now(), snapshot: s,
 		services: make(map[string]*keyedService), workers: make(map[fulmarrange.Incarnation]*worker),
-		fleet: newFleet(), recentTargets: fulmarretention.New(d.Now(), targetRetention), permits: fulmarpermit.New(),
+		fleet: newFleet(), beganAt: d.Now(), formerDaemons: d.Views.Get().Daemons, recentTargets: fulmarretention.New(d.Now(), targetRetention), permits: fulmarpermit.New(),
 		publishedChanged: make(chan struct{}), publishRequested: make(chan struct{}, 1), cachedUpdates: make(map[fulmarleaderrpc.Versions]cachedUpdate),
 	}
 	t.permitsUntil.Store(&acquired.validUntil)
--- a/internal/fulmarsnapshot/record.go
+++ b/internal/fulmarsnapshot/record.go
@@ -35,7 +35,8 @@
 
 // Fleet is the record of what leaders know about the daemons.
 type Fleet struct {
-	MaxCPUShare float64 `cbor:"strongest"` // largest usable share of a CPU core
+	MaxCPUShare float64 `cbor:"strongest"`         // largest usable share of a CPU core
+	Daemons     int     `cbor:"daemons,omitempty"` // largest number of daemons so far
 }
 
 // Encode returns the stored form of the record.
