--- a/pkg/fulmarlimit/board.go
+++ b/pkg/fulmarlimit/board.go
@@ -28,6 +28,11 @@
 	return s.Limited == o.Limited && (!s.Limited || math.Abs(s.Rate-o.Rate) <= rateTolerance*max(s.Rate, o.Rate))
 }
 
+// isValid reports whether the statement is one that a target can make; messages of other daemons may be damaged.
+func (s Statement) isValid() bool {
+	return !s.Limited || s.Rate >= 0 && !math.IsInf(s.Rate, 1)
+}
+
 // supersedes reports whether s is known to have been made after old. A statement without a limit may have been made
 // before any answer that was received after its request had been sent; a limit must not end by mistake.
 func (s Statement) supersedes(old Statement) bool {
@@ -54,12 +59,13 @@
 // New returns a board without statements.
 func New() *Board { return &Board{statements: make(map[string]entry)} }
 
-// Record takes a statement into account and reports whether the limit of its target has changed notably.
+// Record takes a statement into account, unless its rate is negative or not a number, and reports whether the limit of its
+// target has changed notably.
 func (b *Board) Record(s Statement) (changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e, known := b.statements[s.Target]
-	if !known && !s.Limited || known && !s.supersedes(e.Statement) {
+	if !s.isValid() || !known && !s.Limited || known && !s.supersedes(e.Statement) {
 		return false
 	}
 	if s.LimitedSince = s.ReceivedAt; known && e.Limited {
--- a/pkg/fulmarlimit/board_test.go
+++ b/pkg/fulmarlimit/board_test.go
@@ -1,6 +1,7 @@
 package fulmarlimit_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -42,6 +43,10 @@
 		{"answer without a limit", []fulmarlimit.Statement{unlimited(0, 10)}, 0, false, 0},
 		{"limit", []fulmarlimit.Statement{limited(8, 0, 10)}, 8, true, 1},
 		{"limit of zero", []fulmarlimit.Statement{limited(0, 0, 10)}, 0, true, 1},
+		// Guards against a damaged message of another daemon that makes the rate of permits undefined.
+		{"no number", []fulmarlimit.Statement{limited(math.NaN(), 0, 10)}, 0, false, 0},
+		{"negative limit", []fulmarlimit.Statement{limited(-1, 0, 10)}, 0, false, 0},
+		{"infinite limit", []fulmarlimit.Statement{limited(math.Inf(1), 0, 10)}, 0, false, 0},
 		{"repeated limit", []fulmarlimit.Statement{limited(8, 0, 10), limited(8, 20, 30)}, 8, true, 1},
 		{"changed limit", []fulmarlimit.Statement{limited(8, 0, 10), limited(4, 20, 30)}, 4, true, 2},
 		{"older limit from another daemon", []fulmarlimit.Statement{limited(4, 20, 30), limited(8, 0, 10)}, 4, true, 1},
