--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -127,11 +127,14 @@
 	if x.key >= 0 {
 		return x.awaitOwner(ctx)
 	}
-	for {
+	for began := x.forwarder.deps.Now(); ; {
 		t, reason := x.chooseByLoad()
 		if reason != "" || x.admit(ctx, t.ID, 0) {
 			return t, reason
 		}
+		if x.forwarder.deps.Now().Sub(began) >= x.route.LatencyObjective/waitDivisor {
+			return t, OverLimit
+		}
 	}
 }
 
--- a/internal/fulmarforwarder/limit.go
+++ b/internal/fulmarforwarder/limit.go
@@ -14,7 +14,8 @@
 
 const (
 	// A request waits at the owner of its key for a permit, the most urgent ones for this part of their latency objective.
-	// The others wait so shortly that they do not take the permits for which those wait.
+	// The others wait so shortly that they do not take the permits for which those wait. A request without a key asks for
+	// permits of one target after another for the latter part of its objective.
 	urgentWaitDivisor = 3
 	waitDivisor       = 8
 	maxWait           = 50 * time.Millisecond
--- a/internal/fulmarforwarder/limit_test.go
+++ b/internal/fulmarforwarder/limit_test.go
@@ -61,6 +61,30 @@
 	return after, !closed
 }
 
+// slowGate admits no request, after some time.
+type slowGate time.Duration
+
+func (s slowGate) Admit(context.Context, fulmarpermit.Request) (time.Duration, bool) {
+	time.Sleep(time.Duration(s))
+	return 0, false
+}
+
+// Guards against requests that are held until every target of a large service has been asked for.
+func TestOverLimitOfManyTargets(t *testing.T) {
+	g := NewWithT(t)
+	targets := make([]*target, 40)
+	for i := range targets {
+		targets[i] = newTarget(t, strconv.Itoa(i))
+	}
+	f := start(t, false, targets...)
+	deps := f.deps
+	deps.Gate = slowGate(5 * time.Millisecond)
+	began := time.Now()
+	expectStatus(g, fulmarforwarder.New(deps).Serve(t.Context(), request(t, "/f/1", "")), http.StatusServiceUnavailable)
+	g.Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond), "half of the objective")
+	g.Expect(sends(targets...)).To(BeZero())
+}
+
 // Guards against requests beyond a target's limit that are sent, refused although another target could serve them, or
 // told to return when the target still admits none.
 func TestOverLimit(t *testing.T) {
