--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -151,7 +151,10 @@
 			continue
 		}
 		usable = append(usable, t)
-		candidates = append(candidates, fulmarbalancer.Candidate{ID: t.ID, Slots: t.Slots, Remote: t.DC != d.DC, Cold: t.IsWarmingUp(clock)})
+		_, limited := d.Limits.Rate(t.ID)
+		candidates = append(candidates, fulmarbalancer.Candidate{
+			ID: t.ID, Slots: t.Slots, Remote: t.DC != d.DC, Cold: t.IsWarmingUp(clock), InNeed: limited,
+		})
 	}
 	if len(usable) == 0 && len(x.overLimit) > 0 {
 		return fulmarcatalog.Target{}, OverLimit
--- a/pkg/fulmarbalancer/balancer.go
+++ b/pkg/fulmarbalancer/balancer.go
@@ -15,6 +15,7 @@
 	failurePenalty = 1.0                    // relative increase of the cost for each point of the failure score
 	remotePenalty  = 0.5                    // relative increase of the cost for a target in another data centre
 	coldPenalty    = 1.0                    // relative increase of the cost for a target that has just started
+	needPenalty    = 1.0                    // relative increase of the cost for a target in need, for which a permit must be asked
 	noWaitFactor   = 1.5                    // a cost of up to this multiple of the mean response time means no queueing
 	costJitter     = 0.05                   // largest random relative increase of the cost
 )
@@ -25,6 +26,7 @@
 	Slots  int
 	Remote bool // in another data centre
 	Cold   bool // started recently
+	InNeed bool // has stated a limit of requests
 }
 
 // Load holds the running and waiting requests and the slots that a target reports about itself.
@@ -112,6 +114,9 @@
 	if c.Cold {
 		cost *= 1 + coldPenalty
 	}
+	if c.InNeed {
+		cost *= 1 + needPenalty
+	}
 	return cost
 }
 
--- a/pkg/fulmarbalancer/balancer_test.go
+++ b/pkg/fulmarbalancer/balancer_test.go
@@ -41,6 +41,16 @@
 		}
 	})
 
+	// Guards against requests that ask for a permit of a target in need while others are free.
+	t.Run("avoids targets in need", func(t *testing.T) {
+		g := NewWithT(t)
+		list := candidates(9)
+		list[0].InNeed = true
+		for i := range chosen(newBalancer(), list) {
+			g.Expect(i).NotTo(BeZero())
+		}
+	})
+
 	// Guards against requests that queue at a busy target while others have free slots.
 	t.Run("chooses later targets when the first ones are busy", func(t *testing.T) {
 		g := NewWithT(t)
