--- a/internal/fulmarfollower/follower.go
+++ b/internal/fulmarfollower/follower.go
@@ -202,10 +202,13 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	view := f.views.Get()
+	f.deps.Metrics.Count("control.store_read")
 	s, err := f.reader.Read(ctx, view.Catalog, view.AsOf)
 	if err != nil {
+		f.deps.Metrics.Count("control.store_read_failed")
 		return nil, err
 	}
+	f.log.Info("whole store read", "took", f.deps.Now().Sub(s.ReadAt), "targets", s.Catalog.Len(), "age", s.ReadAt.Sub(view.AsOf))
 	f.lastStoreRead = s.ReadAt
 	f.maxCPUShare = max(f.maxCPUShare, s.Fleet.MaxCPUShare)
 	f.views.Update(func(v *fulmarview.View) {
@@ -288,7 +291,8 @@
 		timedOut = callCtx.Err() != nil
 		cancel()
 		if err != nil {
-			f.log.Info("report to leader failed", "address", address, "silent", timedOut, "error", err)
+			f.deps.Metrics.Count("control.report_failed")
+			f.log.Info("report to leader failed", "address", address, "silent", timedOut, "first", received.catalog == nil, "error", err)
 			return timedOut
 		}
 		if u.EndedTerm != nil {
@@ -303,6 +307,10 @@
 			f.inquiries.TryGo(func() error { f.askFormerLeader(ctx, address, received.versions); return nil })
 			return false
 		}
+		if u.Complete {
+			f.deps.Metrics.Count("control.complete_state")
+			f.log.Info("complete state received from leader", "address", address, "took", f.deps.Now().Sub(began), "targets", len(u.Targets), "age", u.Age)
+		}
 		f.maxCPUShare = max(f.maxCPUShare, u.MaxCPUShare)
 		if err := received.apply(f.deps.Now(), u); err != nil {
 			f.log.Error("configuration from leader is invalid", "error", err)
--- a/internal/fulmarfollower/follower_test.go
+++ b/internal/fulmarfollower/follower_test.go
@@ -163,7 +163,7 @@
 	}
 	d := fulmarfollower.New(fulmarleader.Deps{
 		ID: id, Address: id, Store: store, Registry: registry, Orders: orders, Views: views,
-		MaxGrantDuration: 10 * time.Second, CPUShare: cpuShare, Log: slog.New(slog.DiscardHandler), Now: time.Now, Limits: limits, StoreForwarded: forwarded,
+		MaxGrantDuration: 10 * time.Second, CPUShare: cpuShare, Metrics: noMetrics{}, Log: slog.New(slog.DiscardHandler), Now: time.Now, Limits: limits, StoreForwarded: forwarded,
 	}, noLoad{}, f.dial)
 	f.setLeader(id, inProcessLeader{d, &f.configs, &f.limits})
 	go d.Run(ctx)
@@ -190,6 +190,11 @@
 	})
 }
 
+// noMetrics drops all counts.
+type noMetrics struct{}
+
+func (noMetrics) Count(string) {}
+
 // noPermits dispenses no permits.
 type noPermits struct{}
 
--- a/internal/fulmarleader/publish.go
+++ b/internal/fulmarleader/publish.go
@@ -166,6 +166,38 @@
 	}
 }
 
+// loadLogInterval is the time between two lines in the log about the answers to reports.
+const loadLogInterval = time.Second
+
+// answerCounts counts answers to reports.
+type answerCounts struct{ unchanged, updates, complete, configs int }
+
+// logLoad logs the load of the leader by reports regularly until ctx ends.
+func (t *Term) logLoad(ctx context.Context) {
+	for fulmarclock.Sleep(ctx, loadLogInterval) {
+		t.mu.Lock()
+		load := t.load
+		t.load = answerCounts{}
+		now := t.deps.Now()
+		daemons, _ := t.countDaemons(now)
+		share, age := t.fleet.reportingShare(now), now.Sub(t.published.asOf)
+		t.mu.Unlock()
+		t.deps.Log.Info("reports answered", "daemons", daemons, "reporting", share, "unchanged", load.unchanged, "updates", load.updates,
+			"complete", load.complete, "configs", load.configs, "age", age)
+	}
+}
+
+// count counts an answer to a report. The caller holds mu.
+func (c *answerCounts) count(u *fulmarleaderrpc.Update) {
+	c.updates++
+	if u.Complete {
+		c.complete++
+	}
+	if u.Config != nil {
+		c.configs++
+	}
+}
+
 // Sync answers a report with the changes since the versions in it. If there are none, it waits up to longPollTimeout
 // for one.
 func (t *Term) Sync(ctx context.Context, r *fulmarleaderrpc.Report) (*fulmarleaderrpc.Update, error) {
@@ -182,6 +214,7 @@
 		s, changed := t.published, t.publishedChanged
 		if s.versions != r.Versions {
 			u := t.update(now, r.Versions)
+			t.load.count(u)
 			t.mu.Unlock()
 			return u, nil
 		}
@@ -191,6 +224,7 @@
 		case <-timer.C:
 			t.mu.Lock()
 			defer t.mu.Unlock()
+			t.load.unchanged++
 			return t.baseUpdate(t.deps.Now(), s.versions), nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -52,6 +52,11 @@
 	Send(ctx context.Context, address string, o fulmarorder.Order) (handover string, err error)
 }
 
+// Metrics counts events.
+type Metrics interface {
+	Count(name string)
+}
+
 // Deps are the dependencies of a leader.
 type Deps struct {
 	ID               string
@@ -67,6 +72,7 @@
 	// FindGrantLapse returns the time at which all grants of an earlier term have lapsed; ok is false if no daemon
 	// knows it. It may ask the daemon at address, which led in that term.
 	FindGrantLapse func(ctx context.Context, term int64, address string) (latest time.Time, ok bool)
+	Metrics        Metrics
 	Log            *slog.Logger
 	Now            func() time.Time // a clock that does not stop while the machine is suspended
 }
@@ -110,6 +116,7 @@
 	permitsUntil      atomic.Pointer[time.Time] // validUntil; it is read without mu, which a publication may hold for long
 	limitsPublishedAt time.Time
 	cachedUpdates     map[fulmarleaderrpc.Versions]cachedUpdate
+	load              answerCounts // of the answers to reports since the last line in the log
 	group             sync.WaitGroup
 }
 
@@ -155,6 +162,7 @@
 	t.group.Go(func() { t.readLoop(ctx) })
 	t.group.Go(func() { t.limitFormerGrants(ctx) })
 	t.group.Go(func() { t.publishLoop(ctx) })
+	t.group.Go(func() { t.logLoad(ctx) })
 	t.planLoop(ctx, cancel)
 	cancel()
 	t.stopWorkers()
