Send no further request where an answer without an id may be repeated

Callers were told 'not run, try again' for a request that its target ran: a faulty target wrote a refusal without an id once more on a connection whose answers bore none, and the copy passed as the answer to the next request there. A connection is now kept only after an answer with the id of its request, so that every answer on a kept connection can be told by its id.

TestRepeatedRefusalWithoutID failed before in both cases. TestAnswers and TestMaxIdle had answers without ids on kept connections, which are about framing and numbers of connections; their answers have ids now, and a new case requires a new connection after one without.

--- a/internal/fulmarlink/conn.go
+++ b/internal/fulmarlink/conn.go
@@ -26,7 +26,6 @@
 	usedAt      time.Time     // end of the last exchange
 	idleTimeout time.Duration // longest time that it may be idle
 	written     bool          // a byte of the current request may have been sent
-	echoesID    bool          // the target has returned the request id on this connection
 	lastToken   string        // value of the token header of the last answer that had one
 	readLimit   int           // bytes that may still be read, noReadLimit for any number
 }
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -297,14 +297,11 @@
 	p.countClosed(address)
 }
 
-// answers reports whether an answer with the given id, empty for none, is the one to the request with id want. On a
-// connection on which the target has returned ids, an answer without an id may be a late one to an earlier request.
+// answers reports whether an answer with the given id, empty for none, is the one to the request with id want. An answer
+// without an id may be a late one to an earlier request, unless there is none on this connection.
 func (c *conn) answers(id, want string) bool {
-	if want == "" || id == "" {
-		return want == "" || !c.echoesID
-	}
-	c.echoesID = true
-	return id == want
+	isFirst := c.usedAt.IsZero()
+	return want == "" || id == want || id == "" && isFirst
 }
 
 // isLate reports whether an answer without an id is a late one to an earlier request.
@@ -336,15 +333,17 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if !c.answers(resp.Header.Get(p.settings.RequestIDHeader), r.ID) || c.isLate(resp, r) {
+		id := resp.Header.Get(p.settings.RequestIDHeader)
+		if !c.answers(id, r.ID) || c.isLate(resp, r) {
 			if err := p.discardAnswer(resp); err != nil {
 				return nil, false, err
 			}
 			continue
 		}
 		a, keep, err := p.readAnswer(c, resp)
-		// After a failed write the target may have answered early, but still expects the rest of the request.
-		return a, keep && sendErr == nil, err
+		// After a failed write the target may have answered early, but still expects the rest of the request. A copy of an
+		// answer without an id could not be told from the answer to the next request.
+		return a, keep && sendErr == nil && id == r.ID, err
 	}
 	return nil, false, errors.New("too many answers to other requests")
 }
--- a/internal/fulmarlink/pool_test.go
+++ b/internal/fulmarlink/pool_test.go
@@ -134,8 +134,9 @@
 		{"bytes after the answer", okAnswer + "HTTP/1.1 200 x\r\nId: ID\r\nContent-Length: 1\r\n\r\nx", "ok", false, 2},
 		{"target announces that it closes", "HTTP/1.1 200 x\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", "ok", false, 2},
 		{"keep-alive timeout too short for reuse", "HTTP/1.1 200 x\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok", "ok", false, 2},
-		{"long, streamed", "HTTP/1.1 200 x\r\nContent-Length: 100\r\n\r\n" + long, long, false, 1},
-		{"chunked", "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "ok", false, 1},
+		{"long, streamed", "HTTP/1.1 200 x\r\nId: ID\r\nContent-Length: 100\r\n\r\n" + long, long, false, 1},
+		{"without an id", "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok", "ok", false, 2},
+		{"chunked", "HTTP/1.1 200 x\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "ok", false, 1},
 		{"no answer", "", "", true, 2},
 		{"not in the protocol", "hello\r\n\r\n", "", true, 2},
 		{"only answers to other requests", strings.Repeat("HTTP/1.1 200 x\r\nId: old\r\nContent-Length: 0\r\n\r\n", 20), "", true, 2},
@@ -188,6 +189,52 @@
 	}
 }
 
+// Guards against a refusal without an id that a target writes once more on a connection whose answers bear none: it passed as
+// the answer to the next request, which ran.
+func TestRepeatedRefusalWithoutID(t *testing.T) {
+	const refusal = "HTTP/1.1 503 x\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, c := range []struct{ name, first string }{
+		{"after the refusal", refusal},
+		{"after an answer", "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			// A target writes the copy when it receives the next request, so that it cannot be seen before that is sent.
+			s, p := startTarget(t, c.first, refusal+okAnswer), newPool(t)
+			_, err := p.Do(t.Context(), s.Addr().String(), request("one", ""))
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = p.Do(t.Context(), s.Addr().String(), request("two", ""))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(s.connections()).To(Equal(2), "the second request must not be sent where a copy may come")
+		})
+	}
+}
+
+// Guards against an answer that looks whole although its target closed the connection within its head.
+func TestHeadCutOff(t *testing.T) {
+	const head = "HTTP/1.1 200 x\r\nId: one\r\nContent-Length: 12\r\nConnection: close\r\n\r\n"
+	for n := range len(head) {
+		t.Run(fmt.Sprint(n, " bytes"), func(t *testing.T) {
+			g := NewWithT(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, head[:n])
+				}
+			}()
+			_, err = newPool(t).Do(t.Context(), l.Addr().String(), request("one", ""))
+			g.Expect(err).To(MatchError(fulmarlink.ErrBroken))
+		})
+	}
+}
+
 // Guards against a target that sends bytes that are no answer without an end, which would fill the memory of the daemon
 // until the deadline of the request.
 func TestAnswerWithoutEnd(t *testing.T) {
@@ -344,7 +391,7 @@
 // Guards against idle connections that exhaust a target's connection limit for all daemons.
 func TestMaxIdle(t *testing.T) {
 	g := NewWithT(t)
-	s, p := startTarget(t, "HTTP/1.1 200 x\r\nContent-Length: 100\r\n\r\n"+strings.Repeat("a", 100)), newPool(t)
+	s, p := startTarget(t, "HTTP/1.1 200 x\r\nId: ID\r\nContent-Length: 100\r\n\r\n"+strings.Repeat("a", 100)), newPool(t)
 	var answers []*fulmarlink.Answer
 	for range 3 {
 		r := request("one", "")
@@ -428,7 +475,7 @@
 	})
 	t.Run("room", func(t *testing.T) {
 		g := NewWithT(t)
-		s, p := startTarget(t, "HTTP/1.1 200 x\r\nContent-Length: 100\r\n\r\n"+strings.Repeat("a", 100)), newPool(t)
+		s, p := startTarget(t, "HTTP/1.1 200 x\r\nId: ID\r\nContent-Length: 100\r\n\r\n"+strings.Repeat("a", 100)), newPool(t)
 		var answers []*fulmarlink.Answer
 		for range 3 {
 			a, err := p.Do(t.Context(), s.Addr().String(), request("one", ""))
