--- a/internal/fulmarfollower/follower.go
+++ b/internal/fulmarfollower/follower.go
@@ -11,13 +11,16 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmaraggregate"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleader"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarpublisher"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrelay"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
 
@@ -31,7 +34,10 @@
 	readTimeout = 900 * time.Millisecond // allows for a slow store
 	syncTimeout = 700 * time.Millisecond // longer than the leader waits for a change
 	// maxLeaderAge is the age of the leader's state at which the daemon reads the store itself.
-	maxLeaderAge           = 1200 * time.Millisecond
+	maxLeaderAge = 1200 * time.Millisecond
+	// maxRelayAge is the age of a relay's state at which the daemon tries another relay. It allows a relay that has lost
+	// its leader to read the store first.
+	maxRelayAge            = 1700 * time.Millisecond
 	maxFirstElectionJitter = 200 * time.Millisecond // upper bound of the random part of the delay of the first election
 	selfReportInterval     = 200 * time.Millisecond // between the load reports of the leader to itself
 
@@ -70,6 +76,12 @@
 	dial   Dial
 	log    *slog.Logger
 
+	publisher *fulmarpublisher.Publisher
+	children  *fulmaraggregate.Aggregate // reports of daemons that follow this one
+
+	relayFailures map[string]time.Time // by address: when following a relay last ended
+	nextStoreRead time.Time            // when the daemon may read the store although relays should; zero if not needed
+
 	maxCPUShare       float64   // largest CPU share of a daemon that leaders have reported or stored
 	electionDeferred  bool      // this daemon has waited for stronger ones to be elected
 	lastStoreRead     time.Time // when the daemon last read the whole store
@@ -90,14 +102,16 @@
 func New(d fulmarleader.Deps, loads LoadCollector, dial Dial) *Follower {
 	f := &Follower{
 		deps: d, reader: fulmarsnapshot.New(d.Store, d.Registry, d.Log, d.Now), views: d.Views, loads: loads, dial: dial,
-		log: d.Log, grantLapse: make(map[int64]time.Time),
+		log: d.Log, grantLapse: make(map[int64]time.Time), children: fulmaraggregate.New(), relayFailures: make(map[string]time.Time),
+		publisher: fulmarpublisher.New(d.Views, d.Limits, d.Log, d.Now),
 	}
+	f.deps.Publisher = f.publisher
 	f.deps.FindGrantLapse = f.findGrantLapse
 	return f
 }
 
-// Sync answers the report of another daemon. A daemon that does not lead returns when the grants of the term in the
-// report lapse, if it knows; see fulmarleaderrpc.Handler.
+// Sync answers the report of another daemon: as the leader, as a relay if the report asks for that, or with the time at which
+// the grants of the term in the report lapse, if this daemon knows it; see fulmarleaderrpc.Handler.
 func (f *Follower) Sync(ctx context.Context, r *fulmarleaderrpc.Report) (*fulmarleaderrpc.Update, error) {
 	f.mu.Lock()
 	term := f.term
@@ -112,6 +126,9 @@
 		}
 		return nil, err
 	}
+	if r.ToRelay {
+		return f.relay(ctx, r)
+	}
 	if at, ok := f.knownLapse(r.Versions.Term); ok {
 		return &fulmarleaderrpc.Update{EndedTerm: &fulmarleaderrpc.EndedTerm{Term: r.Versions.Term, GrantsLapseIn: max(0, at.Sub(f.deps.Now()))}}, nil
 	}
@@ -131,13 +148,17 @@
 	}
 }
 
-// followOrLead follows the leader while it answers, or stands for election if there is none. An error means that the
-// store does not answer.
+// followOrLead follows a relay or the leader while one answers, or stands for election if there is none. An error means that
+// the store does not answer.
 func (f *Follower) followOrLead(ctx context.Context) error {
+	f.followRelays(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
 	var leader *fulmarsnapshot.Leader
 	var s *fulmarsnapshot.Snapshot
 	var err error
-	if view := f.views.Get(); !view.Ready() || f.deps.Now().Sub(view.AsOf) > maxViewAge {
+	if view := f.views.Get(); (!view.Ready() || f.deps.Now().Sub(view.AsOf) > maxViewAge) && f.mayReadStore(ctx) {
 		if s, err = f.readStore(ctx); err == nil {
 			leader = s.Leader
 		}
@@ -155,8 +176,11 @@
 		// The leader did not answer, so following it again would cost another timeout while its lease runs out.
 	case leader.ID != f.deps.ID:
 		f.electionDeferred = false
-		if f.follow(ctx, leader.Address, f.lastStoreRead) {
+		switch f.follow(ctx, leader.Address, false) {
+		case silent:
 			f.unresponsiveNonce, f.ignoreLeaderUntil = leader.Nonce, f.deps.Now().Add(fulmarleader.LeaseDuration)
+		case referred:
+			f.followRelays(ctx)
 		}
 	}
 	return nil
@@ -215,9 +239,13 @@
 		if s.ReadAt.Before(v.AsOf) {
 			return // the leader has sent newer state in the meantime
 		}
-		v.Routes, v.Catalog, v.Owners, v.AsOf = s.Routes, s.Catalog, s.Spans(), s.ReadAt
-		v.Daemons = max(v.Daemons, s.Fleet.Daemons)
+		v.Routes, v.Catalog, v.Owners, v.AsOf, v.Hops, v.Leader = s.Routes, s.Catalog, s.Spans(), s.ReadAt, 0, ""
+		v.Daemons, v.MaxCPUShare = max(v.Daemons, s.Fleet.Daemons), max(v.MaxCPUShare, s.Fleet.MaxCPUShare)
+		if len(v.Relays) == 0 {
+			v.Relays = s.Fleet.Relays
+		}
 	})
+	f.publisher.Publish()
 	return s, nil
 }
 
@@ -256,72 +284,110 @@
 	f.term = t
 }
 
-// report returns a report of the load since the last one and of the versions that this daemon has.
+// report returns a report of the load since the last one, of the daemons that follow this one as well, and of the versions
+// that this daemon has.
 func (f *Follower) report(versions fulmarleaderrpc.Versions) *fulmarleaderrpc.Report {
 	keys, targets := f.loads.Collect()
-	return &fulmarleaderrpc.Report{ID: f.deps.ID, Address: f.deps.Address, CPUShare: f.deps.CPUShare, Versions: versions, Keys: keys, Targets: targets}
+	r := &fulmarleaderrpc.Report{
+		ID: f.deps.ID, Address: f.deps.Address, DC: f.deps.DC, CPUShare: f.deps.CPUShare, Versions: versions, Keys: keys, Targets: targets, KnowsRelays: true,
+	}
+	f.children.Fill(f.deps.Now(), r)
+	return r
 }
 
-// follow exchanges reports with the leader until it fails or its state is too old, and reports whether a call timed
-// out. lastRead is when this daemon last read the store: older state of the leader must not replace that.
-func (f *Follower) follow(ctx context.Context, address string, lastRead time.Time) (timedOut bool) {
-	leader, err := f.dial(ctx, address)
+// outcome is how following a daemon ended.
+type outcome int
+
+const (
+	ended    outcome = iota // it answered reports until it could not, or until its state was too old
+	failed                  // it answered no report with a state that can be used
+	silent                  // a report to it timed out
+	referred                // it leads and has referred this daemon to relays
+)
+
+// follow exchanges reports with the leader, or with a relay, until it fails or its state is too old.
+func (f *Follower) follow(ctx context.Context, address string, relay bool) outcome {
+	source, err := f.dial(ctx, address)
 	if err != nil {
-		f.log.Info("connection to leader failed", "address", address, "error", err)
-		return false
+		f.log.Info("connection to leader failed", "address", address, "relay", relay, "error", err)
+		return failed
 	}
-	defer leader.Close()
-	f.setLeaderAddress(address)
+	defer source.Close()
 	defer func() {
 		if ctx.Err() == nil { // a daemon that stops still needs permits for its last requests
 			f.setLeaderAddress("")
 		}
 	}()
-	f.log.Info("following leader", "address", address)
+	if !relay {
+		f.setLeaderAddress(address)
+	}
+	f.log.Info("following leader", "address", address, "relay", relay)
 	received := &leaderState{}
 	if routes := f.views.Get().Routes; routes != nil {
 		// Configuration versions come from the store and are the same for all leaders, so a new leader need not send
 		// the configuration again.
 		received.routes, received.versions.Config = routes, routes.Version()
 	}
+	maxAge, result := maxLeaderAge, failed
+	if relay {
+		maxAge = maxRelayAge
+	}
 	for ctx.Err() == nil {
 		began := f.deps.Now()
 		callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
-		u, err := leader.Sync(callCtx, f.reportTo(received))
-		timedOut = callCtx.Err() != nil
+		u, err := source.Sync(callCtx, f.reportTo(received, relay))
+		timedOut := callCtx.Err() != nil
 		cancel()
-		if err != nil {
+		switch {
+		case err != nil:
 			f.deps.Metrics.Count("control.report_failed")
-			f.log.Info("report to leader failed", "address", address, "silent", timedOut, "first", received.catalog == nil, "error", err)
-			return timedOut
-		}
-		if u.EndedTerm != nil {
+			f.log.Info("report to leader failed", "address", address, "relay", relay, "silent", timedOut, "first", received.catalog == nil, "error", err)
+			if timedOut {
+				return silent
+			}
+			return result
+		case u.EndedTerm != nil:
 			f.log.Info("leader has ended its term", "address", address, "silent", false)
 			f.recordEndedTerm(*u.EndedTerm)
-			return false
+			return result
+		case u.Referral:
+			f.log.Info("referred to relays", "address", address, "relays", len(u.Relays))
+			f.views.Update(func(v *fulmarview.View) { v.Relays = u.Relays })
+			return referred
 		}
-		// The leader computed the age after the call began, so its state is at least as recent as this.
-		asOf := began.Add(-u.Age)
-		if f.deps.Now().Sub(asOf) > maxLeaderAge {
-			f.log.Warn("leader has not read the store recently", "address", address, "age", u.Age)
-			f.inquiries.TryGo(func() error { f.askFormerLeader(ctx, address, received.versions); return nil })
-			return false
+		// The state was computed after the call had waited, so it is at least as recent as this. The time on the way counts
+		// as age.
+		computedAt := began.Add(u.Waited)
+		asOf := computedAt.Add(-u.Age)
+		if f.deps.Now().Sub(asOf) > maxAge {
+			f.log.Warn("leader has not read the store recently", "address", address, "relay", relay, "age", u.Age)
+			if !relay {
+				f.inquiries.TryGo(func() error { f.askFormerLeader(ctx, address, received.versions); return nil })
+			}
+			return result
 		}
 		if u.Complete {
 			f.deps.Metrics.Count("control.complete_state")
-			f.log.Info("complete state received from leader", "address", address, "took", f.deps.Now().Sub(began), "targets", len(u.Targets), "age", u.Age)
+			f.log.Info("complete state received from leader", "address", address, "relay", relay, "took", f.deps.Now().Sub(began), "targets", len(u.Targets), "age", u.Age)
 		}
 		f.maxCPUShare = max(f.maxCPUShare, u.MaxCPUShare)
-		if err := received.apply(f.deps.Now(), u); err != nil {
+		if err := received.apply(computedAt, u); err != nil {
 			f.log.Error("configuration from leader is invalid", "error", err)
-			return false
+			return result
 		}
-		f.recordLimits(u.Limits)
-		if !asOf.Before(lastRead) {
+		f.recordLimits(u.Limits, "leader")
+		if relay {
+			f.setLeaderAddress(u.Leader)
+		}
+		if !asOf.Before(f.lastStoreRead) {
 			f.updateView(received, u, asOf)
+			result = ended
+		}
+		if relay && f.views.Get().Relays.Has(f.deps.Address) {
+			return ended // this daemon has become a relay, which follows the leader itself
 		}
 	}
-	return false
+	return result
 }
 
 // leaderState is the state received from one leader so far.
@@ -332,12 +398,13 @@
 	owners   map[string]fulmarview.Spans
 	// contacts are addresses of some other daemons.
 	contacts []string
+	relays   fulmarrelay.Set
 	limits   map[string]fulmarleaderrpc.TargetLimit // by target, as the leader has sent them
 	reported map[string]reportedLimit               // by target
 }
 
-// apply merges an update that was received at now.
-func (s *leaderState) apply(now time.Time, u *fulmarleaderrpc.Update) error {
+// apply merges an update whose times refer to computedAt.
+func (s *leaderState) apply(computedAt time.Time, u *fulmarleaderrpc.Update) error {
 	if u.Config != nil {
 		config, err := u.Config.Unpack()
 		if err != nil {
@@ -350,7 +417,7 @@
 		s.routes = routes
 	}
 	for i := range u.Targets {
-		u.Targets[i].SeenAt = now
+		u.Targets[i].SeenAt = computedAt
 	}
 	if u.Complete || s.catalog == nil {
 		s.catalog, s.owners = fulmarcatalog.New(u.Targets), u.Owners
@@ -369,7 +436,10 @@
 	if len(u.Contacts) > 0 {
 		s.contacts = u.Contacts
 	}
-	if u.Versions.Term != s.versions.Term || s.limits == nil {
+	if u.Versions.Relays != s.versions.Relays || u.Versions.Source != s.versions.Source {
+		s.relays = u.Relays
+	}
+	if u.Versions.Source != s.versions.Source || u.Versions.Term != s.versions.Term || s.limits == nil {
 		s.limits = make(map[string]fulmarleaderrpc.TargetLimit, len(u.Limits))
 	}
 	for _, l := range u.Limits {
@@ -381,6 +451,9 @@
 
 // updateView replaces the view by the state received from the leader.
 func (f *Follower) updateView(s *leaderState, u *fulmarleaderrpc.Update, asOf time.Time) {
+	f.mu.Lock()
+	leaderAddress := f.leaderAddress
+	f.mu.Unlock()
 	f.views.Update(func(v *fulmarview.View) {
 		if s.routes != nil {
 			if v.Routes == nil || v.Routes.Version() < s.routes.Version() {
@@ -397,6 +470,8 @@
 		if len(s.contacts) > 0 {
 			v.Contacts = s.contacts
 		}
-		v.Daemons, v.AsOf = u.Daemons, asOf
+		v.Daemons, v.MaxCPUShare, v.Relays, v.AsOf = u.Daemons, u.MaxCPUShare, s.relays, asOf
+		v.Leader, v.Term, v.Hops = leaderAddress, u.Versions.Term, u.Hops+1
 	})
+	f.publisher.Publish()
 }
--- a/internal/fulmarfollower/largefleet_test.go
+++ b/internal/fulmarfollower/largefleet_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"os"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarfollower"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarkvforwarder"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleader"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarmemory"
@@ -36,6 +39,7 @@
 	zoneDelay      = 1400 * time.Microsecond
 	storeDelay     = 4 * time.Millisecond
 	pageEntries    = 500
+	dialTimeout    = 300 * time.Millisecond
 )
 
 // machine is the simulated machine of a daemon: its processor does one thing at a time, its link sends one message at a
@@ -44,13 +48,15 @@
 	id       string
 	dc       string
 	cpuShare float64
-	link     float64       // bytes per second
-	cpu      chan struct{} // holds a value while the processor works
-	out      chan struct{} // holds a value while the link sends
-	received atomic.Int64  // calls of other daemons
-	sent     atomic.Int64  // bytes
-	storeCut atomic.Bool   // the store rejects the machine
-	peersCut atomic.Bool   // no other daemon is reached, in either direction
+	link     float64                // bytes per second
+	cpu      chan struct{}          // holds a value while the processor works
+	out      chan struct{}          // holds a value while the link sends
+	received atomic.Int64           // calls of other daemons
+	sent     atomic.Int64           // bytes
+	storeCut atomic.Bool            // the store rejects the machine
+	oldBuild bool                   // the daemon's build knows no relays
+	hears    func(from string) bool // whether answers and calls of a daemon arrive; nil for all
+	peersCut atomic.Bool            // no other daemon is reached, in either direction
 }
 
 // use occupies a resource for d.
@@ -76,12 +82,14 @@
 	entries   int
 	mu        sync.Mutex
 	daemons   map[string]*simulatedDaemon // by address
+	loadSince time.Time                   // when the load was last reset
 }
 
 // simulatedDaemon is a daemon of a largeFleet.
 type simulatedDaemon struct {
 	*machine
 	*fulmarfollower.Follower
+	store *fulmarkvforwarder.Store
 	views *fulmarview.Holder
 	stop  context.CancelFunc
 }
@@ -176,6 +184,17 @@
 
 func (simulatedLink) Close() {}
 
+// canHear reports whether messages between two machines arrive.
+func (m *machine) canHear(other *simulatedDaemon) bool { return m.hears == nil || m.hears(other.id) }
+
+// withoutRelays returns the report that an earlier build sends in place of r.
+func withoutRelays(r *fulmarleaderrpc.Report) *fulmarleaderrpc.Report {
+	out := *r
+	out.DC, out.Members, out.KnowsRelays, out.ToRelay, out.Direct = "", nil, false, false, false
+	out.Versions.Source, out.Versions.Relays = 0, 0
+	return &out
+}
+
 // updateBytes returns the size of an update on the wire.
 func updateBytes(u *fulmarleaderrpc.Update) int {
 	n := 90 + bytesPerTarget*len(u.Targets) + len(u.Config)
@@ -189,7 +208,10 @@
 	l.from.work(callCost)
 	l.from.send(300)
 	time.Sleep(zoneDelay)
-	if l.from.peersCut.Load() || l.to.peersCut.Load() || l.fleet.daemon(l.to.id) != l.to {
+	if l.from.oldBuild {
+		r = withoutRelays(r)
+	}
+	if l.from.peersCut.Load() || l.to.peersCut.Load() || !l.from.canHear(l.to) || l.fleet.daemon(l.to.id) != l.to {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -224,6 +246,36 @@
 	}
 }
 
+// Forward models a call of the store through another daemon.
+func (l simulatedLink) Forward(ctx context.Context, c *fulmarleaderrpc.StoreCall) (*fulmarleaderrpc.StoreAnswer, error) {
+	l.from.work(callCost)
+	time.Sleep(zoneDelay)
+	l.to.work(callCost)
+	a, err := l.to.store.Forward(ctx, c)
+	if err == nil {
+		l.to.send(entryBytes * len(a.Items))
+		l.from.work(entryCost * time.Duration(len(a.Items)))
+	}
+	time.Sleep(zoneDelay)
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return a, err
+}
+
+// connect returns the daemon at address, unless the machine m cannot reach it.
+func (f *largeFleet) connect(ctx context.Context, m *machine, address string) (*simulatedDaemon, error) {
+	time.Sleep(2 * zoneDelay)
+	to := f.daemon(address)
+	if to == nil || to.peersCut.Load() || m.peersCut.Load() {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return to, nil
+}
+
 func (f *largeFleet) daemon(address string) *simulatedDaemon {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -244,17 +296,17 @@
 func (f *largeFleet) start(ctx context.Context, m *machine) {
 	ctx, cancel := context.WithCancel(ctx)
 	d := &simulatedDaemon{machine: m, views: fulmarview.New(), stop: cancel}
+	log := slog.New(slog.DiscardHandler)
+	d.store = fulmarkvforwarder.New(storeClient{fulmarmemory.NewClient(f.store), f, m}, func(ctx context.Context, address string) (fulmarkvforwarder.Daemon, error) {
+		to, err := f.connect(ctx, m, address)
+		return simulatedLink{fleet: f, from: d, to: to}, err
+	}, func() []string { return d.views.Get().Contacts }, log)
 	d.Follower = fulmarfollower.New(fulmarleader.Deps{
-		ID: m.id, Address: m.id, Store: storeClient{fulmarmemory.NewClient(f.store), f, m}, Registry: registry, Orders: m, Views: d.views,
-		MaxGrantDuration: 10 * time.Second, CPUShare: m.cpuShare, Metrics: noMetrics{}, Log: slog.New(slog.DiscardHandler), Now: time.Now, Limits: fulmarlimit.New(), StoreForwarded: func() bool { return false },
+		ID: m.id, Address: m.id, DC: m.dc, Store: d.store, Registry: registry, Orders: m, Views: d.views,
+		MaxGrantDuration: 10 * time.Second, CPUShare: m.cpuShare, Metrics: noMetrics{}, Log: log, Now: time.Now, Limits: fulmarlimit.New(), StoreForwarded: d.store.Forwarding,
 	}, noLoad{}, func(ctx context.Context, address string) (fulmarfollower.Leader, error) {
-		time.Sleep(2 * zoneDelay)
-		to := f.daemon(address)
-		if to == nil || to.peersCut.Load() || m.peersCut.Load() {
-			<-ctx.Done()
-			return nil, ctx.Err()
-		}
-		return simulatedLink{fleet: f, from: d, to: to}, nil
+		to, err := f.connect(ctx, m, address)
+		return simulatedLink{fleet: f, from: d, to: to}, err
 	})
 	f.mu.Lock()
 	f.daemons[m.id] = d
@@ -300,6 +352,34 @@
 	delete(f.daemons, id)
 }
 
+// resetLoad makes logLoad count from now on.
+func (f *largeFleet) resetLoad() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loadSince = time.Now()
+	for _, d := range f.daemons {
+		d.received.Store(0)
+		d.sent.Store(0)
+	}
+}
+
+// logLoad logs the load by messages of the busiest and the middle daemon since the last resetLoad.
+func (f *largeFleet) logLoad(t *testing.T) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var calls, kilobytes []float64
+	seconds := time.Since(f.loadSince).Seconds()
+	for _, d := range f.daemons {
+		calls = append(calls, float64(d.received.Load())/seconds)
+		kilobytes = append(kilobytes, float64(d.sent.Load())/1000/seconds)
+	}
+	slices.Sort(calls)
+	slices.Sort(kilobytes)
+	n := len(calls)
+	t.Logf("calls a second: busiest %.0f, middle %.0f; KB sent a second: busiest %.1f, middle %.1f", calls[n-1], calls[n/2], kilobytes[n-1], kilobytes[n/2])
+}
+
 // missing returns the number of daemons for which ok is false.
 func (f *largeFleet) missing(ok func(d *simulatedDaemon) bool) int {
 	f.mu.Lock()
@@ -378,28 +458,42 @@
 	return leader(t, f.store)
 }
 
+// fleetSizes returns the numbers of daemons to simulate. FULMARFOLLOWER_DAEMONS replaces them by another one, as 1,500 take
+// minutes.
+func fleetSizes(t *testing.T) []int {
+	t.Helper()
+	text := os.Getenv("FULMARFOLLOWER_DAEMONS")
+	if text == "" {
+		return []int{30, 295}
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return []int{n}
+}
+
 // Guards against changes that come too late because all daemons ask one leader: at 295 daemons, requests reached targets
 // that had left and followed an older configuration for seconds.
 func TestLargeFleet(t *testing.T) {
-	for _, n := range []int{30, 295} {
+	for _, n := range fleetSizes(t) {
 		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) {
-			t.Run("calm", func(t *testing.T) {
-				simulateLargeFleet(t, n, func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
-					f.change(t, g, 2, "t1")
-				})
-			})
 			t.Run("targets change all the time", func(t *testing.T) {
 				simulateLargeFleet(t, n, func(ctx context.Context, t *testing.T, g *WithT, f *largeFleet) {
+					f.change(t, g, 2, "t1")
 					go func() {
 						for i := 0; ctx.Err() == nil; i++ {
 							f.store.Set(fmt.Sprint("targets/t", i%f.entries), encode(t, target(fmt.Sprint("t", i%f.entries), i/f.entries%2 == 1)))
 							time.Sleep(3 * time.Second / time.Duration(n))
 						}
 					}()
-					time.Sleep(2 * time.Second)
+					time.Sleep(time.Second)
+					f.resetLoad()
+					time.Sleep(time.Second)
+					f.logLoad(t)
 					for version := range uint64(3) {
-						f.store.Set("config", encode(t, config(version+2)))
-						f.expectWithin(g, configBound, "the configuration", hasConfig(version+2))
+						f.store.Set("config", encode(t, config(version+3)))
+						f.expectWithin(g, configBound, "the configuration", hasConfig(version+3))
 					}
 				})
 			})
@@ -432,3 +526,106 @@
 		})
 	}
 }
+
+// smallestWithRelays is the number of daemons of tests about relays: three of each data centre follow two relays there.
+const smallestWithRelays = 50
+
+// relays returns the relays of which the daemons know.
+func (f *largeFleet) relays() (out []*simulatedDaemon) {
+	for _, r := range f.daemon("d49").views.Get().Relays {
+		out = append(out, f.daemon(r.Address))
+	}
+	return out
+}
+
+// isReached returns whether a daemon is in touch with the others; those that are not are excused from bounds.
+func isReached(ok func(d *simulatedDaemon) bool) func(d *simulatedDaemon) bool {
+	return func(d *simulatedDaemon) bool { return d.peersCut.Load() || ok(d) }
+}
+
+// Guards against daemons that keep to a relay without news. Relays are ordinary daemons, and any number of them may fail.
+func TestRelays(t *testing.T) {
+	simulate := func(name string, test func(ctx context.Context, t *testing.T, g *WithT, f *largeFleet)) {
+		t.Run(name, func(t *testing.T) {
+			simulateLargeFleet(t, smallestWithRelays, func(ctx context.Context, t *testing.T, g *WithT, f *largeFleet) {
+				g.Expect(f.relays()).To(HaveLen(10))
+				test(ctx, t, g, f)
+			})
+		})
+	}
+	simulate("load", func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
+		f.resetLoad()
+		time.Sleep(2 * time.Second)
+		g.Expect(f.daemon(f.leader(t)).received.Load()).To(BeNumerically("<", 11*2*6), "10 relays and the leader's checks")
+	})
+	simulate("half are lost", func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
+		for i, r := range f.relays() {
+			if i%2 == 0 {
+				f.kill(r.id)
+			}
+		}
+		f.change(t, g, 2, "t1")
+	})
+	simulate("all are lost with the leader", func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
+		relays := f.relays()
+		f.kill(f.leader(t))
+		for _, r := range relays {
+			f.kill(r.id)
+		}
+		time.Sleep(3 * time.Second)
+		f.change(t, g, 2, "t1")
+		time.Sleep(5 * time.Second)
+		g.Expect(f.relays()).To(HaveLen(10), "others have taken their place")
+	})
+	simulate("a data centre's are cut off from all", func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
+		for _, r := range f.relays() {
+			r.peersCut.Store(r.dc == "dc1")
+		}
+		f.store.Set("config", encode(t, config(2)))
+		f.expectWithin(g, configBound, "the configuration", isReached(hasConfig(2)))
+	})
+	// Such a relay answers, with a state that gets older and older.
+	simulate("some reach neither the leader nor the store", func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
+		stale := make(map[string]bool)
+		for i, r := range f.relays() {
+			if i%2 == 0 {
+				stale[r.id] = true
+				r.storeCut.Store(true)
+				r.hears = func(from string) bool { return from == "" || !stale[from] && f.leader(t) != from }
+			}
+		}
+		time.Sleep(time.Second)
+		f.store.Set("config", encode(t, config(2)))
+		f.store.Set("targets/t1", encode(t, target("t1", true)))
+		f.expectWithin(g, configBound, "the configuration", func(d *simulatedDaemon) bool { return stale[d.id] || hasConfig(2)(d) })
+		f.expectWithin(g, leavingBound, "the leaving target", func(d *simulatedDaemon) bool { return stale[d.id] || knowsLeaving("t1")(d) })
+	})
+	// Guards against a stampede on the store of daemons that have neither a relay nor the leader.
+	simulate("a third reaches nobody", func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
+		for i := range smallestWithRelays {
+			d := f.daemon(fmt.Sprint("d", i))
+			d.peersCut.Store(i%3 == 0 && d.cpuShare < 0.1)
+		}
+		time.Sleep(2 * time.Second)
+		before := f.store.Calls("Scan")
+		f.change(t, g, 2, "t1")
+		time.Sleep(2 * time.Second)
+		g.Expect(f.store.Calls("Scan")-before).To(BeNumerically("<", 17*2*4+20), "one for 1.1 s, and the leader's")
+	})
+	// Guards against a mixed fleet in which daemons of an earlier build, which cannot follow relays, get no state or ask all
+	// the time.
+	simulate("some are of an earlier build", func(ctx context.Context, t *testing.T, g *WithT, f *largeFleet) {
+		for i := range 5 {
+			m := f.daemon(fmt.Sprint("d", smallestWithRelays-2-i)).machine
+			f.kill(m.id)
+			m.oldBuild = true
+			f.start(ctx, m)
+		}
+		time.Sleep(4 * time.Second)
+		f.resetLoad()
+		f.change(t, g, 2, "t1")
+		time.Sleep(2 * time.Second)
+		f.logLoad(t)
+		g.Expect(f.daemon(f.leader(t)).received.Load()).To(BeNumerically("<", 15*2*8))
+	})
+}
--- a/internal/fulmarfollower/permit.go
+++ b/internal/fulmarfollower/permit.go
@@ -87,10 +87,11 @@
 	at time.Time
 }
 
-// reportTo returns a report to the leader from which this daemon has received s. It contains the limits that the leader
+// reportTo returns a report to the leader, or to a relay, from which this daemon has received s. It contains the limits that the leader
 // does not know.
-func (f *Follower) reportTo(s *leaderState) *fulmarleaderrpc.Report {
+func (f *Follower) reportTo(s *leaderState, relay bool) *fulmarleaderrpc.Report {
 	r := f.report(s.versions)
+	r.ToRelay, r.Direct = relay, !relay && f.needsLeader()
 	now := f.deps.Now()
 	for _, own := range f.deps.Limits.Statements() {
 		if own.SameLimit(s.limits[own.Target].Unpack(now)) {
@@ -108,12 +109,12 @@
 	return r
 }
 
-// recordLimits records the limits that the leader has sent.
-func (f *Follower) recordLimits(limits []fulmarleaderrpc.TargetLimit) {
+// recordLimits records the limits that another daemon has sent.
+func (f *Follower) recordLimits(limits []fulmarleaderrpc.TargetLimit, source string) {
 	now := f.deps.Now()
 	for _, l := range limits {
 		if f.deps.Limits.Record(l.Unpack(now)) {
-			f.log.Info("limit of target changed", "target", l.Target, "limited", l.Limited, "rate", l.Rate, "source", "leader")
+			f.log.Info("limit of target changed", "target", l.Target, "limited", l.Limited, "rate", l.Rate, "source", source)
 		}
 	}
 }
--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -122,7 +122,7 @@
 	f.balancer = fulmarbalancer.New(comparedTargets, rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	loads := fulmarkeyload.New(f.balancer)
 	f.follower = fulmarfollower.New(fulmarleader.Deps{
-		ID: s.ID, Address: s.Listen.Peers, Store: f.forwardedStore, Registry: p.Registry,
+		ID: s.ID, Address: s.Listen.Peers, DC: s.DC, Store: f.forwardedStore, Registry: p.Registry,
 		Orders: p.NewOrders(f.orderPool), Views: f.views, MaxGrantDuration: s.MaxGrant, CPUShare: s.CPUShare, Metrics: metrics, Log: log, Now: fulmarclock.Now, Limits: f.targetLimits, StoreForwarded: f.forwardedStore.Forwarding,
 	}, loads, func(ctx context.Context, address string) (fulmarfollower.Leader, error) {
 		return fulmarleaderrpc.Dial(ctx, address)
--- a/internal/fulmarleader/fleet.go
+++ b/internal/fulmarleader/fleet.go
@@ -4,6 +4,9 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrelay"
 )
 
 const (
@@ -21,8 +24,7 @@
 // member is the latest report of one daemon.
 type member struct {
 	lastReport time.Time
-	address    string
-	cpuShare   float64 // usable share of a CPU core
+	fulmarrelay.Member
 }
 
 // fleet holds the other daemons that reported to the leader within memberTimeout.
@@ -35,16 +37,31 @@
 
 func newFleet() *fleet { return &fleet{members: make(map[string]member)} }
 
-// recordReport records a report of a daemon and reports whether the daemon is new.
-func (f *fleet) recordReport(now time.Time, id, address string, power float64) bool {
-	_, ok := f.members[id]
+// recordReport records a report of a daemon, which a relay may have received before, and reports whether the daemon is new.
+func (f *fleet) recordReport(now time.Time, r fulmarleaderrpc.MemberReport) bool {
+	reportedAt := now.Add(-max(r.Age, 0))
+	old, ok := f.members[r.ID]
+	if now.Sub(reportedAt) > memberTimeout || reportedAt.Before(old.lastReport) {
+		return false
+	}
 	if !ok {
 		f.countedAt = time.Time{}
 	}
-	f.members[id] = member{now, address, power}
+	f.members[r.ID] = member{reportedAt, fulmarrelay.Member{Relay: fulmarrelay.Relay{Address: r.Address, DC: r.DC}, CPUShare: r.CPUShare}}
 	return !ok
 }
 
+// candidates returns the daemons that can be relays.
+func (f *fleet) candidates(now time.Time) []fulmarrelay.Member {
+	out := make([]fulmarrelay.Member, 0, len(f.members))
+	for _, m := range f.members {
+		if m.Address != "" && m.DC != "" && now.Sub(m.lastReport) <= memberTimeout {
+			out = append(out, m.Member)
+		}
+	}
+	return out
+}
+
 // reportingShare returns the share of the daemons that reported within reportWindow, or 1 if there are no daemons.
 func (f *fleet) reportingShare(now time.Time) float64 {
 	if len(f.members) == 0 {
@@ -64,14 +81,14 @@
 func (f *fleet) contacts(now time.Time) []string {
 	candidates := make([]member, 0, len(f.members))
 	for _, m := range f.members { // in random order
-		if m.address != "" && now.Sub(m.lastReport) <= memberTimeout {
+		if m.Address != "" && now.Sub(m.lastReport) <= memberTimeout {
 			candidates = append(candidates, m)
 		}
 	}
-	slices.SortStableFunc(candidates, func(a, b member) int { return cmp.Compare(b.cpuShare, a.cpuShare) })
+	slices.SortStableFunc(candidates, func(a, b member) int { return cmp.Compare(b.CPUShare, a.CPUShare) })
 	out := make([]string, 0, maxContacts)
 	for _, m := range candidates[:min(len(candidates), maxContacts)] {
-		out = append(out, m.address)
+		out = append(out, m.Address)
 	}
 	return out
 }
@@ -88,7 +105,7 @@
 			continue
 		}
 		f.count++
-		f.maxCPUShare = max(f.maxCPUShare, m.cpuShare)
+		f.maxCPUShare = max(f.maxCPUShare, m.CPUShare)
 	}
 	return f.count, f.maxCPUShare
 }
--- a/internal/fulmarleader/permit.go
+++ b/internal/fulmarleader/permit.go
@@ -36,16 +36,6 @@
 	}
 }
 
-// packLimits returns the published limits that have changed after a version.
-func (t *Term) packLimits(now time.Time, since int64) []fulmarleaderrpc.TargetLimit {
-	statements := t.deps.Limits.Changes(since, t.published.versions.Limits)
-	out := make([]fulmarleaderrpc.TargetLimit, 0, len(statements))
-	for _, s := range statements {
-		out = append(out, fulmarleaderrpc.PackLimit(now, s))
-	}
-	return out
-}
-
 // needMemory is the time after the latest statement of a target's limit in which the target gets no keys that others can
 // have. A target whose load has become low may end its limit and state it again once the load is back. One that has lost
 // all of its keys gets no requests, so that nobody would learn of the end of its limit.
--- a/internal/fulmarleader/publish.go
+++ b/internal/fulmarleader/publish.go
@@ -2,17 +2,16 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
-	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrelay"
 )
 
-// longPollTimeout is the time after which a report is answered even if nothing has changed.
-const longPollTimeout = 250 * time.Millisecond
+// relayInterval is the least time between two choices of the relays.
+const relayInterval = 500 * time.Millisecond
 
 const (
 	// Every published change wakes all daemons, so the delay between two publications grows with the number of
@@ -20,14 +19,8 @@
 	publishDelayPerDaemon = 300 * time.Microsecond
 	minPublishDelay       = 5 * time.Millisecond
 	maxPublishDelay       = 250 * time.Millisecond
-	// limitPublishInterval is the least time between two publications of limits. Daemons ask for permits as soon as they
-	// have received a limit themselves, and many targets may come to state limits one after another.
-	limitPublishInterval = 500 * time.Millisecond
 )
 
-// ownerChangesPerContacts is the number of owner changes after which updates contain the contacts again.
-const ownerChangesPerContacts = 16
-
 // requestPublish makes publishLoop publish the current state.
 func (t *Term) requestPublish() {
 	select {
@@ -54,47 +47,40 @@
 	}
 }
 
-// publish updates the leader's own view and wakes the calls of Sync that wait for a change, if there is one. The caller
-// holds mu.
+// publish updates the leader's own view and passes it on to the daemons that wait for a change. The caller holds mu.
 func (t *Term) publish() {
 	now := t.deps.Now()
-	next := t.published
-	next.versions.Term = t.lease.revision
-	next.asOf = t.snapshot.ReadAt
-	if t.snapshot.Routes != nil {
-		next.routes = t.snapshot.Routes
-		next.versions.Config = next.routes.Version()
-	}
-	if next.catalog == nil || !next.catalog.Equivalent(t.snapshot.Catalog) {
-		next.catalog = t.snapshot.Catalog
-		next.versions.Targets++
-		t.catalogHistory.add(next.versions.Targets, next.catalog)
-	}
-	if owners := t.routingSpans(now); !equalSpans(owners, next.owners) {
-		next.owners = owners
-		next.versions.Owners++
-		t.ownerHistory.add(next.versions.Owners, next.owners)
-	}
-	if t.hasLimitsToPublish(now) {
-		next.versions.Limits, t.limitsPublishedAt = t.deps.Limits.Version(), now
-	}
-	versionsChanged := next.versions != t.published.versions
-	t.published = next
-	clear(t.cachedUpdates)
-	daemons, _ := t.countDaemons(now)
+	owners := t.routingSpans(now)
+	daemons, maxCPUShare := t.countDaemons(now)
+	t.updateRelays(now)
 	t.deps.Views.Update(func(v *fulmarview.View) {
-		v.Routes, v.Catalog, v.Owners, v.Daemons, v.AsOf = next.routes, next.catalog, next.owners, daemons, next.asOf
-		v.Contacts = t.fleet.contacts(now)
+		if t.snapshot.Routes != nil {
+			v.Routes = t.snapshot.Routes
+		}
+		if v.Catalog == nil || !v.Catalog.Equivalent(t.snapshot.Catalog) {
+			v.Catalog = t.snapshot.Catalog
+		}
+		v.Owners, v.AsOf = owners, t.snapshot.ReadAt
+		v.Daemons, v.MaxCPUShare, v.Contacts, v.Relays = daemons, maxCPUShare, t.fleet.contacts(now), t.relays
+		v.Term, v.Leader, v.Hops = t.lease.revision, t.deps.Address, 0
 	})
-	if versionsChanged {
-		close(t.publishedChanged)
-		t.publishedChanged = make(chan struct{})
-	}
+	t.isPublished = true
+	t.deps.Publisher.Publish()
 }
 
-// hasLimitsToPublish reports whether limits have changed and may be published at now. The caller holds mu.
-func (t *Term) hasLimitsToPublish(now time.Time) bool {
-	return t.published.versions.Limits != t.deps.Limits.Version() && now.Sub(t.limitsPublishedAt) >= limitPublishInterval
+// updateRelays chooses the relays anew, at most every relayInterval. At the begin of the term, the former ones stay until the
+// daemons have reported. The caller holds mu.
+func (t *Term) updateRelays(now time.Time) {
+	settled := len(t.relays) == 0 || now.Sub(t.beganAt) >= memberTimeout
+	if !settled || now.Sub(t.relaysChosenAt) < relayInterval {
+		return
+	}
+	t.relaysChosenAt = now
+	relays := t.relays.With(t.fleet.candidates(now))
+	if !relays.Equal(t.relays) {
+		t.deps.Log.Info("relays chosen", "term", t.lease.revision, "relays", len(relays), "before", len(t.relays))
+		t.relays = relays
+	}
 }
 
 // routingSpans returns the routing of keys to targets by service. The caller holds mu.
@@ -110,18 +96,6 @@
 	return out
 }
 
-func equalSpans(a, b map[string]fulmarview.Spans) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for name, spans := range a {
-		if !slices.Equal(spans, b[name]) {
-			return false
-		}
-	}
-	return true
-}
-
 // countDaemons returns the number of daemons, including this one, and the largest CPU share among the others. At the begin
 // of the term it is at least the number that was known before: bounds of the fleet are divided by it, and daemons that have
 // yet to report still exist. The caller holds mu.
@@ -139,14 +113,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.deps.Now()
-	if r.ID != t.deps.ID && t.fleet.recordReport(now, r.ID, r.Address, r.CPUShare) {
-		t.requestPublish()
+	isNew := r.ID != t.deps.ID && t.fleet.recordReport(now, fulmarleaderrpc.MemberReport{ID: r.ID, Address: r.Address, DC: r.DC, CPUShare: r.CPUShare})
+	for _, m := range r.Members {
+		isNew = m.ID != t.deps.ID && t.fleet.recordReport(now, m) || isNew
 	}
-	t.recordLimits(now, r.Limits)
-	// The leader also receives answers of targets itself.
-	if t.hasLimitsToPublish(now) {
+	if isNew {
 		t.requestPublish()
 	}
+	t.recordLimits(now, r.Limits)
 	for service, counts := range r.Keys {
 		s := t.services[service]
 		if s == nil {
@@ -170,7 +144,7 @@
 const loadLogInterval = time.Second
 
 // answerCounts counts answers to reports.
-type answerCounts struct{ unchanged, updates, complete, configs int }
+type answerCounts struct{ updates, complete, configs, referrals int }
 
 // logLoad logs the load of the leader by reports regularly until ctx ends.
 func (t *Term) logLoad(ctx context.Context) {
@@ -180,10 +154,10 @@
 		t.load = answerCounts{}
 		now := t.deps.Now()
 		daemons, _ := t.countDaemons(now)
-		share, age := t.fleet.reportingShare(now), now.Sub(t.published.asOf)
+		share, age := t.fleet.reportingShare(now), now.Sub(t.snapshot.ReadAt)
 		t.mu.Unlock()
-		t.deps.Log.Info("reports answered", "daemons", daemons, "reporting", share, "unchanged", load.unchanged, "updates", load.updates,
-			"complete", load.complete, "configs", load.configs, "age", age)
+		t.deps.Log.Info("reports answered", "daemons", daemons, "reporting", share, "updates", load.updates,
+			"complete", load.complete, "configs", load.configs, "referrals", load.referrals, "age", age)
 	}
 }
 
@@ -198,140 +172,43 @@
 	}
 }
 
-// Sync answers a report with the changes since the versions in it. If there are none, it waits up to longPollTimeout
-// for one.
+// Sync answers a report with the changes since the versions in it, or refers the daemon to the relays; see
+// fulmarpublisher.Publisher.Wait.
 func (t *Term) Sync(ctx context.Context, r *fulmarleaderrpc.Report) (*fulmarleaderrpc.Update, error) {
 	t.RecordReport(r)
-	timer := time.NewTimer(longPollTimeout)
-	defer timer.Stop()
-	for {
-		t.mu.Lock()
-		now := t.deps.Now()
-		if !now.Before(t.validUntil) || t.published.catalog == nil {
-			t.mu.Unlock()
-			return nil, fulmarleaderrpc.ErrNotLeader
-		}
-		s, changed := t.published, t.publishedChanged
-		if s.versions != r.Versions {
-			u := t.update(now, r.Versions)
-			t.load.count(u)
-			t.mu.Unlock()
-			return u, nil
-		}
-		t.mu.Unlock()
-		select {
-		case <-changed:
-		case <-timer.C:
-			t.mu.Lock()
-			defer t.mu.Unlock()
-			t.load.unchanged++
-			return t.baseUpdate(t.deps.Now(), s.versions), nil
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-}
-
-// cachedUpdateLifetime is the time for which an update is reused for daemons with the same versions. The time fields of
-// its targets are at most that old.
-const cachedUpdateLifetime = 20 * time.Millisecond
-
-// cachedUpdate is an update with the time of its creation.
-type cachedUpdate struct {
-	*fulmarleaderrpc.Update
-	createdAt time.Time
-}
-
-// update returns the changes since the given versions, from the cache if possible. The caller holds mu.
-func (t *Term) update(now time.Time, since fulmarleaderrpc.Versions) *fulmarleaderrpc.Update {
-	cached, ok := t.cachedUpdates[since]
-	if !ok || now.Sub(cached.createdAt) > cachedUpdateLifetime {
-		cached = cachedUpdate{t.diffUpdate(now, since), now}
-		t.cachedUpdates[since] = cached
-	}
-	u := *cached.Update
-	u.Age = now.Sub(t.published.asOf)
-	return &u
-}
-
-// diffUpdate computes the changes since the given versions. The caller holds mu.
-func (t *Term) diffUpdate(now time.Time, since fulmarleaderrpc.Versions) *fulmarleaderrpc.Update {
-	s := t.published
-	u := t.baseUpdate(now, s.versions)
-	otherTerm := since.Term != s.versions.Term
-	if otherTerm || s.versions.Owners%ownerChangesPerContacts == 0 {
-		u.Contacts = t.fleet.contacts(now)
-	}
-	if s.routes != nil && since.Config != s.versions.Config {
-		u.Config = t.packConfig()
+	if !t.mayAnswer() {
+		return nil, fulmarleaderrpc.ErrNotLeader
 	}
-	if otherTerm {
-		u.Limits = t.packLimits(now, 0)
-	} else if since.Limits != s.versions.Limits {
-		u.Limits = t.packLimits(now, since.Limits)
+	if relays, ok := t.referral(r); ok {
+		return &fulmarleaderrpc.Update{Referral: true, Relays: relays}, nil
 	}
-	catalog, hasTargets := t.catalogHistory.get(since.Targets)
-	owners, hasOwners := t.ownerHistory.get(since.Owners)
-	if otherTerm || !hasTargets || !hasOwners {
-		u.Complete = true
-		catalog, owners = fulmarcatalog.New(nil), nil
+	u, err := t.deps.Publisher.Wait(ctx, r)
+	if err != nil {
+		return nil, err
 	}
-	u.Targets, u.RemovedTargets = s.catalog.Diff(catalog)
-	for i := range u.Targets {
-		u.Targets[i] = u.Targets[i].AsOf(now)
-	}
-	u.Owners = make(map[string]fulmarview.Spans)
-	for name, spans := range s.owners {
-		if changes := spans.Diff(owners[name]); len(changes) > 0 {
-			u.Owners[name] = changes
-		}
-	}
-	return u
-}
-
-// packConfig returns the compressed configuration, which is cached by version. The caller holds mu.
-func (t *Term) packConfig() fulmarleaderrpc.PackedConfig {
-	if version := t.published.routes.Version(); t.packedConfig.version != version {
-		data, err := fulmarleaderrpc.PackConfig(t.published.routes.Config())
-		if err != nil {
-			t.deps.Log.Error("configuration not compressed, so not sent to daemons", "version", version, "error", err)
-			return nil
-		}
-		t.packedConfig = packedConfig{version, data}
+	if !t.mayAnswer() {
+		return nil, fulmarleaderrpc.ErrNotLeader
 	}
-	return t.packedConfig.data
-}
-
-// packedConfig is a compressed configuration and its version.
-type packedConfig struct {
-	version uint64
-	data    fulmarleaderrpc.PackedConfig
-}
-
-// baseUpdate returns an update to the given versions that contains no changes. The caller holds mu.
-func (t *Term) baseUpdate(now time.Time, versions fulmarleaderrpc.Versions) *fulmarleaderrpc.Update {
-	u := &fulmarleaderrpc.Update{Versions: versions, Age: now.Sub(t.published.asOf)}
-	u.Daemons, u.MaxCPUShare = t.countDaemons(now)
-	return u
-}
-
-// historySize is the number of recent versions for which a daemon gets only the differences.
-const historySize = 32
-
-// history is a ring buffer of the latest versions of a value.
-type history[T any] struct {
-	versions [historySize]int64
-	values   [historySize]T
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.load.count(u)
+	return u, nil
 }
 
-func (h *history[T]) add(version int64, value T) {
-	h.versions[version%historySize], h.values[version%historySize] = version, value
+// mayAnswer reports whether the term holds its lease and its state is published.
+func (t *Term) mayAnswer() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.deps.Now().Before(t.validUntil) && t.isPublished
 }
 
-// get returns the value of a version; ok is false if it has been overwritten. Versions begin with 1.
-func (h *history[T]) get(version int64) (value T, ok bool) {
-	if version <= 0 || h.versions[version%historySize] != version {
-		return value, false
+// referral returns the relays if the sender of a report is to follow one of them.
+func (t *Term) referral(r *fulmarleaderrpc.Report) (fulmarrelay.Set, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.relays) == 0 || !r.KnowsRelays || r.Direct || t.relays.Has(r.Address) {
+		return nil, false
 	}
-	return h.values[version%historySize], true
+	t.load.referrals++
+	return t.relays, true
 }
--- a/internal/fulmarleader/tables.go
+++ b/internal/fulmarleader/tables.go
@@ -71,8 +71,8 @@
 func (t *Term) fleetRecord(now time.Time) (record fulmarsnapshot.Fleet, changed bool) {
 	stored := t.snapshot.Fleet
 	daemons, maxCPUShare := t.countDaemons(now)
-	record = fulmarsnapshot.Fleet{MaxCPUShare: max(stored.MaxCPUShare, maxCPUShare, t.deps.CPUShare), Daemons: max(stored.Daemons, daemons)}
-	return record, record != stored
+	record = fulmarsnapshot.Fleet{MaxCPUShare: max(stored.MaxCPUShare, maxCPUShare, t.deps.CPUShare), Daemons: max(stored.Daemons, daemons), Relays: t.relays}
+	return record, !record.Equal(stored)
 }
 
 // findWrite returns the revision of the stored tables if they equal value; ok is false otherwise.
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -9,18 +9,17 @@
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
-	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarpublisher"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarretention"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarassign"
-	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarorder"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
-	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrelay"
 )
 
 // Timing of the leader's duties.
@@ -61,6 +60,7 @@
 type Deps struct {
 	ID               string
 	Address          string // at which other daemons reach the leader
+	DC               string
 	Store            fulmarkv.Store
 	Registry         fulmarsnapshot.Decoder
 	Orders           OrderSender
@@ -68,7 +68,8 @@
 	MaxGrantDuration time.Duration      // longest grant that targets accept
 	CPUShare         float64            // usable share of a CPU core of this daemon
 	Limits           *fulmarlimit.Board // limits that targets have stated
-	StoreForwarded   func() bool        // reports whether calls to the store are forwarded through other daemons
+	Publisher        *fulmarpublisher.Publisher
+	StoreForwarded   func() bool // reports whether calls to the store are forwarded through other daemons
 	// FindGrantLapse returns the time at which all grants of an earlier term have lapsed; ok is false if no daemon
 	// knows it. It may ask the daemon at address, which led in that term.
 	FindGrantLapse func(ctx context.Context, term int64, address string) (latest time.Time, ok bool)
@@ -92,41 +93,28 @@
 	reader *fulmarsnapshot.Reader
 	lease  acquiredLease
 
-	mu                sync.Mutex
-	validUntil        time.Time // the lease is certain to be valid until then
-	lastRenewal       time.Time // start of the latest call that renewed the lease
-	ended             bool      // the lease is known to have ended
-	grantsExtended    bool
-	snapshot          *fulmarsnapshot.Snapshot
-	tablesRevision    int64
-	services          map[string]*keyedService
-	workers           map[fulmarrange.Incarnation]*worker
-	fleet             *fleet
-	beganAt           time.Time
-	formerDaemons     int // number of daemons that was known when the term began
-	recentTargets     *fulmarretention.Window
-	packedConfig      packedConfig
-	formerWriter      fulmarsnapshot.Writer // last writer of the tables before this term
-	published         publishedState
-	catalogHistory    history[*fulmarcatalog.Catalog]
-	ownerHistory      history[map[string]fulmarview.Spans]
-	publishedChanged  chan struct{} // closed when published changes
-	publishRequested  chan struct{} // holds a value while there are changes to publish
-	permits           *fulmarpermit.Dispenser
-	permitsUntil      atomic.Pointer[time.Time] // validUntil; it is read without mu, which a publication may hold for long
-	limitsPublishedAt time.Time
-	cachedUpdates     map[fulmarleaderrpc.Versions]cachedUpdate
-	load              answerCounts // of the answers to reports since the last line in the log
-	group             sync.WaitGroup
-}
-
-// publishedState is the state that the leader sends to the other daemons.
-type publishedState struct {
-	versions fulmarleaderrpc.Versions
-	asOf     time.Time
-	routes   *fulmarroute.Table
-	catalog  *fulmarcatalog.Catalog
-	owners   map[string]fulmarview.Spans
+	mu               sync.Mutex
+	validUntil       time.Time // the lease is certain to be valid until then
+	lastRenewal      time.Time // start of the latest call that renewed the lease
+	ended            bool      // the lease is known to have ended
+	grantsExtended   bool
+	snapshot         *fulmarsnapshot.Snapshot
+	tablesRevision   int64
+	services         map[string]*keyedService
+	workers          map[fulmarrange.Incarnation]*worker
+	fleet            *fleet
+	beganAt          time.Time
+	formerDaemons    int // number of daemons that was known when the term began
+	recentTargets    *fulmarretention.Window
+	formerWriter     fulmarsnapshot.Writer // last writer of the tables before this term
+	isPublished      bool                  // the daemon's view is that of this term
+	relays           fulmarrelay.Set
+	relaysChosenAt   time.Time
+	publishRequested chan struct{} // holds a value while there are changes to publish
+	permits          *fulmarpermit.Dispenser
+	permitsUntil     atomic.Pointer[time.Time] // validUntil; it is read without mu, which a publication may hold for long
+	load             answerCounts              // of the answers to reports since the last line in the log
+	group            sync.WaitGroup
 }
 
 // Begin tries to become the leader. s is the latest known snapshot, in which no daemon leads.
@@ -139,8 +127,8 @@
 	t := &Term{
 		deps: d, reader: reader, lease: acquired, validUntil: acquired.validUntil, lastRenewal: d.Now(), snapshot: s,
 		services: make(map[string]*keyedService), workers: make(map[fulmarrange.Incarnation]*worker),
-		fleet: newFleet(), beganAt: d.Now(), formerDaemons: d.Views.Get().Daemons, recentTargets: fulmarretention.New(d.Now(), targetRetention), permits: fulmarpermit.New(),
-		publishedChanged: make(chan struct{}), publishRequested: make(chan struct{}, 1), cachedUpdates: make(map[fulmarleaderrpc.Versions]cachedUpdate),
+		fleet: newFleet(), beganAt: d.Now(), formerDaemons: d.Views.Get().Daemons, relays: d.Views.Get().Relays.Without(d.Address), recentTargets: fulmarretention.New(d.Now(), targetRetention), permits: fulmarpermit.New(),
+		publishRequested: make(chan struct{}, 1),
 	}
 	t.permitsUntil.Store(&acquired.validUntil)
 	return t, nil
@@ -237,6 +225,9 @@
 	if first {
 		t.formerWriter = s.TablesWriter
 		t.tablesRevision = s.TablesRevision
+		if len(t.relays) == 0 {
+			t.relays = s.Fleet.Relays.Without(t.deps.Address)
+		}
 	}
 	now := t.deps.Now()
 	t.addServices(now)
--- a/internal/fulmarleaderrpc/message.go
+++ b/internal/fulmarleaderrpc/message.go
@@ -6,15 +6,19 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrelay"
 )
 
-// Versions identifies the state of a leader that a daemon has. Versions of different terms cannot be compared.
+// Versions identifies the state of the fleet that a daemon has received from another one, the leader or a relay. The
+// numbers of different sources cannot be compared, except Term and Config.
 type Versions struct {
-	Term    int64  `cbor:"term"`
+	Source  uint64 `cbor:"source,omitempty"` // the process that numbers its states; 0 for a leader of an earlier build
+	Term    int64  `cbor:"term"`             // of the leader that the state comes from
 	Config  uint64 `cbor:"config"`
 	Targets int64  `cbor:"targets"`
 	Owners  int64  `cbor:"owners"`
 	Limits  int64  `cbor:"limits,omitempty"`
+	Relays  int64  `cbor:"relays,omitempty"` // of the relays and the number of contacts
 }
 
 // KeyCount is the number of requests for a key since the last report.
@@ -34,28 +38,55 @@
 	AbandonedTime time.Duration `cbor:"waited,omitempty"`
 }
 
-// Report is a daemon's message to the leader.
+// MemberReport is what a relay reports of a daemon that follows it.
+type MemberReport struct {
+	ID       string        `cbor:"id"`
+	Address  string        `cbor:"address,omitempty"`
+	DC       string        `cbor:"dc,omitempty"`
+	CPUShare float64       `cbor:"power"`
+	Age      time.Duration `cbor:"age,omitempty"` // since the daemon's report
+}
+
+// Report is a daemon's message to the leader or to a relay.
 type Report struct {
 	ID       string  `cbor:"id"`
 	Address  string  `cbor:"address,omitempty"` // at which other daemons reach the daemon
-	CPUShare float64 `cbor:"power"`             // usable share of a CPU core
+	DC       string  `cbor:"dc,omitempty"`
+	CPUShare float64 `cbor:"power"` // usable share of a CPU core
 	// Versions identifies the state that the sender has. A receiver that does not lead answers when the grants of the
 	// term in it lapse.
 	Versions Versions              `cbor:"have"`
 	Keys     map[string][]KeyCount `cbor:"keys,omitempty"` // by service
 	Targets  []TargetLoad          `cbor:"targets,omitempty"`
 	Limits   []TargetLimit         `cbor:"limits,omitempty"` // those that differ from what the leader has sent
+	// Members are the daemons that have reported to the sender, a relay, since its last report. Keys and Targets include
+	// their load.
+	Members []MemberReport `cbor:"members,omitempty"`
+	// KnowsRelays states that the sender can follow a relay; daemons of earlier builds cannot.
+	KnowsRelays bool `cbor:"knows,omitempty"`
+	// ToRelay asks the receiver to pass its state on even if it does not lead.
+	ToRelay bool `cbor:"relay,omitempty"`
+	// Direct asks the leader not to refer the sender to a relay, as it has reached none.
+	Direct bool `cbor:"direct,omitempty"`
 }
 
 // Update is the leader's answer to a report. It omits the state that the daemon has already.
 type Update struct {
 	Versions Versions      `cbor:"have"`
-	Age      time.Duration `cbor:"age"` // time since the read of the store on which the leader's state is based
-	Daemons  int           `cbor:"daemons"`
+	Age      time.Duration `cbor:"age"` // time since the read of the store on which the state is based
+	// Waited is the time between the arrival of the report and the answer. The rest of the duration of the call was spent
+	// on the way.
+	Waited  time.Duration `cbor:"waited,omitempty"`
+	Daemons int           `cbor:"daemons"`
 	// MaxCPUShare is the largest CPU share of a daemon other than the leader.
 	MaxCPUShare float64 `cbor:"strongest,omitempty"`
 	// EndedTerm is set by a daemon that no longer leads; all other fields are empty then.
 	EndedTerm *EndedTerm `cbor:"past,omitempty"`
+	// Referral states that the receiver is to follow one of Relays; all other fields are empty then.
+	Referral bool            `cbor:"refer,omitempty"`
+	Relays   fulmarrelay.Set `cbor:"relays,omitempty"` // sent if Versions.Relays has changed
+	Leader   string          `cbor:"leader,omitempty"` // address of the leader, empty if the sender has none
+	Hops     int             `cbor:"hops,omitempty"`   // daemons between the sender and the leader, or the store
 	// Contacts are addresses of some daemons besides the leader.
 	Contacts       []string                    `cbor:"contacts,omitempty"`
 	Config         PackedConfig                `cbor:"config,omitempty"`
--- a/internal/fulmarsnapshot/reader.go
+++ b/internal/fulmarsnapshot/reader.go
@@ -128,6 +128,16 @@
 	return &l, nil
 }
 
+// Fleet returns what leaders know about the daemons, the zero value if that is not stored. The result may be some seconds
+// old.
+func (r *Reader) Fleet(ctx context.Context) (Fleet, error) {
+	item, ok, err := r.store.ReadStale(ctx, FleetKey)
+	if err != nil || !ok {
+		return Fleet{}, errors.Wrap(err, "fulmarsnapshot: read fleet record")
+	}
+	return decodeFleet(item.Value)
+}
+
 // readTables decodes the tables if they have changed. An error fails the whole read, as no keys may be granted without
 // the tables.
 func (r *Reader) readTables(item fulmarkv.Item) error {
--- a/internal/fulmarsnapshot/record.go
+++ b/internal/fulmarsnapshot/record.go
@@ -5,6 +5,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrelay"
 )
 
 // Keys of the records that daemons write.
@@ -35,8 +36,14 @@
 
 // Fleet is the record of what leaders know about the daemons.
 type Fleet struct {
-	MaxCPUShare float64 `cbor:"strongest"`         // largest usable share of a CPU core
-	Daemons     int     `cbor:"daemons,omitempty"` // largest number of daemons so far
+	MaxCPUShare float64         `cbor:"strongest"`         // largest usable share of a CPU core
+	Daemons     int             `cbor:"daemons,omitempty"` // largest number of daemons so far
+	Relays      fulmarrelay.Set `cbor:"relays,omitempty"`
+}
+
+// Equal reports whether both records are the same.
+func (f Fleet) Equal(o Fleet) bool {
+	return f.MaxCPUShare == o.MaxCPUShare && f.Daemons == o.Daemons && f.Relays.Equal(o.Relays)
 }
 
 // Encode returns the stored form of the record.
--- a/internal/fulmarview/view.go
+++ b/internal/fulmarview/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrelay"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
 
@@ -14,8 +15,14 @@
 	Catalog *fulmarcatalog.Catalog
 	Owners  map[string]Spans // by service
 	Daemons int              // number of instances that accept requests, at least 1
+	// MaxCPUShare is the largest usable share of a CPU core of an instance other than the leader, 0 if it is not known.
+	MaxCPUShare float64
 	// Contacts are addresses of some other instances, at which their peers reach them.
 	Contacts []string
+	Relays   fulmarrelay.Set
+	Leader   string    // address of the leader, empty if there is none
+	Term     int64     // of the leader that the view comes from
+	Hops     int       // number of instances that passed the view on; 0 for the leader's own and for one read from the store
 	AsOf     time.Time // the view contains all changes up to this time
 }
 
