Keep to a leader whose reads of the store are late

Relays left a leader that calls the store through other daemons whenever its state was over 1.2 s old, read the store, and followed it again. A daemon now stays with a leader that answers, which holds its lease, and reads the store besides while its view is old.

Ruled out: relays that were lost (all answered). TestStaleLeader keeps the former bound.

--- a/internal/fulmarfollower/follower.go
+++ b/internal/fulmarfollower/follower.go
@@ -82,9 +82,7 @@
 	relayFailures map[string]time.Time // by address: when following a relay last ended
 	nextStoreRead time.Time            // when the daemon may read the store although relays should; zero if not needed
 
-	maxCPUShare       float64   // largest CPU share of a daemon that leaders have reported or stored
 	electionDeferred  bool      // this daemon has waited for stronger ones to be elected
-	lastStoreRead     time.Time // when the daemon last read the whole store
 	unresponsiveNonce uint64    // nonce of the last leader that did not answer
 	ignoreLeaderUntil time.Time // that leader is not followed again before then
 
@@ -93,6 +91,8 @@
 	permits permitLink
 
 	mu            sync.Mutex
+	maxCPUShare   float64   // largest CPU share of a daemon that leaders have reported or stored
+	lastStoreRead time.Time // when the daemon last read the whole store
 	term          *fulmarleader.Term
 	leaderAddress string              // of the leader that this daemon follows, empty for none
 	grantLapse    map[int64]time.Time // by term: when all of its grants have lapsed
@@ -212,10 +212,13 @@
 // electionDelay returns how long this daemon waits before it stands for election, so that stronger ones are elected: the
 // leader of a large fleet needs more CPU than the weakest daemons have.
 func (f *Follower) electionDelay() time.Duration {
+	f.mu.Lock()
+	maxCPUShare := f.maxCPUShare
+	f.mu.Unlock()
 	switch {
-	case f.maxCPUShare == 0: // no daemon has led yet
+	case maxCPUShare == 0: // no daemon has led yet
 		return time.Duration(float64(maxFirstElectionDelay)*max(0, 1-f.deps.CPUShare/undelayedCPUShare)) + rand.N(maxFirstElectionJitter)
-	case f.deps.CPUShare < minComparableShare*f.maxCPUShare:
+	case f.deps.CPUShare < minComparableShare*maxCPUShare:
 		return lossElectionDelay
 	}
 	return 0
@@ -233,8 +236,10 @@
 		return nil, err
 	}
 	f.log.Info("whole store read", "took", f.deps.Now().Sub(s.ReadAt), "targets", s.Catalog.Len(), "age", s.ReadAt.Sub(view.AsOf))
+	f.mu.Lock()
 	f.lastStoreRead = s.ReadAt
-	f.maxCPUShare = max(f.maxCPUShare, s.Fleet.MaxCPUShare)
+	f.mu.Unlock()
+	f.recordCPUShare(s.Fleet.MaxCPUShare)
 	f.views.Update(func(v *fulmarview.View) {
 		if s.ReadAt.Before(v.AsOf) {
 			return // the leader has sent newer state in the meantime
@@ -249,6 +254,35 @@
 	return s, nil
 }
 
+// refreshView reads the store in the background if the view is old and no read is under way. Reports to the leader go on, as
+// it counts on them.
+func (f *Follower) refreshView(ctx context.Context, reads *errgroup.Group) {
+	if f.deps.Now().Sub(f.views.Get().AsOf) <= maxViewAge || !f.mayReadStore(ctx) {
+		return
+	}
+	reads.TryGo(func() error {
+		if _, err := f.readStore(ctx); err != nil {
+			f.log.Info("view not refreshed from the store", "error", err)
+			fulmarclock.Sleep(ctx, storeRetryInterval)
+		}
+		return nil
+	})
+}
+
+// recordCPUShare records the CPU share of another daemon.
+func (f *Follower) recordCPUShare(share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.maxCPUShare = max(f.maxCPUShare, share)
+}
+
+// latestStoreRead returns when this daemon last read the whole store.
+func (f *Follower) latestStoreRead() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastStoreRead
+}
+
 // lead stands for election and, if elected, leads until the lease is lost.
 func (f *Follower) lead(ctx context.Context, s *fulmarsnapshot.Snapshot) {
 	term, err := fulmarleader.Begin(ctx, f.deps, f.reader, s)
@@ -328,6 +362,9 @@
 		// the configuration again.
 		received.routes, received.versions.Config = routes, routes.Version()
 	}
+	var refresh errgroup.Group
+	refresh.SetLimit(1)
+	defer func() { _ = refresh.Wait() }() // reads return no errors
 	maxAge, result := maxLeaderAge, failed
 	if relay {
 		maxAge = maxRelayAge
@@ -361,16 +398,17 @@
 		asOf := computedAt.Add(-u.Age)
 		if f.deps.Now().Sub(asOf) > maxAge {
 			f.log.Warn("leader has not read the store recently", "address", address, "relay", relay, "age", u.Age)
-			if !relay {
-				f.inquiries.TryGo(func() error { f.askFormerLeader(ctx, address, received.versions); return nil })
+			if relay {
+				return result
 			}
-			return result
+			// The leader still holds its lease, or it would not answer.
+			f.refreshView(ctx, &refresh)
 		}
 		if u.Complete {
 			f.deps.Metrics.Count("control.complete_state")
 			f.log.Info("complete state received from leader", "address", address, "relay", relay, "took", f.deps.Now().Sub(began), "targets", len(u.Targets), "age", u.Age)
 		}
-		f.maxCPUShare = max(f.maxCPUShare, u.MaxCPUShare)
+		f.recordCPUShare(u.MaxCPUShare)
 		if err := received.apply(computedAt, u); err != nil {
 			f.log.Error("configuration from leader is invalid", "error", err)
 			return result
@@ -379,7 +417,7 @@
 		if relay {
 			f.setLeaderAddress(u.Leader)
 		}
-		if !asOf.Before(f.lastStoreRead) {
+		if !asOf.Before(f.latestStoreRead()) {
 			f.updateView(received, u, asOf)
 			result = ended
 		}
