Keep to what targets say of themselves: that they leave, that they want a pause

Server-Leaving and the Retry-After of a target's 503 were forwarded like any other header.

Change: a board of notices for each incarnation (pkg/fulmarnotice). A target that leaves gets no requests without a key while another one can have them, and none that a caller sent later than the drain time after the answer, whatever the store, a new leader or a reload says. Daemons report it; the leader moves the keys at once. A pause binds the daemon that was asked: no request until its end, keyed ones are refused at once with the time that is left, and one request goes first at the end.

--- a/internal/fulmarfollower/largefleet_test.go
+++ b/internal/fulmarfollower/largefleet_test.go
@@ -21,8 +21,10 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarmemory"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarnotice"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarorder"
 )
 
@@ -89,9 +91,10 @@
 type simulatedDaemon struct {
 	*machine
 	*fulmarfollower.Follower
-	store *fulmarkvforwarder.Store
-	views *fulmarview.Holder
-	stop  context.CancelFunc
+	store   *fulmarkvforwarder.Store
+	views   *fulmarview.Holder
+	stop    context.CancelFunc
+	notices *fulmarnotice.Board
 }
 
 // storeClient is a machine's client of the store.
@@ -295,7 +298,7 @@
 // start starts a daemon on a machine, or starts it again.
 func (f *largeFleet) start(ctx context.Context, m *machine) {
 	ctx, cancel := context.WithCancel(ctx)
-	d := &simulatedDaemon{machine: m, views: fulmarview.New(), stop: cancel}
+	d := &simulatedDaemon{machine: m, views: fulmarview.New(), stop: cancel, notices: fulmarnotice.New()}
 	log := slog.New(slog.DiscardHandler)
 	d.store = fulmarkvforwarder.New(storeClient{fulmarmemory.NewClient(f.store), f, m}, func(ctx context.Context, address string) (fulmarkvforwarder.Daemon, error) {
 		to, err := f.connect(ctx, m, address)
@@ -303,7 +306,7 @@
 	}, func() []string { return d.views.Get().Contacts }, log)
 	d.Follower = fulmarfollower.New(fulmarleader.Deps{
 		ID: m.id, Address: m.id, DC: m.dc, Store: d.store, Registry: registry, Orders: m, Views: d.views,
-		MaxGrantDuration: 10 * time.Second, CPUShare: m.cpuShare, Metrics: noMetrics{}, Log: log, Now: time.Now, Limits: fulmarlimit.New(), StoreForwarded: d.store.Forwarding,
+		MaxGrantDuration: 10 * time.Second, CPUShare: m.cpuShare, Metrics: noMetrics{}, Notices: d.notices, Log: log, Now: time.Now, Limits: fulmarlimit.New(), StoreForwarded: d.store.Forwarding,
 	}, noLoad{}, func(ctx context.Context, address string) (fulmarfollower.Leader, error) {
 		to, err := f.connect(ctx, m, address)
 		return simulatedLink{fleet: f, from: d, to: to}, err
@@ -600,6 +603,20 @@
 		f.expectWithin(g, configBound, "the configuration", func(d *simulatedDaemon) bool { return stale[d.id] || hasConfig(2)(d) })
 		f.expectWithin(g, leavingBound, "the leaving target", func(d *simulatedDaemon) bool { return stale[d.id] || knowsLeaving("t1")(d) })
 	})
+	// Guards against daemons that learn only from the store, which may be late, that a target leaves, and against a new leader
+	// that takes the word of the store for newer.
+	simulate("a target tells one daemon that it leaves", func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
+		f.daemon("d49").notices.RecordLeaving(target("t1", false).Incarnation(), time.Now())
+		f.expectWithin(g, time.Second, "the leaving target", knowsLeaving("t1"))
+		f.expectWithin(g, leavingBound, "other owners of its keys", func(d *simulatedDaemon) bool {
+			return !slices.ContainsFunc(d.views.Get().Owners["board"], func(s fulmarview.Span) bool { return s.Target == "t1" })
+		})
+		f.kill(f.leader(t))
+		time.Sleep(4 * time.Second)
+		f.expectWithin(g, time.Second, "the leaving target", knowsLeaving("t1"))
+		f.store.Set("targets/t1", encode(t, fulmarcatalog.Target{ID: "t1", Born: 2, Service: "board", Address: "10.0.0.1:1", DC: "a", Slots: 3}))
+		f.expectWithin(g, 2*time.Second, "the target's next start", func(d *simulatedDaemon) bool { return !leaving(d.views, "t1") })
+	})
 	// Guards against a stampede on the store of daemons that have neither a relay nor the leader.
 	simulate("a third reaches nobody", func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
 		for i := range smallestWithRelays {
--- a/internal/fulmarfollower/permit.go
+++ b/internal/fulmarfollower/permit.go
@@ -7,6 +7,7 @@
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
 )
 
 // permitLink is the connection over which permits are asked for. It is not the one for reports, on which a call waits
@@ -106,9 +107,34 @@
 		s.reported[own.Target] = reportedLimit{own, now}
 		r.Limits = append(r.Limits, fulmarleaderrpc.PackLimit(now, own))
 	}
+	r.Leaving = f.unknownLeaving(s)
 	return r
 }
 
+// unknownLeaving returns the targets that have said that they leave, and do not in what the leader, or a relay, has sent.
+func (f *Follower) unknownLeaving(s *leaderState) (out []fulmarleaderrpc.LeavingTarget) {
+	if s.catalog == nil {
+		return nil
+	}
+	now := f.deps.Now()
+	for target, since := range f.deps.Notices.Leaving() {
+		if listed, ok := s.catalog.Target(target.ID); ok && listed.Born == target.Born && !listed.Leaving {
+			out = append(out, fulmarleaderrpc.LeavingTarget{Target: target.ID, Born: target.Born, Age: now.Sub(since)})
+		}
+	}
+	return out
+}
+
+// recordLeaving records which targets have told other daemons that they leave.
+func (f *Follower) recordLeaving(targets []fulmarleaderrpc.LeavingTarget) {
+	now := f.deps.Now()
+	for _, l := range targets {
+		if f.deps.Notices.RecordLeaving(fulmarrange.Incarnation{ID: l.Target, Born: l.Born}, now.Add(-max(l.Age, 0))) {
+			f.log.Info("target leaves", "target", l.Target, "age", l.Age, "source", "daemon")
+		}
+	}
+}
+
 // recordLimits records the limits that another daemon has sent.
 func (f *Follower) recordLimits(limits []fulmarleaderrpc.TargetLimit, source string) {
 	now := f.deps.Now()
--- a/internal/fulmarfollower/relay.go
+++ b/internal/fulmarfollower/relay.go
@@ -30,6 +30,7 @@
 	}
 	f.children.Add(f.deps.Now(), r)
 	f.recordLimits(r.Limits, "daemon")
+	f.recordLeaving(r.Leaving)
 	return f.publisher.Wait(ctx, r)
 }
 
--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarlink"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarbalancer"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarnotice"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
 )
 
@@ -49,7 +50,7 @@
 	for {
 		target, reason := x.choose(ctx)
 		if reason != "" {
-			if x.sends > 0 {
+			if x.sends > 0 && reason != Paused { // a pause tells when to come again
 				reason = last
 			}
 			return x.refuseOrFail(reason)
@@ -129,11 +130,14 @@
 	}
 	for began := x.forwarder.deps.Now(); ; {
 		t, reason := x.chooseByLoad()
-		if reason != "" || x.admit(ctx, t.ID, 0) {
+		if reason != "" {
 			return t, reason
 		}
+		if reason = x.admit(ctx, t, 0); reason == "" {
+			return t, ""
+		}
 		if x.forwarder.deps.Now().Sub(began) >= x.route.LatencyObjective/waitDivisor {
-			return t, OverLimit
+			return t, reason
 		}
 	}
 }
@@ -143,25 +147,17 @@
 func (x *exchange) chooseByLoad() (fulmarcatalog.Target, Reason) {
 	d := &x.forwarder.deps
 	now, clock := d.Now(), d.Clock()
-	targets := x.forwarder.preferences.targets(x.view.Catalog, x.service.Name)
-	usable := make([]fulmarcatalog.Target, 0, len(targets))
-	candidates := make([]fulmarbalancer.Candidate, 0, len(targets))
-	for _, t := range targets {
-		if t.Leaving || x.tried[t.ID] || x.overLimit[t.ID] {
-			continue
-		}
-		usable = append(usable, t)
+	usable := x.usableTargets()
+	if len(usable) == 0 {
+		return fulmarcatalog.Target{}, x.noTargetReason()
+	}
+	candidates := make([]fulmarbalancer.Candidate, 0, len(usable))
+	for _, t := range usable {
 		_, limited := d.Limits.Rate(t.ID)
 		candidates = append(candidates, fulmarbalancer.Candidate{
 			ID: t.ID, Slots: t.Slots, Remote: t.DC != d.DC, Cold: t.IsWarmingUp(clock), InNeed: limited,
 		})
 	}
-	if len(usable) == 0 && len(x.overLimit) > 0 {
-		return fulmarcatalog.Target{}, OverLimit
-	}
-	if len(usable) == 0 {
-		return fulmarcatalog.Target{}, NoTarget
-	}
 	i := d.Balancer.Choose(now, candidates, maxInFlightPerTarget)
 	if i < 0 || !d.Balancer.Acquire(usable[i].ID, maxInFlightPerTarget) {
 		return fulmarcatalog.Target{}, NoCapacity
@@ -169,6 +165,54 @@
 	return usable[i], ""
 }
 
+// usableTargets returns the targets that may get a request without a key, in the order of preference: those that do not
+// leave, or else those that leave and still accept requests.
+func (x *exchange) usableTargets() []fulmarcatalog.Target {
+	d := &x.forwarder.deps
+	notices, clock := d.Notices.Notices(), d.Clock()
+	targets := x.forwarder.preferences.targets(x.view.Catalog, x.service.Name)
+	usable := make([]fulmarcatalog.Target, 0, len(targets))
+	var leaving []fulmarcatalog.Target
+	for _, t := range targets {
+		var notice fulmarnotice.Notice
+		if len(notices) > 0 {
+			notice = notices[t.Incarnation()]
+		}
+		switch left := notice.PauseLeft(clock); {
+		case left > 0:
+			x.recordRefusal(t.ID, Paused, left)
+		case x.tried[t.ID] || x.notAdmitted[t.ID] != "":
+			continue
+		case !t.Leaving && !notice.IsLeaving():
+			usable = append(usable, t)
+		case x.acceptsLeaving(t, notice):
+			leaving = append(leaving, t)
+		}
+	}
+	if len(usable) == 0 {
+		return leaving
+	}
+	return usable
+}
+
+// noTargetReason returns why no target may get a request without a key.
+func (x *exchange) noTargetReason() Reason {
+	paused := 0
+	targets := x.view.Catalog.Service(x.service.Name)
+	for _, t := range targets {
+		switch x.notAdmitted[t.ID] {
+		case OverLimit:
+			return OverLimit
+		case Paused:
+			paused++
+		}
+	}
+	if paused > 0 && paused == len(targets) {
+		return Paused
+	}
+	return NoTarget
+}
+
 // awaitOwner returns the target that owns the request's key and counts the request as in flight there. While the key
 // has no ready owner, for example during a move, it waits for a part of the request's time.
 func (x *exchange) awaitOwner(ctx context.Context) (fulmarcatalog.Target, Reason) {
@@ -180,15 +224,10 @@
 		x.view = view
 		span, ok := view.Owners[x.service.Name].Find(x.key)
 		if ok && span.Ready {
-			t, known := view.Catalog.Target(span.Target)
-			if known && !x.tried[t.ID] && t.AcceptsRequests(d.Clock(), d.DrainTime()) {
-				if !d.Balancer.Acquire(t.ID, maxInFlightPerTarget) {
-					return t, NoCapacity
-				}
-				if !x.admit(ctx, t.ID, x.maxPermitWait()) {
-					return t, OverLimit
+			if t, known := view.Catalog.Target(span.Target); known {
+				if reason, decided := x.tryOwner(ctx, t); decided {
+					return t, reason
 				}
-				return t, ""
 			}
 		}
 		if len(view.Catalog.Service(x.service.Name)) == 0 {
@@ -204,14 +243,39 @@
 	}
 }
 
+// tryOwner counts the request as in flight at the owner of its key, or returns the reason why it may not be sent there. If
+// decided is false, the key may get another owner.
+func (x *exchange) tryOwner(ctx context.Context, t fulmarcatalog.Target) (reason Reason, decided bool) {
+	d := &x.forwarder.deps
+	notice := d.Notices.Get(t.Incarnation())
+	if left := notice.PauseLeft(d.Clock()); left > 0 {
+		x.recordRefusal(t.ID, Paused, left)
+		return Paused, true
+	}
+	if x.tried[t.ID] {
+		return "", false
+	}
+	if !x.acceptsLeaving(t, notice) {
+		return Leaving, x.view.Leader == ""
+	}
+	if !d.Balancer.Acquire(t.ID, maxInFlightPerTarget) {
+		return NoCapacity, true
+	}
+	reason = x.admit(ctx, t, x.maxPermitWait())
+	return reason, true
+}
+
 // send sends the request to a target at which choose has counted it.
 func (x *exchange) send(ctx context.Context, t fulmarcatalog.Target) (*fulmarhttpserver.Answer, result) {
 	d := &x.forwarder.deps
-	streaming := false
+	streaming, answered := false, false
 	defer func() {
 		if !streaming {
 			d.Balancer.Release(t.ID)
 		}
+		if !answered {
+			d.Notices.RecordFailure(t.Incarnation())
+		}
 	}()
 	x.target = t.ID
 	if x.tried == nil {
@@ -249,7 +313,9 @@
 		return nil, broken
 	}
 	if a.Status != http.StatusMisdirectedRequest { // such an answer may be another target's
+		answered = true
 		x.recordLimit(t.ID, a.Header, sentAt)
+		x.recordNotices(t, a)
 	}
 	now := d.Now()
 	if load, ok := parseLoad(a.Header.Get(d.HeaderNames.Load)); ok {
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarallowance"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarbalancer"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarnotice"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
@@ -53,7 +54,8 @@
 	Views       *fulmarview.Holder
 	Pool        *fulmarlink.Pool
 	Balancer    *fulmarbalancer.Balancer
-	Limits      *fulmarlimit.Board // limits that targets have stated
+	Limits      *fulmarlimit.Board  // limits that targets have stated
+	Notices     *fulmarnotice.Board // what targets say of themselves
 	Gate        Gate
 	Splitter    *fulmarroute.Splitter
 	RetryBudget *fulmarallowance.RetryBudget
@@ -97,25 +99,25 @@
 
 // exchange is the handling of one request.
 type exchange struct {
-	forwarder  *Forwarder
-	request    *fulmarhttpserver.Request
-	view       *fulmarview.View
-	route      fulmarroute.Route
-	service    fulmarroute.Service
-	id         string
-	key        int // -1 if the service is not keyed
-	deadline   time.Time
-	cancel     context.CancelFunc // ends the sends of the request
-	sends      int                // number of times the request was sent, at least in part
-	dials      int                // number of targets to which no byte could be sent
-	mayHaveRun bool               // a target may have executed the request
-	lastError  error              // error of the last send
-	tried      map[string]bool
-	target     string
-	reason     Reason
-	retryAfter time.Duration   // least time after which a refused request may be admitted, zero if it is not known
-	overLimit  map[string]bool // targets whose limit did not admit the request
-	bytes      int64           // of the answer's body; for a streamed answer those read from the target
+	forwarder   *Forwarder
+	request     *fulmarhttpserver.Request
+	view        *fulmarview.View
+	route       fulmarroute.Route
+	service     fulmarroute.Service
+	id          string
+	key         int // -1 if the service is not keyed
+	deadline    time.Time
+	cancel      context.CancelFunc // ends the sends of the request
+	sends       int                // number of times the request was sent, at least in part
+	dials       int                // number of targets to which no byte could be sent
+	mayHaveRun  bool               // a target may have executed the request
+	lastError   error              // error of the last send
+	tried       map[string]bool
+	target      string
+	reason      Reason
+	retryAfter  time.Duration     // least time after which a refused request may be admitted, zero if it is not known
+	notAdmitted map[string]Reason // by target: why it did not admit the request
+	bytes       int64             // of the answer's body; for a streamed answer those read from the target
 }
 
 // Serve implements fulmarhttpserver.Handler.
--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -26,6 +26,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarbalancer"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarnotice"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
@@ -33,7 +34,7 @@
 
 var names = fulmarforwarder.HeaderNames{
 	RequestID: "Id", Deadline: "Left", Signature: "Sign", ExpectedTarget: "Target", Load: "Load", NotRun: "Not-Run", Key: "Key",
-	RetryAfter: "Retry-After", Limit: "Limit",
+	RetryAfter: "Retry-After", Limit: "Limit", Leaving: "Leaving",
 }
 
 // Answers of a test target; ordinary stands for a complete answer to the request.
@@ -216,7 +217,7 @@
 		return fulmarforwarder.New(d)
 	}
 	f.deps = fulmarforwarder.Deps{
-		HeaderNames: names, ID: "d", DC: "a", Views: f.views, Pool: pool, Balancer: fulmarbalancer.New(1, rand.NewPCG(1, 2)), Limits: fulmarlimit.New(), Gate: openGate{},
+		HeaderNames: names, ID: "d", DC: "a", Views: f.views, Pool: pool, Balancer: fulmarbalancer.New(1, rand.NewPCG(1, 2)), Limits: fulmarlimit.New(), Notices: fulmarnotice.New(), Gate: openGate{},
 		Splitter: fulmarroute.NewSplitter(), RetryBudget: fulmarallowance.New(f.rule), Loads: noLoads{}, Metrics: noMetrics{},
 		Log: slog.New(slog.DiscardHandler), Now: time.Now, Clock: time.Now, DrainTime: func() time.Duration { return time.Second },
 	}
--- a/internal/fulmarforwarder/headernames.go
+++ b/internal/fulmarforwarder/headernames.go
@@ -8,7 +8,8 @@
 	ExpectedTarget string // id of the target that the request is addressed to
 	Load           string // a target's running requests, waiting requests and slots
 	Limit          string // requests per second that a target in need accepts from all daemons together
+	Leaving        string // states that the target leaves
 	NotRun         string // states that the target did not execute the request
 	Key            string // key of a request to a keyed service
-	RetryAfter     string // time to wait before a retry, in seconds, possibly with a fraction
+	RetryAfter     string // time to wait before a retry, or a pause that a target wants, in seconds, possibly with a fraction
 }
--- a/internal/fulmarforwarder/limit.go
+++ b/internal/fulmarforwarder/limit.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 )
@@ -18,6 +19,8 @@
 	urgentWaitDivisor = 3
 	waitDivisor       = 8
 	maxWait           = 50 * time.Millisecond
+	// maxRetrySpread bounds the random part of the time after which refused callers may return.
+	maxRetrySpread = 2 * time.Second
 )
 
 // maxPermitWait returns how long the request waits for a permit at the owner of its key.
@@ -53,29 +56,39 @@
 	}
 }
 
-// admit reports whether the limit of a target admits the request, at which choose has counted it. If not, the request
-// is no longer counted there.
-func (x *exchange) admit(ctx context.Context, target string, maxWait time.Duration) bool {
+// admit reports whether the request may be sent to a target, at which choose has counted it, now: its limit admits it, and it
+// wants no pause. If not, the request is no longer counted there, and the reason is returned.
+func (x *exchange) admit(ctx context.Context, t fulmarcatalog.Target, maxWait time.Duration) Reason {
 	d := &x.forwarder.deps
-	after, ok := d.Gate.Admit(ctx, fulmarpermit.Request{Target: target, MaxWait: maxWait, Priority: x.route.Priority})
+	after, ok := d.Gate.Admit(ctx, fulmarpermit.Request{Target: t.ID, MaxWait: maxWait, Priority: x.route.Priority})
+	reason := OverLimit
 	if ok {
-		return true
+		// The target may have asked for a pause while the request waited for a permit.
+		if after, ok = d.Notices.Admit(t.Incarnation(), d.Clock()); ok {
+			return ""
+		}
+		reason = Paused
 	}
-	d.Balancer.Release(target)
-	if x.overLimit == nil {
-		x.overLimit = make(map[string]bool, 1)
+	d.Balancer.Release(t.ID)
+	x.recordRefusal(t.ID, reason, after)
+	return reason
+}
+
+// recordRefusal records that a target does not admit the request, and after which time it may admit others.
+func (x *exchange) recordRefusal(target string, reason Reason, after time.Duration) {
+	if x.notAdmitted == nil {
+		x.notAdmitted = make(map[string]Reason, 1)
 	}
-	if len(x.overLimit) == 0 || after < x.retryAfter {
+	if len(x.notAdmitted) == 0 || after < x.retryAfter {
 		x.retryAfter = after
 	}
-	x.overLimit[target] = true
+	x.notAdmitted[target] = reason
 	x.target = target
-	return false
 }
 
-// retryAfterLimit returns the Retry-After value of a request that no limit admitted. Callers that were refused for the
+// retryAfterAdmission returns the Retry-After value of a request that no target admitted. Callers that were refused for the
 // same target return at different times, as it admits only one of them at a time.
-func (x *exchange) retryAfterLimit() time.Duration {
+func (x *exchange) retryAfterAdmission() time.Duration {
 	after := max(x.retryAfter, retryAfter)
-	return after + rand.N(after)
+	return after + rand.N(min(after, maxRetrySpread))
 }
--- a/internal/fulmarforwarder/outcome.go
+++ b/internal/fulmarforwarder/outcome.go
@@ -22,6 +22,8 @@
 	NoOwner         Reason = "no-owner"  // the key has no owner or is being moved
 	NoTarget        Reason = "no-target" // the service has no usable target
 	NoCapacity      Reason = "full"      // all usable targets are at the limit of requests in flight
+	Paused          Reason = "pause"     // the target, or all usable ones, want no requests for a time
+	Leaving         Reason = "leaving"   // the owner of the key leaves, and nobody leads who could move the key
 	OverLimit       Reason = "limit"     // the target's limit, or those of all usable targets, did not admit the request
 	Rejected        Reason = "rejected"  // targets stated that they did not execute the request
 	Unsent          Reason = "unsent"    // no connection to a target could be used
@@ -40,8 +42,8 @@
 	x.reason = reason
 	a := errorAnswer(http.StatusServiceUnavailable, string(reason))
 	after := retryAfter
-	if reason == OverLimit {
-		after = x.retryAfterLimit()
+	if reason == OverLimit || reason == Paused {
+		after = x.retryAfterAdmission()
 	}
 	a.Header.Set(x.forwarder.deps.HeaderNames.RetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	return a
--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarbalancer"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarnotice"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrotation"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
@@ -93,6 +94,7 @@
 	forwardedStore  *fulmarkvforwarder.Store
 	balancer        *fulmarbalancer.Balancer
 	targetLimits    *fulmarlimit.Board // limits that targets have stated
+	notices         *fulmarnotice.Board
 	gate            *fulmaradmission.Gate
 	retryBudget     *fulmarallowance.RetryBudget
 	follower        *fulmarfollower.Follower
@@ -112,7 +114,7 @@
 	}
 	f := &Daemon{
 		settings: s, platform: p, log: log, metrics: metrics, views: fulmarview.New(),
-		requestPool: fulmarlink.New(link), orderPool: fulmarlink.New(link), shutdownStarted: make(chan struct{}), targetLimits: fulmarlimit.New(),
+		requestPool: fulmarlink.New(link), orderPool: fulmarlink.New(link), shutdownStarted: make(chan struct{}), targetLimits: fulmarlimit.New(), notices: fulmarnotice.New(),
 		store: newReplaceableStore(p.NewStore(s.Store, storeClient())), retryBudget: fulmarallowance.New(s.RetryRule),
 	}
 	f.currentSettings.Store(&s)
@@ -123,7 +125,7 @@
 	loads := fulmarkeyload.New(f.balancer)
 	f.follower = fulmarfollower.New(fulmarleader.Deps{
 		ID: s.ID, Address: s.Listen.Peers, DC: s.DC, Store: f.forwardedStore, Registry: p.Registry,
-		Orders: p.NewOrders(f.orderPool), Views: f.views, MaxGrantDuration: s.MaxGrant, CPUShare: s.CPUShare, Metrics: metrics, Log: log, Now: fulmarclock.Now, Limits: f.targetLimits, StoreForwarded: f.forwardedStore.Forwarding,
+		Orders: p.NewOrders(f.orderPool), Views: f.views, MaxGrantDuration: s.MaxGrant, CPUShare: s.CPUShare, Metrics: metrics, Log: log, Now: fulmarclock.Now, Limits: f.targetLimits, Notices: f.notices, StoreForwarded: f.forwardedStore.Forwarding,
 	}, loads, func(ctx context.Context, address string) (fulmarfollower.Leader, error) {
 		return fulmarleaderrpc.Dial(ctx, address)
 	})
@@ -132,7 +134,7 @@
 		Metrics: metrics, Log: log, Now: fulmarclock.Now,
 	})
 	relay := fulmarforwarder.New(fulmarforwarder.Deps{
-		HeaderNames: p.HeaderNames, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.requestPool, Balancer: f.balancer, Limits: f.targetLimits, Gate: f.gate,
+		HeaderNames: p.HeaderNames, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.requestPool, Balancer: f.balancer, Limits: f.targetLimits, Notices: f.notices, Gate: f.gate,
 		Splitter: fulmarroute.NewSplitter(), RetryBudget: f.retryBudget, Loads: loads,
 		Metrics: metrics, Log: log, Now: time.Now, Clock: fulmarclock.Now, DrainTime: func() time.Duration { return f.currentSettings.Load().DrainTime - drainMargin },
 		LatestEnd: func() time.Time { return f.latestEnd(time.Now()) },
@@ -273,6 +275,7 @@
 			if c := f.views.Get().Catalog; c != nil && recent.Advance(now, c) {
 				f.balancer.Retain(recent.Has)
 				f.targetLimits.Retain(recent.Has)
+				f.notices.Retain(recent.Has)
 				f.gate.Retain(recent.Has)
 			}
 		case <-ctx.Done():
--- a/internal/fulmarleader/publish.go
+++ b/internal/fulmarleader/publish.go
@@ -121,6 +121,7 @@
 		t.requestPublish()
 	}
 	t.recordLimits(now, r.Limits)
+	t.recordLeaving(now, r.Leaving)
 	for service, counts := range r.Keys {
 		s := t.services[service]
 		if s == nil {
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -16,6 +16,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarassign"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarnotice"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarorder"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
@@ -65,9 +66,10 @@
 	Registry         fulmarsnapshot.Decoder
 	Orders           OrderSender
 	Views            *fulmarview.Holder
-	MaxGrantDuration time.Duration      // longest grant that targets accept
-	CPUShare         float64            // usable share of a CPU core of this daemon
-	Limits           *fulmarlimit.Board // limits that targets have stated
+	MaxGrantDuration time.Duration       // longest grant that targets accept
+	CPUShare         float64             // usable share of a CPU core of this daemon
+	Limits           *fulmarlimit.Board  // limits that targets have stated
+	Notices          *fulmarnotice.Board // what targets say of themselves
 	Publisher        *fulmarpublisher.Publisher
 	StoreForwarded   func() bool // reports whether calls to the store are forwarded through other daemons
 	// FindGrantLapse returns the time at which all grants of an earlier term have lapsed; ok is false if no daemon
@@ -220,6 +222,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	s.Catalog = s.Catalog.WithLeaving(t.deps.Now(), t.deps.Notices.Leaving())
 	first := t.tablesRevision == 0 && len(t.services) == 0
 	t.snapshot = s
 	if first {
--- a/internal/fulmarleaderrpc/message.go
+++ b/internal/fulmarleaderrpc/message.go
@@ -59,6 +59,8 @@
 	Keys     map[string][]KeyCount `cbor:"keys,omitempty"` // by service
 	Targets  []TargetLoad          `cbor:"targets,omitempty"`
 	Limits   []TargetLimit         `cbor:"limits,omitempty"` // those that differ from what the leader has sent
+	// Leaving are the targets that have said that they leave, of which the sender has not heard back.
+	Leaving []LeavingTarget `cbor:"leaving,omitempty"`
 	// Members are the daemons that have reported to the sender, a relay, since its last report. Keys and Targets include
 	// their load.
 	Members []MemberReport `cbor:"members,omitempty"`
@@ -70,6 +72,13 @@
 	Direct bool `cbor:"direct,omitempty"`
 }
 
+// LeavingTarget is a target that has said that it leaves.
+type LeavingTarget struct {
+	Target string        `cbor:"target"`
+	Born   int64         `cbor:"born"`
+	Age    time.Duration `cbor:"age,omitempty"` // since it first said so
+}
+
 // Update is the leader's answer to a report. It omits the state that the daemon has already.
 type Update struct {
 	Versions Versions      `cbor:"have"`
--- a/pkg/fulmarcatalog/catalog.go
+++ b/pkg/fulmarcatalog/catalog.go
@@ -128,6 +128,25 @@
 	return changed, gone
 }
 
+// WithLeaving returns a catalog in which the targets that have said so are leaving since the given times, whatever their
+// entries state.
+func (c *Catalog) WithLeaving(now time.Time, since map[fulmarrange.Incarnation]time.Time) *Catalog {
+	var changed []Target
+	for incarnation, at := range since {
+		t, ok := c.targets[incarnation.ID]
+		if !ok || t.Born != incarnation.Born || t.Leaving {
+			continue
+		}
+		t = t.AsOf(now)
+		t.Leaving, t.LeavingFor = true, max(now.Sub(at), 0)
+		changed = append(changed, t)
+	}
+	if len(changed) == 0 {
+		return c
+	}
+	return c.With(changed, nil)
+}
+
 // With returns a catalog in which the changed targets are added or replaced and those with the ids gone are removed.
 func (c *Catalog) With(changed []Target, gone []string) *Catalog {
 	targets := maps.Clone(c.targets)
