--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -145,10 +145,8 @@
 // chooseByLoad returns the cheapest target below its limit of requests in flight and counts the request as in flight
 // there. Targets that leave are used if there are no others.
 func (x *exchange) chooseByLoad() (fulmarcatalog.Target, Reason) {
-	reason := NoTarget
 	for _, leaving := range []bool{false, true} {
-		var t fulmarcatalog.Target
-		if t, reason = x.chooseAmong(leaving); reason != NoTarget {
+		if t, reason := x.chooseAmong(leaving); reason != NoTarget {
 			return t, reason
 		}
 	}
