--- a/internal/fulmarserver/server.go
+++ b/internal/fulmarserver/server.go
@@ -338,7 +338,10 @@
 		d += s.settings.ColdDelay
 	}
 	if o.crash {
-		time.AfterFunc(d/2, func() { s.exit(3) })
+		// One goroutine, as two timers may be due at once on a busy machine, and the request must not commit.
+		fulmarclock.Sleep(context.WithoutCancel(ctx), d/2)
+		s.exit(3)
+		return "crashed"
 	}
 	if !fulmarclock.Sleep(ctx, d) {
 		return "cancelled"
