--- /dev/null
+++ b/internal/fulmarfollower/age_test.go
@@ -0,0 +1,55 @@
+package fulmarfollower_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarmemory"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+)
+
+// slowLeader is a leader whose answers wait for 100 ms, as it says, and are on the way for 500 ms.
+type slowLeader struct{ noPermits }
+
+func (slowLeader) Sync(ctx context.Context, _ *fulmarleaderrpc.Report) (*fulmarleaderrpc.Update, error) {
+	select {
+	case <-time.After(600 * time.Millisecond):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	packed, err := fulmarleaderrpc.PackConfig(config(1))
+	x := target("x", true)
+	x.LeavingFor = time.Second
+	return &fulmarleaderrpc.Update{
+		Versions: fulmarleaderrpc.Versions{Term: 1, Config: 1, Targets: 1}, Waited: 100 * time.Millisecond, Daemons: 2,
+		Config: packed, Targets: []fulmarcatalog.Target{x}, Complete: true,
+	}, err
+}
+
+func (slowLeader) Close() {}
+
+// Guards against ages that do not count the time on the way: requests reached a leaving target after its time.
+func TestTimeOnTheWayCounts(t *testing.T) {
+	simulate(t, func(ctx context.Context, _ *testing.T, g *WithT, store *fulmarmemory.Store) {
+		record, err := fulmarsnapshot.Leader{ID: "a", Address: "a"}.Encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		store.Set(fulmarsnapshot.LeaderKey, record)
+		store.Remove("config") // so that the daemon knows nothing from the store
+		f := &fleet{}
+		f.setLeader("a", slowLeader{})
+		view := f.start(ctx, "b", fulmarmemory.NewClient(store))
+		for !view.Get().Ready() {
+			time.Sleep(time.Millisecond)
+		}
+		now := time.Now()
+		x, ok := view.Get().Catalog.Target("x")
+		g.Expect(ok).To(BeTrue())
+		g.Expect(x.AsOf(now).LeavingFor).To(BeNumerically(">=", 1500*time.Millisecond))
+		g.Expect(now.Sub(view.Get().AsOf)).To(BeNumerically(">=", 500*time.Millisecond))
+	})
+}
