Choose the target of a repeated send by the newest view

It had been sent to a target that fell silent, its connection failed after 3 s without an acknowledgement, and it was sent again by the view of its arrival. Requests with a key look at the newest view; those without one did not.

TestRepeatAfterChange fails without the change.

--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -128,6 +128,8 @@
 	if x.key >= 0 {
 		return x.awaitOwner(ctx)
 	}
+	// A send may have taken seconds, in which targets have left.
+	x.view = x.forwarder.deps.Views.Get()
 	for began := x.forwarder.deps.Now(); ; {
 		t, reason := x.chooseByLoad()
 		if reason != "" {
--- a/internal/fulmarforwarder/notice_test.go
+++ b/internal/fulmarforwarder/notice_test.go
@@ -1,7 +1,9 @@
 package fulmarforwarder_test
 
 import (
+	"bufio"
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -209,3 +211,30 @@
 	}
 	return out
 }
+
+// Guards against a request that is sent again to a target that has left since the request arrived: a connection to a target
+// that fell silent failed after 3 s, and the request went to one that had left for 2.3 s.
+func TestRepeatAfterChange(t *testing.T) {
+	g := NewWithT(t)
+	var f *fixture
+	x := &target{id: "x", listener: listen(t, func(c net.Conn) {
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		f.views.Update(func(v *fulmarview.View) {
+			y := mustTarget(t, v.Catalog, "y")
+			y.Leaving, y.LeavingFor, y.SeenAt = true, time.Hour, time.Now()
+			v.Catalog = v.Catalog.With([]fulmarcatalog.Target{y}, nil)
+		})
+	})}
+	y := newTarget(t, "y")
+	f = start(t, true, x, y)
+	f.views.Update(func(v *fulmarview.View) {
+		remote := mustTarget(t, v.Catalog, "y")
+		remote.DC = "b" // so that x is chosen first
+		v.Catalog = v.Catalog.With([]fulmarcatalog.Target{remote}, nil)
+	})
+	expectStatus(g, f.forwarder.Serve(t.Context(), request(t, "/f/1", "")), http.StatusBadGateway)
+	g.Expect(sends(y)).To(BeZero())
+}
