Let a large fleet's first start not read the store from every daemon

A daemon now waits for a second for a leader if the store has no record of the fleet, and a leader without relays serves 32 daemons and lets the others come again.

--- a/internal/fulmarfollower/follower.go
+++ b/internal/fulmarfollower/follower.go
@@ -80,7 +80,8 @@
 	children  *fulmaraggregate.Aggregate // reports of daemons that follow this one
 
 	relayFailures map[string]time.Time // by address: when following a relay last ended
-	nextStoreRead time.Time            // when the daemon may read the store although relays should; zero if not needed
+	startedAt     time.Time
+	nextStoreRead time.Time // when the daemon may read the store although relays should; zero if not needed
 
 	electionDeferred  bool      // this daemon has waited for stronger ones to be elected
 	unresponsiveNonce uint64    // nonce of the last leader that did not answer
@@ -106,6 +107,7 @@
 		publisher: fulmarpublisher.New(d.Views, d.Limits, d.Log, d.Now),
 	}
 	f.deps.Publisher = f.publisher
+	f.startedAt = d.Now()
 	f.deps.FindGrantLapse = f.findGrantLapse
 	return f
 }
--- a/internal/fulmarfollower/relay.go
+++ b/internal/fulmarfollower/relay.go
@@ -21,6 +21,9 @@
 	// storeReadSpacing is the mean time between two reads of the whole store by the daemons of a large fleet that have
 	// neither a relay nor a leader: 150 reads a second are 57 MB at 900 targets, half of the store's link.
 	storeReadSpacing = time.Second / 150
+	// firstReadDelay is the time after its start in which a daemon does not read the whole store if the store has no record
+	// of the fleet. At the first start of a fleet, which may be large, a leader is elected within that time.
+	firstReadDelay = time.Second
 )
 
 // relay passes the view of this daemon on to another one, whose report it adds to its own.
@@ -76,6 +79,9 @@
 	if daemons == 1 {
 		daemons = f.storedDaemons(ctx)
 	}
+	if daemons == 0 {
+		return now.Sub(f.startedAt) >= firstReadDelay
+	}
 	if daemons <= fulmarrelay.MaxDirect || f.views.Get().Relays.Has(f.deps.Address) {
 		return true
 	}
@@ -89,8 +95,8 @@
 	return true
 }
 
-// storedDaemons returns the number of daemons in the store's record of the fleet, and makes it known. It is 1 if the store
-// has none or does not answer.
+// storedDaemons returns the number of daemons in the store's record of the fleet, and makes it known. It is 0 if the store
+// has none, and 1 if it does not answer.
 func (f *Follower) storedDaemons(ctx context.Context) int {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -100,5 +106,5 @@
 		return 1
 	}
 	f.views.Update(func(v *fulmarview.View) { v.Daemons = max(v.Daemons, fleet.Daemons) })
-	return max(fleet.Daemons, 1)
+	return fleet.Daemons
 }
--- a/internal/fulmarleader/publish.go
+++ b/internal/fulmarleader/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
@@ -203,13 +204,26 @@
 	return t.deps.Now().Before(t.validUntil) && t.isPublished
 }
 
-// referral returns the relays if the sender of a report is to follow one of them.
+// referral returns the relays if the sender of a report is to follow one of them. There are none yet at the first start of a
+// large fleet; daemons beyond those that the leader serves without relays come again then.
 func (t *Term) referral(r *fulmarleaderrpc.Report) (fulmarrelay.Set, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.relays) == 0 || !r.KnowsRelays || r.Direct || t.relays.Has(r.Address) {
+	if !r.KnowsRelays || r.Direct || t.relays.Has(r.Address) || len(t.relays) == 0 && t.mayServe(t.deps.Now(), r.ID) {
 		return nil, false
 	}
 	t.load.referrals++
 	return t.relays, true
 }
+
+// mayServe reports whether a daemon is one of those that the leader serves without relays. The caller holds mu.
+func (t *Term) mayServe(now time.Time, id string) bool {
+	if _, served := t.served[id]; !served && len(t.served) >= fulmarrelay.MaxDirect {
+		maps.DeleteFunc(t.served, func(_ string, at time.Time) bool { return now.Sub(at) > reportWindow })
+		if len(t.served) >= fulmarrelay.MaxDirect {
+			return false
+		}
+	}
+	t.served[id] = now
+	return true
+}
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -111,6 +111,7 @@
 	formerWriter     fulmarsnapshot.Writer // last writer of the tables before this term
 	isPublished      bool                  // the daemon's view is that of this term
 	relays           fulmarrelay.Set
+	served           map[string]time.Time // by id: daemons without relays, when they last reported
 	relaysChosenAt   time.Time
 	publishRequested chan struct{} // holds a value while there are changes to publish
 	permits          *fulmarpermit.Dispenser
@@ -130,7 +131,7 @@
 		deps: d, reader: reader, lease: acquired, validUntil: acquired.validUntil, lastRenewal: d.Now(), snapshot: s,
 		services: make(map[string]*keyedService), workers: make(map[fulmarrange.Incarnation]*worker),
 		fleet: newFleet(), beganAt: d.Now(), formerDaemons: d.Views.Get().Daemons, relays: d.Views.Get().Relays.Without(d.Address), recentTargets: fulmarretention.New(d.Now(), targetRetention), permits: fulmarpermit.New(),
-		publishRequested: make(chan struct{}, 1),
+		publishRequested: make(chan struct{}, 1), served: make(map[string]time.Time),
 	}
 	t.permitsUntil.Store(&acquired.validUntil)
 	return t, nil
