--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -66,12 +66,12 @@
 	Registry         fulmarsnapshot.Decoder
 	Orders           OrderSender
 	Views            *fulmarview.Holder
-	MaxGrantDuration time.Duration       // longest grant that targets accept
-	CPUShare         float64             // usable share of a CPU core of this daemon
-	Limits           *fulmarlimit.Board  // limits that targets have stated
-	Notices          *fulmarnotice.Board // what targets say of themselves
-	Publisher        *fulmarpublisher.Publisher
-	StoreForwarded   func() bool // reports whether calls to the store are forwarded through other daemons
+	MaxGrantDuration time.Duration              // longest grant that targets accept
+	CPUShare         float64                    // usable share of a CPU core of this daemon
+	Limits           *fulmarlimit.Board         // limits that targets have stated
+	Notices          *fulmarnotice.Board        // what targets say of themselves
+	Publisher        *fulmarpublisher.Publisher // of Views; the follower that leads sets it
+	StoreForwarded   func() bool                // reports whether calls to the store are forwarded through other daemons
 	// FindGrantLapse returns the time at which all grants of an earlier term have lapsed; ok is false if no daemon
 	// knows it. It may ask the daemon at address, which led in that term.
 	FindGrantLapse func(ctx context.Context, term int64, address string) (latest time.Time, ok bool)
