Log the requests under which a target's process ends

A request without an answer is now followed by one attempt to connect; if that is refused, a line names the target, its incarnation and a fingerprint of the request's content, and a counter counts it. No decision depends on it.

The fingerprint is that of pkg/fulmarguard, whose hash moves to a package of its own; its values do not change.

--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -317,6 +317,7 @@
 		} else {
 			d.Balancer.RecordAbandoned(t.ID, d.Now().Sub(started))
 		}
+		x.recordUnanswered(ctx, t)
 		return nil, broken
 	}
 	if a.Status != http.StatusMisdirectedRequest { // such an answer may be another target's
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -118,6 +118,7 @@
 	retryAfter  time.Duration     // least time after which a refused request may be admitted, zero if it is not known
 	notAdmitted map[string]Reason // by target: why it did not admit the request
 	bytes       int64             // of the answer's body; for a streamed answer those read from the target
+	fingerprint uint64            // of the request's content; see exchange.work
 }
 
 // Serve implements fulmarhttpserver.Handler.
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -243,6 +243,20 @@
 	return c, nil
 }
 
+// Refuses reports whether the target at address refuses new connections, as it does once its process has ended.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	p.mu.Lock()
+	p.open[address]++
+	p.mu.Unlock()
+	c, err := dial(ctx, address, p.settings.DialTimeout, p.settings.AckTimeout)
+	if err != nil {
+		p.countClosed(address)
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.closeConn(address, c)
+	return false
+}
+
 // recordReset records that the target reset a new connection.
 func (p *Pool) recordReset(address string) {
 	p.mu.Lock()
--- a/pkg/fulmarguard/guard.go
+++ b/pkg/fulmarguard/guard.go
@@ -2,12 +2,11 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarfingerprint"
 )
 
 // Verdict states how a request may run.
@@ -20,10 +19,6 @@
 	Refuse          // condemned
 )
 
-// maxBodyBytes is the length of the part of a body that is hashed, in bytes; it
-// bounds the cost of a fingerprint.
-const maxBodyBytes = 64 << 10
-
 // Mark is a suspect or condemned fingerprint.
 type Mark struct {
 	Fingerprint uint64
@@ -53,18 +48,7 @@
 // Fingerprint returns the hash that identifies the work of a request. Only the
 // first 64 KB of the body are hashed.
 func Fingerprint(service, method, path, key string, body []byte) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	var length [8]byte
-	// The length before each field prevents collisions between different
-	// splits of the same bytes. A Digest never returns an error.
-	for _, s := range [...]string{service, method, path, key} {
-		binary.LittleEndian.PutUint64(length[:], uint64(len(s)))
-		_, _ = d.Write(length[:])
-		_, _ = d.WriteString(s)
-	}
-	_, _ = d.Write(body[:min(len(body), maxBodyBytes)])
-	return d.Sum64()
+	return fulmarfingerprint.New(body, service, method, path, key)
 }
 
 // Check returns how the work may run at now.
