Answer pipelined requests that targets run when a shutdown begins

A caller that pipelines lookups lost their answers in a planned stop: all of them had been passed on, and the answer to the first one closed the connection, as each answer after SIGTERM did, which cancelled those behind it.

Now the first such answer stops further requests of the connection from being passed on, and the last one of those that were passed on closes it. The new case of TestServe failed before ('Connection: close' on the first of three answers). Requests that are not idempotent were not concerned: they start only after the earlier answers, and not once one of these closes the connection.

--- a/internal/fulmarhttpserver/conn.go
+++ b/internal/fulmarhttpserver/conn.go
@@ -43,6 +43,8 @@
 
 	mu              sync.Mutex
 	inFlight        int
+	started         int  // requests that the handler has got and that are not yet answered
+	startsNone      bool // the handler gets no more requests, as the answer to the last started one ends the connection
 	awaitingRequest bool // run waits for the first byte of a request
 	ended           bool // the last answer was written or the connection broke
 }
@@ -269,12 +271,42 @@
 			return
 		}
 	}
+	if !c.start() {
+		<-previous
+		return
+	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	defer context.AfterFunc(c.server.requests, func() { cancel(ErrInterrupted) })()
 	a := c.server.handler.Serve(ctx, r)
 	<-previous
 	c.writeAnswer(r.Request, a)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started--
+}
+
+// start counts a request that the handler is about to get, unless it gets no more.
+func (c *conn) start() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.startsNone {
+		return false
+	}
+	c.started++
+	return true
+}
+
+// endsConnection reports whether the answer that is due ends the connection, as the server shuts down. From the first such
+// answer on, the handler gets no more requests; those that it has got are answered before the connection ends.
+func (c *conn) endsConnection() bool {
+	if !c.server.draining.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.startsNone = true
+	return c.started <= 1
 }
 
 // errNotWritten is reported for answers of connections that have ended.
@@ -312,7 +344,7 @@
 	ended := false
 	err := c.SetWriteDeadline(deadline)
 	if err == nil {
-		ended, err = a.write(c.Conn, r, r.Close || c.server.draining.Load())
+		ended, err = a.write(c.Conn, r, r.Close || c.endsConnection())
 	}
 	a.end(err) // before abort, which ends the context of the connection as a caller does that leaves
 	switch {
@@ -362,58 +394,3 @@
 		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	}
 }
-
-// reject answers an invalid request after the earlier ones and ends the connection.
-func (c *conn) reject(previous chan struct{}, a *Answer) error {
-	if a == nil {
-		return net.ErrClosed
-	}
-	select {
-	case <-previous:
-	case <-c.ctx.Done():
-		return c.ctx.Err()
-	}
-	c.requestStarted()
-	defer c.server.inFlight.Add(-1)
-	a.Close = true
-	c.server.log.Info("request rejected", "remote", c.RemoteAddr().String(), "status", a.Status, "reason", string(a.Body))
-	c.writeAnswer(&http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1}, a)
-	return net.ErrClosed
-}
-
-// textAnswer returns an answer with a plain text body.
-func textAnswer(status int, text string) *Answer {
-	return &Answer{Status: status, Header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}}, Body: []byte(text)}
-}
-
-// headErrorAnswer returns the answer to a request whose head cannot be read, or nil if the connection is broken.
-func headErrorAnswer(err error) *Answer {
-	switch {
-	case errors.Is(err, errHeadTooLarge):
-		return textAnswer(http.StatusRequestHeaderFieldsTooLarge, "head of the request is too large")
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return textAnswer(http.StatusRequestTimeout, "head of the request did not arrive in time")
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		return nil
-	}
-	var network net.Error
-	if errors.As(err, &network) {
-		return nil
-	}
-	return textAnswer(http.StatusBadRequest, "request cannot be read")
-}
-
-// validate returns the answer to an invalid request, or nil if the request is valid.
-func validate(r *http.Request, limits Limits) *Answer {
-	switch {
-	case r.ProtoMajor != 1:
-		return textAnswer(http.StatusHTTPVersionNotSupported, "protocol version is not supported")
-	case r.Host == "" || strings.ContainsAny(r.Host, "/ \t@"):
-		return textAnswer(http.StatusBadRequest, "host is missing or not valid")
-	case !strings.HasPrefix(r.RequestURI, "/"):
-		return textAnswer(http.StatusBadRequest, "request target is not a path")
-	case r.ContentLength > limits.BodyBytes:
-		return textAnswer(http.StatusRequestEntityTooLarge, "body is too large")
-	}
-	return nil
-}
--- a/internal/fulmarhttpserver/server_test.go
+++ b/internal/fulmarhttpserver/server_test.go
@@ -325,6 +325,27 @@
 		later.expect(504, "")
 	})
 
+	// Guards against pipelined requests that are cut off without an answer by a shutdown: the answer to the first one closed
+	// the connection, although targets were working on those behind it.
+	It("answers all requests that it has started before a shutdown closes their connection", func() {
+		f := start(limits)
+		c := f.dial()
+		for _, path := range []string{"/wait1", "/wait2", "/wait3"} {
+			c.get(path)
+			Eventually(f.started).Should(Receive(Equal(path)))
+		}
+		f.server.Drain()
+		close(f.gate("/wait1"))
+		Expect(c.expect(200, "/wait1").Close).To(BeFalse())
+		c.get("/late")
+		Consistently(f.started, 100*time.Millisecond).ShouldNot(Receive(), "requests after the first answer")
+		close(f.gate("/wait2"))
+		Expect(c.expect(200, "/wait2").Close).To(BeFalse())
+		close(f.gate("/wait3"))
+		Expect(c.expect(200, "/wait3").Close).To(BeTrue())
+		c.expectClosed()
+	})
+
 	It("closes idle connections on request", func() {
 		f := start(limits)
 		c := f.dial()
