Leave targets all but the last sixth of a short grace period

A planned stop answered the requests in flight 0.8 s before the end of the grace period, whatever its length. With 3 s that is after 2.2 s, while targets may work on until the last sixth (2.5 s); their callers got 504 for work that would have been answered. The reserves for the answers and for the exit now shrink with periods below 4.8 s (TestGrace fails with the fixed reserve for 1, 3 and 4 s). The users' deployments have 6 and 10 s, so that nothing changes there.

--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -55,10 +55,6 @@
 	// readinessDelay is the time after SIGTERM until callers are routed to other daemons: the readiness check
 	// must fail twice, a second apart.
 	readinessDelay = 2300 * time.Millisecond
-	exitReserve    = 400 * time.Millisecond // part of the grace period that is reserved for the exit of the process
-	// answerReserve is the part of the grace period before its end in which requests that still have no answer are
-	// answered by the daemon, as its exit would cut them off.
-	answerReserve = 800 * time.Millisecond
 	// acceptTime is the time after SIGTERM after which only requests are taken that end before the exit. Callers are routed
 	// to other daemons by then, unless too few of these are ready.
 	acceptTime           = 3 * time.Second
@@ -246,7 +242,7 @@
 	f.server.Drain()
 	resign()
 	interrupted := false
-	for time.Since(began) < f.currentSettings.Load().GracePeriod-exitReserve {
+	for time.Since(began) < lastExit(f.currentSettings.Load().GracePeriod) {
 		if !interrupted && !time.Now().Before(f.interruptTime(began)) {
 			interrupted = true
 			f.log.Warn("grace period ends, answering the requests in flight", "busy", f.server.InFlight())
@@ -274,7 +270,7 @@
 
 // interruptTime returns when a shutdown that began at the given time answers the requests that are still in flight.
 func (f *Daemon) interruptTime(began time.Time) time.Time {
-	return began.Add(f.currentSettings.Load().GracePeriod - answerReserve)
+	return began.Add(interruptAfter(f.currentSettings.Load().GracePeriod))
 }
 
 // sweep regularly closes expired idle connections and drops the data of targets that left the catalog.
