--- a/internal/fulmarpublisher/publisher_test.go
+++ b/internal/fulmarpublisher/publisher_test.go
@@ -15,18 +15,20 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcrash"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
 
 // source is a daemon that passes its view on.
 type source struct {
 	*fulmarpublisher.Publisher
-	views *fulmarview.Holder
+	views   *fulmarview.Holder
+	crashes *fulmarcrash.Board
 }
 
 func newSource(targets ...string) source {
-	s := source{views: fulmarview.New()}
-	s.Publisher = fulmarpublisher.New(s.views, fulmarlimit.New(), fulmarcrash.New(), slog.New(slog.DiscardHandler), time.Now)
+	s := source{views: fulmarview.New(), crashes: fulmarcrash.New()}
+	s.Publisher = fulmarpublisher.New(s.views, fulmarlimit.New(), s.crashes, slog.New(slog.DiscardHandler), time.Now)
 	s.set(1, targets...)
 	return s
 }
@@ -112,6 +114,25 @@
 			g.Expect(time.Since(began)).To(Equal(fulmarpublisher.LongPollTimeout))
 		})
 	})
+	// Guards against the same for a build that follows relays and does not know of crashing requests.
+	t.Run("earlier build with relays", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSource("a")
+			for n := range 2 {
+				s.crashes.RecordCrash(1, fulmarcrash.Crash{Target: fulmarrange.Incarnation{ID: fmt.Sprint(n)}, At: time.Now()})
+			}
+			s.Publish()
+			have := expectUpdate(t, s, fulmarleaderrpc.Versions{}, true).Versions
+			have.Crashes = 0
+			began := time.Now()
+			expectTargets(g, expectUpdate(t, s, have, true), false)
+			g.Expect(time.Since(began)).To(Equal(fulmarpublisher.LongPollTimeout))
+			u, err := s.Wait(t.Context(), &fulmarleaderrpc.Report{Versions: have, KnowsRelays: true, KnowsCrashes: true})
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(u.Crashes).To(HaveLen(1))
+		})
+	})
 	// Guards against a daemon that takes a new state for the one that it has, after nobody asked for some time.
 	t.Run("after an idle time", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
