Follow a leader whose first state has no owners of keys

A daemon ended with a panic (assignment to entry in nil map) when the first complete state that it received had no owners and a later update had some: an empty map is not sent, and arrives as nil.

TestOwnersAfterStateWithoutOwners ends with the panic before.

--- a/internal/fulmarfollower/follow.go
+++ b/internal/fulmarfollower/follow.go
@@ -157,7 +157,8 @@
 			s.catalog = s.catalog.With(u.Targets, u.RemovedTargets)
 		}
 		if len(u.Owners) > 0 {
-			owners := maps.Clone(s.owners)
+			owners := make(map[string]fulmarview.Spans, len(s.owners)+len(u.Owners)) // a state without owners comes without a map
+			maps.Copy(owners, s.owners)
 			for name, changes := range u.Owners {
 				owners[name] = owners[name].Apply(changes)
 			}
