Let daemons that start look for relays and a leader while they wait

It read the number of daemons from the record of the fleet, but not the power of the strongest one, so it took the fleet for one that never had a leader, and slept up to 1.2 s to let stronger daemons stand for election, without looking for a leader meanwhile.

Now the whole record counts, with the relays; the wait for an election is a time before which the daemon does not stand, and it looks for relays and a leader every 0.1 s until it has a view; a relay without a state is asked again after 0.2 s in place of 5 s.

--- a/internal/fulmarfollower/follow.go
+++ b/internal/fulmarfollower/follow.go
@@ -19,7 +19,8 @@
 
 const (
 	ended    outcome = iota // it answered reports until it could not, or until its state was too old
-	failed                  // it answered no report with a state that can be used
+	failed                  // it could not be reached, or answered no report with a state that can be used
+	unready                 // it refused the first report, as it has no state
 	silent                  // a report to it timed out
 	referred                // it leads and has referred this daemon to relays
 )
@@ -64,8 +65,11 @@
 		case err != nil:
 			f.deps.Metrics.Count("control.report_failed")
 			f.log.Info("report to leader failed", "address", address, "relay", relay, "silent", timedOut, "first", received.catalog == nil, "error", err)
-			if timedOut {
+			switch {
+			case timedOut:
 				return silent
+			case received.catalog == nil:
+				return unready
 			}
 			return result
 		case u.EndedTerm != nil:
--- a/internal/fulmarfollower/follower.go
+++ b/internal/fulmarfollower/follower.go
@@ -25,6 +25,8 @@
 	// failing store.
 	leaderCheckInterval = 250 * time.Millisecond
 	storeRetryInterval  = time.Second
+	// startCheckInterval replaces leaderCheckInterval for a daemon that has no view yet, and so refuses all requests.
+	startCheckInterval = 100 * time.Millisecond
 	// maxViewAge is the age of the view at which a daemon without a leader reads the whole store itself.
 	maxViewAge  = 1100 * time.Millisecond
 	readTimeout = 900 * time.Millisecond // allows for a slow store
@@ -44,7 +46,7 @@
 	// After the loss of a leader, a daemon whose CPU share is less than minComparableShare times the largest known one
 	// waits for lossElectionDelay before it stands for election.
 	minComparableShare = 0.8
-	lossElectionDelay  = 250 * time.Millisecond
+	lossElectionDelay  = 500 * time.Millisecond
 )
 
 // LoadCollector collects the load that the daemon reports to the leader.
@@ -75,11 +77,11 @@
 	publisher *fulmarpublisher.Publisher
 	children  *fulmaraggregate.Aggregate // reports of daemons that follow this one
 
-	relayFailures map[string]time.Time // by address: when following a relay last ended
+	relayRetryAt  map[string]time.Time // by address: when a relay may be tried again
 	startedAt     time.Time
 	nextStoreRead time.Time // when the daemon may read the store although relays should; zero if not needed
 
-	electionDeferred  bool      // this daemon has waited for stronger ones to be elected
+	electionAt        time.Time // this daemon stands for election then, unless a stronger one has been elected; zero if not needed
 	unresponsiveNonce uint64    // nonce of the last leader that did not answer
 	ignoreLeaderUntil time.Time // that leader is not followed again before then
 
@@ -97,7 +99,7 @@
 func New(d fulmarleader.Deps, loads LoadCollector, dial Dial) *Follower {
 	f := &Follower{
 		deps: d, reader: fulmarsnapshot.New(d.Store, d.Registry, d.Log, d.Now), views: d.Views, loads: loads, dial: dial,
-		log: d.Log, grantLapse: make(map[int64]time.Time), children: fulmaraggregate.New(), relayFailures: make(map[string]time.Time),
+		log: d.Log, grantLapse: make(map[int64]time.Time), children: fulmaraggregate.New(), relayRetryAt: make(map[string]time.Time),
 		publisher: fulmarpublisher.New(d.Views, d.Limits, d.Crashes, d.Log, d.Now),
 	}
 	f.deps.Publisher = f.publisher
@@ -135,6 +137,9 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := leaderCheckInterval + rand.N(leaderCheckInterval/4)
+		if !f.views.Get().Ready() {
+			wait = startCheckInterval + rand.N(startCheckInterval/4)
+		}
 		if err := f.followOrLead(ctx); err != nil {
 			wait = storeRetryInterval + rand.N(storeRetryInterval/4)
 		}
@@ -169,7 +174,7 @@
 	case leader.Nonce == f.unresponsiveNonce && f.deps.Now().Before(f.ignoreLeaderUntil):
 		// The leader did not answer, so following it again would cost another timeout while its lease runs out.
 	case leader.ID != f.deps.ID:
-		f.electionDeferred = false
+		f.electionAt = time.Time{}
 		switch f.follow(ctx, leader.Address, false) {
 		case silent:
 			f.unresponsiveNonce, f.ignoreLeaderUntil = leader.Nonce, f.deps.Now().Add(fulmarleader.LeaseDuration)
@@ -189,12 +194,16 @@
 
 // runForLeader stands for election, unless stronger daemons should do so first. s is nil if the store was not read.
 func (f *Follower) runForLeader(ctx context.Context, s *fulmarsnapshot.Snapshot) {
-	if d := f.electionDelay(); d > 0 && !f.electionDeferred {
-		f.electionDeferred = true
-		fulmarclock.Sleep(ctx, d)
-		return
+	now := f.deps.Now()
+	if f.electionAt.IsZero() {
+		if d := f.electionDelay(); d > 0 {
+			f.electionAt = now.Add(d)
+		}
+	}
+	if now.Before(f.electionAt) {
+		return // Run looks for a leader and for relays again meanwhile
 	}
-	f.electionDeferred = false
+	f.electionAt = time.Time{}
 	if s == nil {
 		// The term reads the store itself; a read before the election would only delay it.
 		view := f.views.Get()
--- a/internal/fulmarfollower/relay.go
+++ b/internal/fulmarfollower/relay.go
@@ -18,6 +18,9 @@
 	maxRelayAttempts = 3
 	// relayBackoff is the time for which a relay that has failed is not tried again.
 	relayBackoff = 5 * time.Second
+	// unreadyBackoff is the same for a relay that has no state yet. After a restart of all daemons, the relays have one within
+	// a second.
+	unreadyBackoff = 200 * time.Millisecond
 	// storeReadSpacing is the mean time between two reads of the whole store by the daemons of a large fleet that have
 	// neither a relay nor a leader: 150 reads a second are 57 MB at 900 targets, half of the store's link.
 	storeReadSpacing = time.Second / 150
@@ -48,10 +51,15 @@
 		if !ok {
 			return
 		}
-		if f.follow(ctx, address, true) == ended {
+		backoff := relayBackoff
+		switch f.follow(ctx, address, true) {
+		case ended:
 			failures = 0
+			f.electionAt = time.Time{}
+		case unready:
+			backoff = unreadyBackoff
 		}
-		f.relayFailures[address] = f.deps.Now()
+		f.relayRetryAt[address] = f.deps.Now().Add(backoff)
 	}
 }
 
@@ -62,7 +70,7 @@
 		return "", false
 	}
 	for _, address := range relays.Order(f.deps.ID, f.deps.DC) {
-		if at, failed := f.relayFailures[address]; !failed || now.Sub(at) >= relayBackoff {
+		if !now.Before(f.relayRetryAt[address]) {
 			return address, true
 		}
 	}
@@ -98,8 +106,8 @@
 	return true
 }
 
-// storedDaemons returns the number of daemons in the store's record of the fleet, and makes it known. It is 0 if the store
-// has none, and 1 if it does not answer.
+// storedDaemons returns the number of daemons in the store's record of the fleet, and makes the record known. It is 0 if the
+// store has none, and 1 if it does not answer.
 func (f *Follower) storedDaemons(ctx context.Context) int {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -108,6 +116,12 @@
 		f.log.Info("number of daemons not read", "error", err)
 		return 1
 	}
-	f.views.Update(func(v *fulmarview.View) { v.Daemons = max(v.Daemons, fleet.Daemons) })
+	f.views.Update(func(v *fulmarview.View) {
+		v.Daemons = max(v.Daemons, fleet.Daemons)
+		if len(v.Relays) == 0 {
+			v.Relays = fleet.Relays
+		}
+	})
+	f.recordCPUShare(fleet.MaxCPUShare)
 	return fleet.Daemons
 }
