Compare the traffic counters of both ends at the same time in a test

The test took the client's counter once, right after the last call, and waited for the server's to reach it. The frame of 4 bytes that closes the stream may reach the client after that, so that the server's counter passes the value. The daemon's counters are right.

Ruled out: a counter that is wrong, as both reach 195.

Both counters are read at each comparison now; the test still demands that all bytes are equal.

--- a/internal/fulmarpeer/peer_test.go
+++ b/internal/fulmarpeer/peer_test.go
@@ -96,8 +96,11 @@
 		Expect(clientTraffic.CallsAnswered()).To(BeEquivalentTo(3))
 		Expect(serverTraffic.CallsServed()).To(BeEquivalentTo(3))
 		Expect(clientTraffic.BytesReceived()).To(BeNumerically(">", 0))
-		Eventually(serverTraffic.BytesSent, "5s").Should(Equal(clientTraffic.BytesReceived()))
-		Eventually(serverTraffic.BytesReceived, "5s").Should(Equal(clientTraffic.BytesSent()))
+		// The last frames, which close the stream, may still be under way after the calls: both ends are compared anew each time.
+		Eventually(func(g Gomega) {
+			g.Expect(serverTraffic.BytesSent()).To(Equal(clientTraffic.BytesReceived()))
+			g.Expect(serverTraffic.BytesReceived()).To(Equal(clientTraffic.BytesSent()))
+		}, "5s").Should(Succeed())
 	})
 
 	// Guards against a limit of the message size that rejects large tables.
