--- a/internal/fulmarfollower/largefleet_test.go
+++ b/internal/fulmarfollower/largefleet_test.go
@@ -87,6 +87,8 @@
 	mu        sync.Mutex
 	daemons   map[string]*simulatedDaemon // by address
 	loadSince time.Time                   // when the load was last reset
+
+	forwardedScansFail atomic.Bool // scans of the store through other daemons get no answer
 }
 
 // simulatedDaemon is a daemon of a largeFleet.
@@ -274,6 +276,10 @@
 	l.from.work(callCost)
 	time.Sleep(zoneDelay)
 	l.to.work(callCost)
+	if c.Scan != nil && l.fleet.forwardedScansFail.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	a, err := l.to.store.Forward(ctx, c)
 	if err == nil {
 		l.to.send(entryBytes * len(a.Items))
