Count the time of a leaving target from the last read that had it running

A target may say in an answer that it leaves after its entry has said so, and before the leader reads the entry. The leader counted the time for which it has been leaving from the answer then, and took that time over when it read the entry: up to the age of its last read too short, 0.5 s mostly and over 1 s while its reads go through other daemons. Requests to it were accepted for so much longer than the drain time (DRAIN).

WithLeaving takes the time up to which the catalog contains all changes, which bounds the time from above, as the field's contract says.

Ruled out: daemons that follow. Only the leader puts the notices on the catalog, and times are carried over hops from there.

--- a/internal/fulmarleader/notice.go
+++ b/internal/fulmarleader/notice.go
@@ -33,7 +33,7 @@
 		return
 	}
 	next := *t.snapshot
-	next.Catalog = next.Catalog.WithLeaving(t.deps.Now(), t.deps.Notices.Leaving())
+	next.Catalog = next.Catalog.WithLeaving(t.deps.Now(), next.ReadAt, t.deps.Notices.Leaving())
 	t.snapshot = &next
 	t.requestPublish()
 }
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -227,7 +227,7 @@
 	t.deps.RecordCrashes(s.Crashes, "store")
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s.Catalog = s.Catalog.WithLeaving(t.deps.Now(), t.deps.Notices.Leaving())
+	s.Catalog = s.Catalog.WithLeaving(t.deps.Now(), s.ReadAt, t.deps.Notices.Leaving())
 	first := t.tablesRevision == 0 && len(t.services) == 0
 	t.snapshot = s
 	if first {
--- a/pkg/fulmarcatalog/catalog.go
+++ b/pkg/fulmarcatalog/catalog.go
@@ -129,8 +129,9 @@
 }
 
 // WithLeaving returns a catalog in which the targets that have said so are leaving since the given times, whatever their
-// entries state.
-func (c *Catalog) WithLeaving(now time.Time, since map[fulmarrange.Incarnation]time.Time) *Catalog {
+// entries state. The catalog contains all changes of entries up to asOf: they may have been leaving since then, as far as the
+// store knows.
+func (c *Catalog) WithLeaving(now, asOf time.Time, since map[fulmarrange.Incarnation]time.Time) *Catalog {
 	var changed []Target
 	for incarnation, at := range since {
 		t, ok := c.targets[incarnation.ID]
@@ -138,7 +139,7 @@
 			continue
 		}
 		t = t.AsOf(now)
-		t.Leaving, t.LeavingFor = true, max(now.Sub(at), 0)
+		t.Leaving, t.LeavingFor = true, max(now.Sub(at), now.Sub(asOf), 0)
 		changed = append(changed, t)
 	}
 	if len(changed) == 0 {
--- a/pkg/fulmarcatalog/read_test.go
+++ b/pkg/fulmarcatalog/read_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
 )
 
 var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -74,6 +75,12 @@
 			c := read(at(time.Second), []fulmarcatalog.Target{target("b", true)}, first, start)
 			return read(at(1500*time.Millisecond), []fulmarcatalog.Target{target("b", true)}, c, at(time.Second))
 		}, false),
+		// Guards against a time that counts from the target's own word, which may come long after its entry has changed.
+		Entry("by the last read at which it was not leaving, although it has said so itself since", func() *fulmarcatalog.Catalog {
+			own := map[fulmarrange.Incarnation]time.Time{target("b", false).Incarnation(): at(1500 * time.Millisecond)}
+			c := first.WithLeaving(at(1500*time.Millisecond), start, own)
+			return read(at(1600*time.Millisecond), []fulmarcatalog.Target{target("b", true)}, c, start)
+		}, false),
 		Entry("without bound if it was leaving when it was first seen", func() *fulmarcatalog.Catalog {
 			return read(at(time.Second), []fulmarcatalog.Target{target("b", true)}, nil, time.Time{})
 		}, false),
--- a/pkg/fulmaroutage/detector_test.go
+++ b/pkg/fulmaroutage/detector_test.go
@@ -9,7 +9,9 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmaroutage"
 )
 
-func at(ms int) time.Time { return time.UnixMilli(1_800_000_000_000).Add(time.Duration(ms) * time.Millisecond) }
+func at(ms int) time.Time {
+	return time.UnixMilli(1_800_000_000_000).Add(time.Duration(ms) * time.Millisecond)
+}
 
 func TestDetector(t *testing.T) {
 	expectEnd := func(name string, calls func(d *fulmaroutage.Detector), end time.Time) {
