Name each daemon in a relay's report at most every 150 ms

The names are most of what the leader receives from daemons, and most of the control traffic between data centres. They are sent at most every 150 ms now, with their ages; the leader counts reports of the last 0.7 s. Loads and keys are sent at once, as before. TestMembersAreNotRepeated fails without it (50 names in 3 s).

Ruled out: names without address and data centre, which a leader of an earlier build would take for daemons that cannot be relays.

--- a/internal/fulmaraggregate/aggregate.go
+++ b/internal/fulmaraggregate/aggregate.go
@@ -1,6 +1,7 @@
 package fulmaraggregate
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -10,10 +11,15 @@
 // maxKeysPerService bounds the keys of a service that are summed between two reports. There are 65,536 keys.
 const maxKeysPerService = 65536
 
+// memberInterval is the least time between two reports to the leader of the same daemon. A relay reports after each change of
+// the state, up to 16 times a second; the leader counts daemons that have reported within 0.7 s.
+const memberInterval = 150 * time.Millisecond
+
 // Aggregate sums reports; it is safe for concurrent use.
 type Aggregate struct {
 	mu      sync.Mutex
-	members map[string]member
+	members map[string]member      // by id: those that have reported since they were passed on
+	sentAt  map[string]time.Time   // by id: when a daemon was last passed on
 	keys    map[string]map[int]int // by service and key
 	targets map[string]fulmarleaderrpc.TargetLoad
 }
@@ -26,14 +32,14 @@
 
 // New returns an empty aggregate.
 func New() *Aggregate {
-	a := &Aggregate{}
+	a := &Aggregate{members: make(map[string]member), sentAt: make(map[string]time.Time)}
 	a.reset()
 	return a
 }
 
 // reset drops all sums.
 func (a *Aggregate) reset() {
-	a.members, a.keys, a.targets = make(map[string]member), make(map[string]map[int]int), make(map[string]fulmarleaderrpc.TargetLoad)
+	a.keys, a.targets = make(map[string]map[int]int), make(map[string]fulmarleaderrpc.TargetLoad)
 }
 
 // Add adds the report of a daemon that was received at now.
@@ -69,11 +75,13 @@
 	}
 }
 
-// Fill adds the sums since the last call, and the daemons that have reported since then, to the relay's own report at now.
+// Fill adds the sums since the last call to the relay's own report at now, and the daemons that have reported since they were
+// passed on, each at most every memberInterval.
 func (a *Aggregate) Fill(now time.Time, r *fulmarleaderrpc.Report) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(a.members) == 0 {
+	a.fillMembers(now, r)
+	if len(a.keys) == 0 && len(a.targets) == 0 {
 		return
 	}
 	a.addLoad(r.Keys, r.Targets)
@@ -88,9 +96,19 @@
 	for _, sum := range a.targets {
 		r.Targets = append(r.Targets, sum)
 	}
-	for _, m := range a.members {
+	a.reset()
+}
+
+// fillMembers adds the daemons that are due to a report at now. The caller holds mu.
+func (a *Aggregate) fillMembers(now time.Time, r *fulmarleaderrpc.Report) {
+	maps.DeleteFunc(a.sentAt, func(_ string, at time.Time) bool { return now.Sub(at) >= memberInterval })
+	for id, m := range a.members {
+		if _, recent := a.sentAt[id]; recent {
+			continue
+		}
 		m.Age = now.Sub(m.at)
 		r.Members = append(r.Members, m.MemberReport)
+		a.sentAt[id] = now
+		delete(a.members, id)
 	}
-	a.reset()
 }
--- a/internal/fulmaraggregate/aggregate_test.go
+++ b/internal/fulmaraggregate/aggregate_test.go
@@ -40,3 +40,37 @@
 	a.Fill(start.Add(4*time.Second), next)
 	g.Expect(next).To(Equal(report("relay", 5)), "all has been sent")
 }
+
+// Guards against relays whose reports grow with the number of changes of the state: each report named all daemons that follow
+// the relay, which was most of what the leader received.
+func TestMembersAreNotRepeated(t *testing.T) {
+	g := NewWithT(t)
+	a := fulmaraggregate.New()
+	fill := func(ms int) (out []fulmarleaderrpc.MemberReport, load int) {
+		r := &fulmarleaderrpc.Report{ID: "relay"}
+		a.Fill(start.Add(time.Duration(ms)*time.Millisecond), r)
+		for _, l := range r.Targets {
+			load += l.Answered
+		}
+		return r.Members, load
+	}
+	named, total := 0, 0
+	for ms := 0; ms < 3000; ms += 60 {
+		a.Add(start.Add(time.Duration(ms)*time.Millisecond), report("b", 1))
+		members, load := fill(ms + 30)
+		for _, m := range members {
+			g.Expect(m.Age).To(Equal(30 * time.Millisecond))
+		}
+		named, total = named+len(members), total+load
+	}
+	g.Expect(total).To(Equal(50), "the load is sent at once")
+	g.Expect(named).To(And(BeNumerically(">", 3*1000/200), BeNumerically("<=", 3*1000/150)))
+	a.Add(start.Add(3010*time.Millisecond), report("b", 1))
+	fill(3020)
+	members, _ := fill(3170)
+	g.Expect(members).To(HaveLen(1), "a daemon that was not named is named later")
+	g.Expect(members[0].Age).To(Equal(160 * time.Millisecond))
+	members, load := fill(4000)
+	g.Expect(members).To(BeEmpty(), "no report since")
+	g.Expect(load).To(BeZero())
+}
