Pass crashes on as soon as they are known

With 27 daemons two are strong, so that the third leader may be the daemon that sees the third crash; it is lost 0.1 s later.

The board says when a record changes of which all daemons are to learn, and the daemon publishes at once, as the leader or as a relay. The calls that did so for reports of others are no longer needed.

The new case, in which the leader sees all crashes itself and is lost after 0.1 s, fails without it with 27 and 60 daemons.

Ruled out: records lost over a change of relay (logs of all daemons in virtual time).

--- a/internal/fulmarfollower/crash.go
+++ b/internal/fulmarfollower/crash.go
@@ -1,6 +1,7 @@
 package fulmarfollower
 
 import (
+	"context"
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcrash"
@@ -31,6 +32,19 @@
 	return !next.SameCrashes(old)
 }
 
+// publishCrashes passes crashes on to the daemons that follow this one as soon as they are known, until ctx ends. What a leader
+// has seen itself would be lost with it otherwise, until its next publication.
+func (f *Follower) publishCrashes(ctx context.Context) {
+	for {
+		select {
+		case <-f.deps.Crashes.Changed():
+			f.publisher.Publish()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // unknown returns the records of the board that the other side does not know, and notes that it will.
 func (k *knownCrashes) unknown(now time.Time, board *fulmarcrash.Board) []fulmarcrash.Aged {
 	generation := board.Generation()
--- a/internal/fulmarfollower/crash_test.go
+++ b/internal/fulmarfollower/crash_test.go
@@ -75,6 +75,21 @@
 			}
 			f.expectWithin(g, crashBound, "the crashing request", condemns)
 		},
+		"the leader is lost that has seen the last crash itself": func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
+			for n := range uint64(3) { // the leader may publish for another reason just then
+				leader := f.leader(t)
+				for _, id := range []string{"x1", "x2", "x3"} {
+					f.daemon(leader).crashes.RecordCrash(crashingWork+n, fulmarcrash.Crash{Target: target(id, false).Incarnation(), At: time.Now()})
+				}
+				time.Sleep(100 * time.Millisecond)
+				f.kill(leader)
+				f.expectWithin(g, crashBound, "the crashing request", func(d *simulatedDaemon) bool {
+					_, ok := d.crashes.Condemned(time.Now(), crashingWork+n)
+					return ok
+				})
+				time.Sleep(4 * time.Second)
+			}
+		},
 		"the store is lost, and with it the leader": func(_ context.Context, _ *testing.T, g *WithT, f *largeFleet) {
 			f.cutStore()
 			time.Sleep(3 * time.Second)
--- a/internal/fulmarfollower/follower.go
+++ b/internal/fulmarfollower/follower.go
@@ -138,6 +138,9 @@
 
 // Run follows the leader, or leads itself, until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { f.publishCrashes(ctx) })
 	for ctx.Err() == nil {
 		wait := leaderCheckInterval + rand.N(leaderCheckInterval/4)
 		if !f.views.Get().Ready() {
--- a/internal/fulmarfollower/relay.go
+++ b/internal/fulmarfollower/relay.go
@@ -37,9 +37,7 @@
 	f.children.Add(f.deps.Now(), r)
 	f.deps.RecordLimits(r.Limits, "daemon")
 	f.deps.RecordLeaving(r.Leaving)
-	if f.deps.RecordCrashes(r.Crashes, "daemon") {
-		f.publisher.Publish()
-	}
+	f.deps.RecordCrashes(r.Crashes, "daemon")
 	return f.publisher.Wait(ctx, r)
 }
 
--- a/internal/fulmarleader/publish.go
+++ b/internal/fulmarleader/publish.go
@@ -123,9 +123,7 @@
 	}
 	t.deps.RecordLimits(r.Limits, "daemon")
 	t.recordLeaving(r.Leaving)
-	if t.deps.RecordCrashes(r.Crashes, "daemon") {
-		t.requestPublish()
-	}
+	t.deps.RecordCrashes(r.Crashes, "daemon")
 	for service, counts := range r.Keys {
 		s := t.services[service]
 		if s == nil {
--- a/pkg/fulmarcrash/board.go
+++ b/pkg/fulmarcrash/board.go
@@ -25,6 +25,7 @@
 	version    int64
 	generation atomic.Int64
 	size       atomic.Int64
+	changed    chan struct{}
 }
 
 // entry is a record with the version of the board after its last change that all daemons are to learn of, 0 if there was none.
@@ -34,7 +35,10 @@
 }
 
 // New returns an empty board.
-func New() *Board { return &Board{entries: make(map[uint64]entry)} }
+func New() *Board { return &Board{entries: make(map[uint64]entry), changed: make(chan struct{}, 1)} }
+
+// Changed returns a channel that holds a value after changes of which all daemons are to learn. It serves one receiver.
+func (b *Board) Changed() <-chan struct{} { return b.changed }
 
 // IsEmpty reports whether there are no records, so that requests need no fingerprint.
 func (b *Board) IsEmpty() bool { return b.size.Load() == 0 }
@@ -79,6 +83,10 @@
 		if changed = len(next.Crashes) >= sharedFrom || e.version > 0; changed {
 			b.version++
 			e.version = b.version
+			select {
+			case b.changed <- struct{}{}:
+			default: // the receiver has yet to take the former value
+			}
 		}
 	}
 	b.entries[r.Work] = e
