Choose relays anew as daemons report after the first start

TestLargeFleet ('loss of the leader', 295 daemons) and TestReadyAfterRestart (295) failed now and then beside other tests, on in 4 of 24 runs of the package: one daemon had no configuration 3 s after the loss, or not after a restart. Its log in virtual time: a weak daemon had been chosen as a relay, and its call to the new leader ended 1.9 s later in place of 0.7 s, as its link was busy with complete states for 30 followers. It had become a relay at the first start of the fleet: the leader chose relays from the few daemons that had reported by then, and kept them until 3 s of its term were over.

Former relays stay for 3 s, so that a new leader does not shuffle them before the daemons report. At a first start there are none: the choice is made anew every 0.5 s then, and the strongest daemons are relays after two seconds. TestRelaysAfterFirstStart fails without it in three of three runs.

--- a/internal/fulmarfollower/restart_test.go
+++ b/internal/fulmarfollower/restart_test.go
@@ -28,3 +28,18 @@
 		})
 	}
 }
+
+// Guards against a fleet that keeps, for seconds after its first start, relays that were chosen from the few daemons that had
+// reported by then: weak ones take over a second to send the state to all daemons that follow them.
+func TestRelaysAfterFirstStart(t *testing.T) {
+	for range 5 { // who reports first is random
+		simulateLargeFleet(t, 295, func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
+			relays, leader := f.daemon("d294").views.Get().Relays, f.leader(t)
+			for i := range 295 / 20 {
+				if id := fmt.Sprint("d", i); id != leader {
+					g.Expect(relays.Has(id)).To(BeTrue(), "the strong daemon %s is no relay", id)
+				}
+			}
+		})
+	}
+}
--- a/internal/fulmarleader/publish.go
+++ b/internal/fulmarleader/publish.go
@@ -69,10 +69,11 @@
 	t.deps.Publisher.Publish()
 }
 
-// updateRelays chooses the relays anew, at most every relayInterval. At the begin of the term, the former ones stay until the
-// daemons have reported. The caller holds mu.
+// updateRelays chooses the relays anew, at most every relayInterval. At the begin of the term, those of the former one stay until
+// the daemons have reported; without former ones, the first choice has few daemons to choose from, and changes as more report.
+// The caller holds mu.
 func (t *Term) updateRelays(now time.Time) {
-	settled := len(t.relays) == 0 || now.Sub(t.beganAt) >= memberTimeout
+	settled := !t.hasFormerRelays || now.Sub(t.beganAt) >= memberTimeout
 	if !settled || now.Sub(t.relaysChosenAt) < relayInterval {
 		return
 	}
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -113,6 +113,7 @@
 	formerWriter     fulmarsnapshot.Writer // last writer of the tables before this term
 	isPublished      bool                  // the daemon's view is that of this term
 	relays           fulmarrelay.Set
+	hasFormerRelays  bool                 // relays were those of the former term when this one began
 	served           map[string]time.Time // by id: daemons without relays, when they last reported
 	relaysChosenAt   time.Time
 	publishRequested chan struct{} // holds a value while there are changes to publish
@@ -136,6 +137,7 @@
 		fleet: newFleet(), beganAt: d.Now(), formerDaemons: d.Views.Get().Daemons, relays: d.Views.Get().Relays.Without(d.Address), recentTargets: fulmarretention.New(d.Now(), targetRetention), permits: fulmarpermit.New(),
 		publishRequested: make(chan struct{}, 1), served: make(map[string]time.Time),
 	}
+	t.hasFormerRelays = len(t.relays) > 0
 	t.permitsUntil.Store(&acquired.validUntil)
 	return t, nil
 }
@@ -235,6 +237,7 @@
 		t.tablesRevision = s.TablesRevision
 		if len(t.relays) == 0 {
 			t.relays = s.Fleet.Relays.Without(t.deps.Address)
+			t.hasFormerRelays = len(t.relays) > 0
 		}
 	}
 	now := t.deps.Now()
