Do not count a caller's pause as a part of an outage

Read as a newcomer, the Detector did not do what its package says: a call of 0.9 s without an answer and an answer two seconds later made an outage, although no call had failed for a second. A daemon without a leader reads again one second after a failed read, so that it kept removed targets after a single slow answer. Only the time from the begin of the first unanswered call to the end of the last one counts. The new case 'a failed call, and a pause of two seconds' failed before.

--- a/pkg/fulmaroutage/detector.go
+++ b/pkg/fulmaroutage/detector.go
@@ -6,7 +6,8 @@
 )
 
 const (
-	// minOutage is the time from which unanswered calls count as an outage.
+	// minOutage is the time between the begin of the first and the end of the last unanswered call from which they count as an
+	// outage.
 	minOutage = time.Second
 	// maxPause is the longest pause between two calls of an outage, which callers repeat. After a longer one nothing is known
 	// of the time between the calls.
@@ -48,7 +49,7 @@
 	if d.failingSince.IsZero() {
 		return
 	}
-	if now.Sub(d.failedAt) <= maxPause && now.Sub(d.failingSince) >= minOutage {
+	if now.Sub(d.failedAt) <= maxPause && d.failedAt.Sub(d.failingSince) >= minOutage {
 		d.endedAt = now
 	}
 	d.failingSince = time.Time{}
--- a/pkg/fulmaroutage/detector_test.go
+++ b/pkg/fulmaroutage/detector_test.go
@@ -42,8 +42,14 @@
 		d.Failed(at(0), at(900))
 		d.Failed(at(1900), at(2800))
 	}, none)
+	// Guards against a pause of the caller that counts as a part of an outage.
+	expectEnd("a failed call, and a pause of two seconds", func(d *fulmaroutage.Detector) {
+		d.Failed(at(0), at(900))
+		d.Answered(at(2900))
+	}, none)
 	expectEnd("answers after the outage", func(d *fulmaroutage.Detector) {
 		d.Failed(at(0), at(900))
+		d.Failed(at(1000), at(1100))
 		d.Answered(at(1500))
 		d.Answered(at(1700))
 	}, at(1500))
