--- a/internal/fulmarcrashexchange/exchange.go
+++ b/internal/fulmarcrashexchange/exchange.go
@@ -27,7 +27,7 @@
 
 // Deps are the dependencies of an Exchange.
 type Deps struct {
-	Record    func(crashes []fulmarcrash.Aged, source string) (changed bool) // takes over what others know
+	Record    func(crashes []fulmarcrash.Aged, source string) // takes over what others know
 	Crashes   *fulmarcrash.Board
 	HasLeader func() bool     // reports whether a leader tells the daemon of crashes
 	Peers     func() []string // addresses of other daemons
--- a/internal/fulmarfollower/age_test.go
+++ b/internal/fulmarfollower/age_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarmemory"
-	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 )
 
@@ -51,9 +50,7 @@
 func expectAges(t *testing.T, l slowLeader, leavingFor, age time.Duration) {
 	t.Helper()
 	simulate(t, func(ctx context.Context, _ *testing.T, g *WithT, store *fulmarmemory.Store) {
-		record, err := fulmarsnapshot.Leader{ID: "a", Address: "a"}.Encode()
-		g.Expect(err).NotTo(HaveOccurred())
-		store.Set(fulmarsnapshot.LeaderKey, record)
+		storeLeader(t, store, "a")
 		store.Remove("config") // so that the daemon knows nothing from the store
 		f := &fleet{}
 		f.setLeader("a", l)
--- a/internal/fulmarfollower/crash.go
+++ b/internal/fulmarfollower/crash.go
@@ -27,24 +27,11 @@
 		k.records = make(map[uint64]fulmarcrash.Record)
 	}
 	old := k.records[r.Work]
-	next := fulmarcrash.Record{Work: r.Work}.Merge(old).Merge(r)
+	next := r.Merge(old)
 	k.records[r.Work] = next
 	return !next.SameCrashes(old)
 }
 
-// publishCrashes passes crashes on to the daemons that follow this one as soon as they are known, until ctx ends. What a leader
-// has seen itself would be lost with it otherwise, until its next publication.
-func (f *Follower) publishCrashes(ctx context.Context) {
-	for {
-		select {
-		case <-f.deps.Crashes.Changed():
-			f.publisher.Publish()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // unknown returns the records of the board that the other side does not know, and notes that it will.
 func (k *knownCrashes) unknown(now time.Time, board *fulmarcrash.Board) []fulmarcrash.Aged {
 	generation := board.Generation()
@@ -60,3 +47,16 @@
 	}
 	return fulmarcrash.NewAged(now, out)
 }
+
+// publishCrashes passes crashes on to the daemons that follow this one as soon as they are known, until ctx ends. What a leader
+// has seen itself would be lost with it otherwise, until its next publication.
+func (f *Follower) publishCrashes(ctx context.Context) {
+	for {
+		select {
+		case <-f.deps.Crashes.Changed():
+			f.publisher.Publish()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/fulmarfollower/crash_test.go
+++ b/internal/fulmarfollower/crash_test.go
@@ -35,15 +35,6 @@
 	return ok
 }
 
-// cutStore cuts all daemons off from the store.
-func (f *largeFleet) cutStore() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, d := range f.daemons {
-		d.storeCut.Store(true)
-	}
-}
-
 // Guards against daemons that do not learn of a request that crashes targets at others, so that each of them lets it crash
 // more.
 func TestCrashesKnownEverywhere(t *testing.T) {
@@ -91,7 +82,7 @@
 			}
 		},
 		"the store is lost, and with it the leader": func(_ context.Context, _ *testing.T, g *WithT, f *largeFleet) {
-			f.cutStore()
+			f.setStoreCut(true)
 			time.Sleep(3 * time.Second)
 			crashes(f, 0, 2)
 			f.crashAt(2)
--- a/internal/fulmarfollower/follower_test.go
+++ b/internal/fulmarfollower/follower_test.go
@@ -237,9 +237,7 @@
 // from it: a target got requests 2.02 s after it had announced that it leaves.
 func TestStaleLeader(t *testing.T) {
 	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
-		record, err := fulmarsnapshot.Leader{ID: "a", Address: "a"}.Encode()
-		g.Expect(err).NotTo(HaveOccurred())
-		store.Set(fulmarsnapshot.LeaderKey, record)
+		storeLeader(t, store, "a")
 		f := &fleet{}
 		f.setLeader("a", &staleLeader{lastRead: time.Now(), targets: []fulmarcatalog.Target{target("x", false)}, config: config(1)})
 		view := f.start(ctx, "b", fulmarmemory.NewClient(store))
@@ -257,6 +255,16 @@
 	})
 }
 
+// storeLeader stores the record of a leader with the given id and address.
+func storeLeader(t *testing.T, store *fulmarmemory.Store, id string) {
+	t.Helper()
+	record, err := fulmarsnapshot.Leader{ID: id, Address: id}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.Set(fulmarsnapshot.LeaderKey, record)
+}
+
 // leader returns the id of the daemon that leads, or an empty string.
 func leader(t *testing.T, store *fulmarmemory.Store) string {
 	t.Helper()
--- a/internal/fulmarfollower/largefleet_test.go
+++ b/internal/fulmarfollower/largefleet_test.go
@@ -391,6 +391,15 @@
 	delete(f.daemons, id)
 }
 
+// setStoreCut cuts all daemons off from the store, or ends that.
+func (f *largeFleet) setStoreCut(cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, d := range f.daemons {
+		d.storeCut.Store(cut)
+	}
+}
+
 // resetLoad makes logLoad count from now on.
 func (f *largeFleet) resetLoad() {
 	f.mu.Lock()
--- a/internal/fulmarfollower/owners_test.go
+++ b/internal/fulmarfollower/owners_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarmemory"
-	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
 )
@@ -30,9 +29,7 @@
 // Guards against daemons that end when the first state that they receive has no owners, as at the first start of a fleet.
 func TestOwnersAfterStateWithoutOwners(t *testing.T) {
 	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
-		record, err := fulmarsnapshot.Leader{ID: "a", Address: "a"}.Encode()
-		g.Expect(err).NotTo(HaveOccurred())
-		store.Set(fulmarsnapshot.LeaderKey, record)
+		storeLeader(t, store, "a")
 		f := &fleet{}
 		f.setLeader("a", startingLeader{&staleLeader{lastRead: time.Now().Add(time.Hour), config: config(1)}})
 		view := f.start(ctx, "b", fulmarmemory.NewClient(store))
--- a/internal/fulmarfollower/removed_test.go
+++ b/internal/fulmarfollower/removed_test.go
@@ -38,18 +38,11 @@
 // Guards against daemons that drop targets whose entries have expired in an outage of the store.
 func TestRemovalInOutage(t *testing.T) {
 	simulateLargeFleet(t, smallestWithRelays, func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
-		setOutage := func(cut bool) {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			for _, d := range f.daemons {
-				d.storeCut.Store(cut)
-			}
-		}
-		setOutage(true)
+		f.setStoreCut(true)
 		time.Sleep(time.Second)
 		f.store.Remove("targets/t1")
 		time.Sleep(3500 * time.Millisecond)
-		setOutage(false)
+		f.setStoreCut(false)
 		for ended := time.Now(); time.Since(ended) < 1500*time.Millisecond; time.Sleep(50 * time.Millisecond) {
 			g.Expect(f.missing(knowsTarget("t1"))).To(BeZero(), "daemons that have dropped the target, %v after the outage", time.Since(ended))
 		}
--- a/internal/fulmarkvforwarder/store.go
+++ b/internal/fulmarkvforwarder/store.go
@@ -145,9 +145,7 @@
 }
 
 // answered reports whether the store has answered, if only with an error.
-func (r result) answered() bool {
-	return !errors.Is(r.err, fulmarkv.ErrUnavailable) && !errors.Is(r.err, fulmarkv.ErrAmbiguous)
-}
+func (r result) answered() bool { return fulmarkv.IsAnswered(r.err) }
 
 // call makes a call directly or through other daemons. A repeatable call may be made both ways.
 func (s *Store) call(ctx context.Context, c *fulmarleaderrpc.StoreCall, repeatable bool) (*fulmarleaderrpc.StoreAnswer, error) {
--- a/internal/fulmarkvmonitor/store.go
+++ b/internal/fulmarkvmonitor/store.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmaroutage"
 )
@@ -27,11 +25,11 @@
 
 // record records the outcome of a call that began at the given time.
 func (s *Store) record(began time.Time, err error) {
-	if errors.Is(err, fulmarkv.ErrUnavailable) || errors.Is(err, fulmarkv.ErrAmbiguous) {
+	if fulmarkv.IsAnswered(err) {
+		s.detector.Answered(s.now())
+	} else {
 		s.detector.Failed(began, s.now())
-		return
 	}
-	s.detector.Answered(s.now())
 }
 
 // Scan implements fulmarkv.Store.
--- a/internal/fulmarleader/crash.go
+++ b/internal/fulmarleader/crash.go
@@ -4,19 +4,17 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcrash"
 )
 
-// RecordCrashes records what others know of requests that crash targets, and reports whether all daemons are to learn of a
-// change.
-func (d Deps) RecordCrashes(crashes []fulmarcrash.Aged, source string) (changed bool) {
+// RecordCrashes records what others know of requests that crash targets.
+func (d Deps) RecordCrashes(crashes []fulmarcrash.Aged, source string) {
 	if len(crashes) == 0 {
-		return false
+		return
 	}
 	now := d.Now()
 	records := make([]fulmarcrash.Record, 0, len(crashes))
 	for _, a := range crashes {
 		records = append(records, a.Record(now))
 	}
-	if changed = d.Crashes.Merge(records); changed {
+	if d.Crashes.Merge(records) {
 		d.Log.Info("crashing requests learned", "records", len(records), "version", d.Crashes.Version(), "source", source)
 	}
-	return changed
 }
--- a/internal/fulmarleader/publish.go
+++ b/internal/fulmarleader/publish.go
@@ -69,15 +69,21 @@
 	t.deps.Publisher.Publish()
 }
 
-// updateRelays chooses the relays anew, at most every relayInterval. At the begin of the term, those of the former one stay until
-// the daemons have reported; without former ones, the first choice has few daemons to choose from, and changes as more report.
-// The caller holds mu.
+// keepRelays takes over the relays of the former term, if it had any, until the daemons have reported. The caller holds mu, or has
+// not started the term.
+func (t *Term) keepRelays(former fulmarrelay.Set) {
+	if t.relays = former.Without(t.deps.Address); len(t.relays) > 0 {
+		t.nextRelayChoice = t.beganAt.Add(memberTimeout)
+	}
+}
+
+// updateRelays chooses the relays anew, at most every relayInterval. Without relays of a former term, the first choice has few
+// daemons to choose from, and changes as more report. The caller holds mu.
 func (t *Term) updateRelays(now time.Time) {
-	settled := !t.hasFormerRelays || now.Sub(t.beganAt) >= memberTimeout
-	if !settled || now.Sub(t.relaysChosenAt) < relayInterval {
+	if now.Before(t.nextRelayChoice) {
 		return
 	}
-	t.relaysChosenAt = now
+	t.nextRelayChoice = now.Add(relayInterval)
 	relays := t.relays.With(t.fleet.candidates(now))
 	if !relays.Equal(t.relays) {
 		t.deps.Log.Info("relays chosen", "term", t.lease.revision, "relays", len(relays), "before", len(t.relays))
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -113,10 +113,9 @@
 	formerWriter     fulmarsnapshot.Writer // last writer of the tables before this term
 	isPublished      bool                  // the daemon's view is that of this term
 	relays           fulmarrelay.Set
-	hasFormerRelays  bool                 // relays were those of the former term when this one began
 	served           map[string]time.Time // by id: daemons without relays, when they last reported
-	relaysChosenAt   time.Time
-	publishRequested chan struct{} // holds a value while there are changes to publish
+	nextRelayChoice  time.Time            // relays are not chosen anew before then
+	publishRequested chan struct{}        // holds a value while there are changes to publish
 	permits          *fulmarpermit.Dispenser
 	permitsUntil     atomic.Pointer[time.Time] // validUntil; it is read without mu, which a publication may hold for long
 	crashesWritten   int64                     // version of the crashes that this term has stored; planLoop uses it
@@ -134,10 +133,10 @@
 	t := &Term{
 		deps: d, reader: reader, lease: acquired, validUntil: acquired.validUntil, lastRenewal: d.Now(), snapshot: s,
 		services: make(map[string]*keyedService), workers: make(map[fulmarrange.Incarnation]*worker),
-		fleet: newFleet(), beganAt: d.Now(), formerDaemons: d.Views.Get().Daemons, relays: d.Views.Get().Relays.Without(d.Address), recentTargets: fulmarretention.New(d.Now(), targetRetention), permits: fulmarpermit.New(),
+		fleet: newFleet(), beganAt: d.Now(), formerDaemons: d.Views.Get().Daemons, recentTargets: fulmarretention.New(d.Now(), targetRetention), permits: fulmarpermit.New(),
 		publishRequested: make(chan struct{}, 1), served: make(map[string]time.Time),
 	}
-	t.hasFormerRelays = len(t.relays) > 0
+	t.keepRelays(d.Views.Get().Relays)
 	t.permitsUntil.Store(&acquired.validUntil)
 	return t, nil
 }
@@ -236,8 +235,7 @@
 		t.formerWriter = s.TablesWriter
 		t.tablesRevision = s.TablesRevision
 		if len(t.relays) == 0 {
-			t.relays = s.Fleet.Relays.Without(t.deps.Address)
-			t.hasFormerRelays = len(t.relays) > 0
+			t.keepRelays(s.Fleet.Relays)
 		}
 	}
 	now := t.deps.Now()
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -222,13 +222,8 @@
 		return nil, errors.Wrap(ErrUnsent, "no idle connection to the target")
 	}
 	started := time.Now()
-	p.mu.Lock()
-	p.open[address]++
-	nearLimit := p.open[address] > 1 || started.Sub(p.resetAt[address]) < resetMemory
-	p.mu.Unlock()
-	c, err := dial(ctx, address, p.settings.DialTimeout, p.settings.AckTimeout)
+	c, nearLimit, err := p.dialCounted(ctx, address, started)
 	if err != nil {
-		p.countClosed(address)
 		if errors.Is(err, syscall.ECONNRESET) {
 			p.recordReset(address)
 			return nil, ErrNoRoom
@@ -243,14 +238,23 @@
 	return c, nil
 }
 
-// Refuses reports whether the target at address refuses new connections, as it does once its process has ended.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
+// dialCounted opens a connection at now, which counts as open until it is closed. nearLimit reports whether the target may be at
+// its limit of connections.
+func (p *Pool) dialCounted(ctx context.Context, address string, now time.Time) (c *conn, nearLimit bool, err error) {
 	p.mu.Lock()
 	p.open[address]++
+	nearLimit = p.open[address] > 1 || now.Sub(p.resetAt[address]) < resetMemory
 	p.mu.Unlock()
-	c, err := dial(ctx, address, p.settings.DialTimeout, p.settings.AckTimeout)
-	if err != nil {
+	if c, err = dial(ctx, address, p.settings.DialTimeout, p.settings.AckTimeout); err != nil {
 		p.countClosed(address)
+	}
+	return c, nearLimit, err
+}
+
+// Refuses reports whether the target at address refuses new connections, as it does once its process has ended.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	c, _, err := p.dialCounted(ctx, address, time.Now())
+	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	p.closeConn(address, c)
--- a/pkg/fulmarcrash/board.go
+++ b/pkg/fulmarcrash/board.go
@@ -75,7 +75,7 @@
 // merge adds what a record knows, and reports whether all daemons are to learn of the change. The caller holds mu.
 func (b *Board) merge(r Record) (changed bool) {
 	e := b.entries[r.Work]
-	next := Record{Work: r.Work}.Merge(e.Record).Merge(r)
+	next := r.Merge(e.Record)
 	same := next.SameCrashes(e.Record)
 	e.Record = next
 	if !same {
--- a/pkg/fulmarkv/store.go
+++ b/pkg/fulmarkv/store.go
@@ -19,6 +19,11 @@
 	ErrNoLease = errors.New("fulmarkv: lease has ended")
 )
 
+// IsAnswered reports whether a call that ended with err was answered by the store, if only with a refusal.
+func IsAnswered(err error) bool {
+	return !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrAmbiguous)
+}
+
 // Lease identifies a lease; the zero value is no lease.
 type Lease int64
 
