--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -76,7 +76,8 @@
 }
 
 var cases = map[string]func(c *caseRun) (broken bool, err error){
-	"chunked-body": chunkedBody,
+	"chunked-body":    chunkedBody,
+	"pipelined-lists": pipelinedLists,
 }
 
 func main() { os.Exit(play()) }
