--- a/review/standin/daemon.go
+++ b/review/standin/daemon.go
@@ -15,9 +15,10 @@
 // daemon is one process of the project, started with the command of the deploy file.
 type daemon struct {
 	name, ip, front, ready string
+	boot                   string // path of the settings file
 	cmd                    *exec.Cmd
 	log                    *os.File
-	ended                  chan struct{}
+	ended                  chan struct{} // closed when the process has ended
 }
 
 // freeAddress returns ip with a port that is free now.
@@ -33,7 +34,7 @@
 // startDaemon writes the settings file and starts the process. Each daemon has a loopback address of its own, as it serves
 // its metrics on a fixed port.
 func startDaemon(dir string, number int, ip, storeAddress string) (*daemon, error) {
-	d := &daemon{name: fmt.Sprintf("front-a-%d", number), ip: ip, ended: make(chan struct{})}
+	d := &daemon{name: fmt.Sprintf("front-a-%d", number), ip: ip}
 	var err error
 	if d.front, err = freeAddress(ip); err != nil {
 		return nil, err
@@ -91,15 +92,23 @@
 	if d.log, err = os.Create(filepath.Join(dir, d.name+".log")); err != nil {
 		return nil, err
 	}
+	d.boot = path
+	return d, d.start()
+}
+
+// start starts a process of the daemon.
+func (d *daemon) start() error {
+	d.ended = make(chan struct{})
 	d.cmd = exec.Command("target/fulmarbend", "front")
-	d.cmd.Env = []string{"FULMARBEND_BOOT=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	d.cmd.Env = []string{"FULMARBEND_BOOT=" + d.boot, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	d.cmd.Stdout, d.cmd.Stderr = d.log, d.log
 	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := d.cmd.Start(); err != nil {
-		return nil, err
+		return err
 	}
-	go func() { _ = d.cmd.Wait(); close(d.ended) }()
-	return d, nil
+	cmd, ended := d.cmd, d.ended
+	go func() { _ = cmd.Wait(); close(ended) }()
+	return nil
 }
 
 func (d *daemon) signal(s syscall.Signal) { _ = d.cmd.Process.Signal(s) }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -78,6 +78,7 @@
 var cases = map[string]func(c *caseRun) (broken bool, err error){
 	"chunked-body":    chunkedBody,
 	"pipelined-lists": pipelinedLists,
+	"roll-term":       rollTerm,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,8 @@
 	born                 int64
 	slots, queue         int
 	work                 time.Duration
+	answerBytes          int           // of the body of an answer, 0 for a short text
+	answered             sync.Map      // by request id: the whole answer was written
 	shedShare            atomic.Uint64 // of the requests, in 1/1000, that it rejects: "fail part of their requests"
 	shed                 atomic.Int64  // requests that it rejected
 	full                 atomic.Int64  // requests that it rejected as its queue was full
@@ -144,7 +147,15 @@
 	sum := sha256.Sum256(body)
 	u.record.add(run{time.Now(), u.id, id, r.Method, r.RequestURI, hex.EncodeToString(sum[:]), len(body)})
 	time.Sleep(u.work)
-	return send(http.StatusOK, "X-Response-Signature: "+u.id+"."+id+"\r\n", "done "+id)
+	text := "done " + id
+	if u.answerBytes > 0 {
+		text = strings.Repeat("x", u.answerBytes)
+	}
+	whole := send(http.StatusOK, "X-Response-Signature: "+u.id+"."+id+"\r\n", text)
+	if whole {
+		u.answered.Store(id, true)
+	}
+	return whole
 }
 
 // beat writes the entries of the upstreams to the store until stop is closed.
