--- a/review/standin/daemon.go
+++ b/review/standin/daemon.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -21,38 +23,41 @@
 	ended                  chan struct{} // closed when the process has ended
 }
 
-// freeAddress returns ip with a port that is free now.
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+// freePorts returns the first of count ports in a row that are free at ip now, below those that the system hands out.
+func freePorts(ip string, count int) (int, error) {
+	for range 100 {
+		first := 10_000 + rand.IntN(20_000)
+		free := true
+		var held []net.Listener
+		for port := first; port < first+count && free; port++ {
+			l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
+			if err != nil {
+				free = false
+				break
+			}
+			held = append(held, l)
+		}
+		for _, l := range held {
+			l.Close()
+		}
+		if free {
+			return first, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return 0, fmt.Errorf("no %d free ports at %s", count, ip)
 }
 
 // startDaemon writes the settings file and starts the process. Each daemon has a loopback address of its own, as it serves
 // its metrics on a fixed port.
 func startDaemon(dir string, number int, ip, storeAddress string) (*daemon, error) {
 	d := &daemon{name: fmt.Sprintf("front-a-%d", number), ip: ip}
-	var err error
-	if d.front, err = freeAddress(ip); err != nil {
-		return nil, err
-	}
-	if d.ready, err = freeAddress(ip); err != nil {
-		return nil, err
-	}
-	control, err := freeAddress(ip)
+	first, err := freePorts(ip, 20)
 	if err != nil {
 		return nil, err
 	}
-	peers, err := freeAddress(ip)
-	if err != nil {
-		return nil, err
-	}
-	_, port, _ := net.SplitHostPort(peers)
-	var first int
-	_, _ = fmt.Sscan(port, &first)
+	address := func(port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
+	d.front, d.ready = address(first+16), address(first+17)
+	control := address(first + 18)
 	settings := map[string]any{
 		"Grants": "invoke",
 		"Self": map[string]any{
@@ -131,3 +136,15 @@
 	resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
+
+// describe returns whether the process has ended, and the last lines of its log.
+func (d *daemon) describe() string {
+	state := "runs"
+	select {
+	case <-d.ended:
+		state = "has ended"
+	default:
+	}
+	text, _ := os.ReadFile(d.log.Name())
+	return fmt.Sprintf("%s %s; its log ends with: %s", d.name, state, text[max(0, len(text)-800):])
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -62,6 +62,9 @@
 			return nil
 		}
 		if time.Now().After(deadline) {
+			for _, d := range c.daemons {
+				c.logf("%s", d.describe())
+			}
 			return fmt.Errorf("%d of %d daemons are ready", ready, count)
 		}
 	}
--- a/review/standin/rollterm.go
+++ b/review/standin/rollterm.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	enquiryBytes     = 80_000  // of the body of a request
+	enquiryBytes     = 120_000 // of the body of a request
 	enquiryAnswer    = 200_000 // of the body of an answer
 	enquiryBatch     = 4       // safe requests that a consumer sends before the first has been answered
 	enquiryConsumers = 12
