Log what the answers of targets state about the execution of a request

It now names what each send was answered: target, status, whether the answer states that the request was not executed, whether it is signed and bears the request's id. It is left out of the line of a request that was served by its first send, which is most of the volume. Counters for answers with status 408, 421, 429 or 503 without that statement, and for answers without an id.

--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -320,9 +320,12 @@
 		} else {
 			d.Balancer.RecordAbandoned(t.ID, d.Now().Sub(started))
 		}
+		x.recordStatement(statement{target: t.ID})
 		x.recordUnanswered(ctx, t)
 		return nil, broken
 	}
+	said := x.newStatement(t.ID, a)
+	x.recordStatement(said)
 	if a.Status != http.StatusMisdirectedRequest { // such an answer may be another target's
 		answered = true
 		x.recordLimit(t.ID, a.Header, sentAt)
@@ -332,7 +335,7 @@
 	if load, ok := parseLoad(a.Header.Get(d.HeaderNames.Load)); ok {
 		d.Balancer.RecordLoad(now, t.ID, load)
 	}
-	if a.Status == http.StatusMisdirectedRequest || a.Header.Get(d.HeaderNames.NotRun) != "" {
+	if a.Status == http.StatusMisdirectedRequest || said.marked {
 		if a.Remainder != nil {
 			a.Remainder.Close()
 		}
@@ -340,7 +343,7 @@
 		x.lastError = errors.Errorf("status %d", a.Status)
 		return nil, notRun
 	}
-	if a.Status < http.StatusMultipleChoices && a.Header.Get(d.HeaderNames.Signature) == "" {
+	if a.Status < http.StatusMultipleChoices && !said.signed {
 		if a.Remainder != nil {
 			a.Remainder.Close()
 		}
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -115,6 +115,7 @@
 	dials       int                // number of targets to which no byte could be sent
 	mayHaveRun  bool               // a target may have executed the request
 	lastError   error              // error of the last send
+	statements  []statement        // what the targets answered, for each send
 	tried       map[string]bool
 	target      string
 	reason      Reason
@@ -226,6 +227,9 @@
 	if rate, ok := d.Limits.Rate(x.target); ok {
 		fields = append(fields, "limit", rate)
 	}
+	if text := x.statementsText(); text != "" {
+		fields = append(fields, "answers", text)
+	}
 	if x.lastError != nil {
 		fields = append(fields, "cause", x.lastError)
 	}
--- /dev/null
+++ b/internal/fulmarforwarder/statement.go
@@ -0,0 +1,78 @@
+package fulmarforwarder
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarlink"
+)
+
+// statement is what the answer of a target says about the execution of a request; the zero value is no answer.
+type statement struct {
+	target     string
+	status     int
+	marked     bool // it has the header that states that the request was not executed
+	signed     bool // it has the target's signature
+	identified bool // it bears the id of the request
+}
+
+// newStatement returns the statement of an answer.
+func (x *exchange) newStatement(target string, a *fulmarlink.Answer) statement {
+	names := x.forwarder.deps.HeaderNames
+	return statement{
+		target: target, status: a.Status, marked: a.Header.Get(names.NotRun) != "", signed: a.Header.Get(names.Signature) != "",
+		identified: a.Identified,
+	}
+}
+
+// promisesNotRun reports whether callers take the status as the promise that the request was not and will not be executed.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// String returns the statement in the form of the log.
+func (s statement) String() string {
+	if s.status == 0 {
+		return s.target + " none"
+	}
+	text := s.target + " " + strconv.Itoa(s.status)
+	for _, mark := range []struct {
+		set  bool
+		word string
+	}{{s.marked, "marked"}, {s.signed, "signed"}, {!s.identified, "anonymous"}} {
+		if mark.set {
+			text += " " + mark.word
+		}
+	}
+	return text
+}
+
+// recordStatement keeps a statement for the log and counts those that leave open whether the request was executed although
+// their status promises that it was not.
+func (x *exchange) recordStatement(s statement) {
+	x.statements = append(x.statements, s)
+	metrics := x.forwarder.deps.Metrics
+	if promisesNotRun(s.status) && !s.marked {
+		metrics.Count("relay.answer_unmarked_" + strconv.Itoa(s.status))
+	}
+	if s.status != 0 && !s.identified {
+		metrics.Count("relay.answer_without_id")
+	}
+}
+
+// statementsText returns the statements of all answers in the order of the sends, empty if the only one was a success.
+func (x *exchange) statementsText() string {
+	if len(x.statements) == 1 && x.statements[0].status/100 == 2 && x.reason == "" {
+		return ""
+	}
+	words := make([]string, 0, len(x.statements))
+	for _, s := range x.statements {
+		words = append(words, s.String())
+	}
+	return strings.Join(words, ", ")
+}
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -77,6 +77,9 @@
 	Body      []byte        // the whole body, or its first part if Remainder is set
 	Remainder io.ReadCloser // nil if Body is the whole body
 	Length    int64         // of the whole body, -1 if unknown
+	// Identified reports whether the answer bears the id of the request. One without an id is accepted only as the first
+	// answer of its connection.
+	Identified bool
 }
 
 // Pool holds persistent connections to targets; it is safe for concurrent use.
@@ -359,9 +362,13 @@
 			continue
 		}
 		a, keep, err := p.readAnswer(c, resp)
+		if err != nil {
+			return nil, false, err
+		}
+		a.Identified = id == r.ID
 		// After a failed write the target may have answered early, but still expects the rest of the request. A copy of an
 		// answer without an id could not be told from the answer to the next request.
-		return a, keep && sendErr == nil && id == r.ID, err
+		return a, keep && sendErr == nil && a.Identified, nil
 	}
 	return nil, false, errors.New("too many answers to other requests")
 }
