Reproduce requests that are refused by a status of their target and have run

Callers are told by 503, 429 or 408 that a request has not run and never will, although its target has run it.

--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -300,6 +301,31 @@
 	}
 }
 
+// Guards against a status of a target that promises to the caller that the request was not executed, although the target does
+// not state that: it may have executed the request.
+func TestStatusOfRefusal(t *testing.T) {
+	for _, status := range []int{408, 429, 503} {
+		for _, signature := range []string{"", "Sign: s\r\n"} {
+			answer := fmt.Sprintf("HTTP/1.1 %d x\r\n%sContent-Length: 0\r\nId: one\r\n\r\n", status, signature)
+			for _, c := range []struct {
+				kind       string
+				idempotent bool
+				sends      int
+			}{{"not idempotent", false, 1}, {"idempotent", true, 2}} {
+				t.Run(fmt.Sprintf("%d, signed %t, %s", status, signature != "", c.kind), func(t *testing.T) {
+					g := NewWithT(t)
+					x, y := newTarget(t, "x", answer), newTarget(t, "y", answer)
+					f := start(t, c.idempotent, x, y)
+					a := f.forwarder.Serve(t.Context(), request(t, "/f/1", "body"))
+					expectStatus(g, a, http.StatusBadGateway)
+					g.Expect(a.Header).NotTo(HaveKey(names.Signature), "the status is not the target's")
+					g.Expect(sends(x, y)).To(Equal(c.sends))
+				})
+			}
+		}
+	}
+}
+
 // Guards against a refusal that states that the request was not executed although an earlier target may have executed
 // it.
 func TestRefusedAfterLoss(t *testing.T) {
