Tell callers that a request has not run only if its target states that

Callers were told by 503, 429 or 408 that a request has not run although its target had run it: the daemon passed on whatever status the target gave. These statuses promise something to a caller, so the daemon may give them only for what it knows.

An answer that states that the request was not executed (the header, or 421) makes the request one that has not run; any other answer with 408, 429 or 503 is a failure that promises nothing: 502 without the target's signature, or another send if the request may run twice. The statement of an answer is judged in one place (statement.result). A success that bears the header contradicts itself and counts as a failure too.

--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -335,21 +335,13 @@
 	if load, ok := parseLoad(a.Header.Get(d.HeaderNames.Load)); ok {
 		d.Balancer.RecordLoad(now, t.ID, load)
 	}
-	if a.Status == http.StatusMisdirectedRequest || said.marked {
+	if res := said.result(); res != delivered {
 		if a.Remainder != nil {
 			a.Remainder.Close()
 		}
 		d.Balancer.RecordFailure(now, t.ID)
-		x.lastError = errors.Errorf("status %d", a.Status)
-		return nil, notRun
-	}
-	if a.Status < http.StatusMultipleChoices && !said.signed {
-		if a.Remainder != nil {
-			a.Remainder.Close()
-		}
-		d.Balancer.RecordFailure(now, t.ID)
-		x.lastError = errors.Errorf("status %d without a signature", a.Status)
-		return nil, broken
+		x.lastError = errors.New(said.shortfall())
+		return nil, res
 	}
 	if a.Status < http.StatusInternalServerError {
 		d.Balancer.RecordServed(t.ID, now.Sub(started))
--- a/internal/fulmarforwarder/statement.go
+++ b/internal/fulmarforwarder/statement.go
@@ -35,6 +35,32 @@
 	return false
 }
 
+// result returns what the answer means for the request. Only a target's own statement makes the request one that was not
+// executed: a status alone may come from a target that failed after it had executed the request.
+func (s statement) result() result {
+	switch {
+	case s.marked && s.status >= http.StatusBadRequest, s.status == http.StatusMisdirectedRequest:
+		return notRun
+	case s.marked, promisesNotRun(s.status), s.status < http.StatusMultipleChoices && !s.signed:
+		return broken
+	}
+	return delivered
+}
+
+// shortfall states why the answer is not returned to the caller.
+func (s statement) shortfall() string {
+	text := "status " + strconv.Itoa(s.status)
+	switch {
+	case s.result() == notRun:
+		return text
+	case s.marked:
+		return text + " with the statement that the request was not executed"
+	case promisesNotRun(s.status):
+		return text + " without the statement that the request was not executed"
+	}
+	return text + " without a signature"
+}
+
 // String returns the statement in the form of the log.
 func (s statement) String() string {
 	if s.status == 0 {
