Take an answer for a rejection only if it names the request

A rejection tells callers that a request has not run, or sends it to another target. One without an id was believed as the first answer of a connection, and for a request that has no id itself any answer was, also one that names another request. Both may be bytes of a target in trouble, or a late copy. Such an answer is now a failure that promises nothing. fulmarlink skips answers that name another request also for requests without an id (orders to targets, whose answers bear none), and a caller's request without an id is answered 400 at once: targets reject it in any case, and sending it to one after another ended in a 503 that asked the caller to come again.

TestRejectionWithoutID, TestRequestWithoutID and TestLateAnswerWithoutOwnID failed before. The rejections in the script of the forwarder's tests bear the id now, as those of targets do; what the tests check is the same.

--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -155,6 +155,9 @@
 		return x.fail(http.StatusNotFound, NoRoute)
 	}
 	x.route = route
+	if x.id == "" {
+		return x.fail(http.StatusBadRequest, NoID)
+	}
 	x.deadline = x.request.ReceivedAt.Add(route.Timeout)
 	if ms, err := strconv.ParseFloat(x.request.Header.Get(d.HeaderNames.Deadline), 64); err == nil && ms >= 0 {
 		if end := x.request.ReceivedAt.Add(time.Duration(ms * float64(time.Millisecond))); end.Before(x.deadline) {
--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -41,8 +41,8 @@
 
 // Answers of a test target; ordinary stands for a complete answer to the request.
 const (
-	notRun          = "HTTP/1.1 503 x\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
-	misdirected     = "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n"
+	notRun          = "HTTP/1.1 503 x\r\nNot-Run: 1\r\nId: one\r\nContent-Length: 0\r\n\r\n"
+	misdirected     = "HTTP/1.1 421 x\r\nId: one\r\nContent-Length: 0\r\n\r\n"
 	unsigned        = "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok"
 	incomplete      = "HTTP/1.1 200 x\r\nSign: s\r\nContent-Length: 20\r\n\r\nok"
 	failed          = "HTTP/1.1 500 x\r\nSign: s\r\nContent-Length: 3\r\n\r\nbad"
@@ -326,6 +326,23 @@
 	}
 }
 
+// Guards against a rejection that does not name the request, as the bytes of a target in trouble may not, and that is taken for
+// the answer to it.
+func TestRejectionWithoutID(t *testing.T) {
+	for name, answer := range map[string]string{
+		"not executed":   strings.Replace(notRun, "Id: one\r\n", "", 1),
+		"another target": strings.Replace(misdirected, "Id: one\r\n", "", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			x, y := newTarget(t, "x", answer), newTarget(t, "y", answer)
+			f := start(t, false, x, y)
+			expectStatus(g, f.forwarder.Serve(t.Context(), request(t, "/f/1", "body")), http.StatusBadGateway)
+			g.Expect(sends(x, y)).To(Equal(1))
+		})
+	}
+}
+
 // Guards against a refusal that states that the request was not executed although an earlier target may have executed
 // it.
 func TestRefusedAfterLoss(t *testing.T) {
@@ -470,6 +487,18 @@
 	NewWithT(t).Expect(y.requests()).To(BeEmpty())
 }
 
+// Guards against a request without an id that is sent: its answer cannot be told from a late one to another request, and targets
+// reject it in any case.
+func TestRequestWithoutID(t *testing.T) {
+	g := NewWithT(t)
+	x := newTarget(t, "x")
+	f := start(t, true, x)
+	r := request(t, "/f/1", "body")
+	r.Header.Del(names.RequestID)
+	expectStatus(g, f.forwarder.Serve(t.Context(), r), http.StatusBadRequest)
+	g.Expect(x.requests()).To(BeEmpty())
+}
+
 // Guards against a request that waits until its deadline for a key without an owner.
 func TestNoOwner(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/fulmarforwarder/outcome.go
+++ b/internal/fulmarforwarder/outcome.go
@@ -19,6 +19,7 @@
 	NoConfiguration Reason = "no-configuration" // the daemon has not received the configuration yet
 	NoRoute         Reason = "no-route"
 	NoKey           Reason = "no-key"
+	NoID            Reason = "no-id"     // the request has no id, without which no target executes it
 	NoOwner         Reason = "no-owner"  // the key has no owner or is being moved
 	NoTarget        Reason = "no-target" // the service has no usable target
 	NoCapacity      Reason = "full"      // all usable targets are at the limit of requests in flight
--- a/internal/fulmarforwarder/statement.go
+++ b/internal/fulmarforwarder/statement.go
@@ -35,11 +35,13 @@
 	return false
 }
 
-// result returns what the answer means for the request. Only a target's own statement makes the request one that was not
-// executed: a status alone may come from a target that failed after it had executed the request.
+// result returns what the answer means for the request. Only the target's own statement about this very request makes it one that
+// was not executed: a status alone may come from a target that failed after it had executed the request, and an answer without
+// the id of the request may belong to none.
 func (s statement) result() result {
+	rejects := s.marked && s.status >= http.StatusBadRequest || s.status == http.StatusMisdirectedRequest
 	switch {
-	case s.marked && s.status >= http.StatusBadRequest, s.status == http.StatusMisdirectedRequest:
+	case rejects && s.identified:
 		return notRun
 	case s.marked, promisesNotRun(s.status), s.status < http.StatusMultipleChoices && !s.signed:
 		return broken
@@ -53,6 +55,8 @@
 	switch {
 	case s.result() == notRun:
 		return text
+	case !s.identified:
+		return text + " without the id of the request"
 	case s.marked:
 		return text + " with the statement that the request was not executed"
 	case promisesNotRun(s.status):
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -57,7 +57,7 @@
 	URI       string // path and query, unchanged
 	Host      string
 	Header    http.Header // without connection headers, Host and Content-Length
-	ID        string      // request id; empty if the answer need not carry one
+	ID        string      // request id; empty if the answer carries none
 	Body      io.Reader   // nil for none
 	Length    int64       // of the body, -1 if unknown
 	ReuseOnly bool        // fail with ErrUnsent if there is no idle connection
@@ -318,11 +318,11 @@
 	p.countClosed(address)
 }
 
-// answers reports whether an answer with the given id, empty for none, is the one to the request with id want. An answer
+// answers reports whether an answer with the given id is the one to the request with id want; both are empty for none. An answer
 // without an id may be a late one to an earlier request, unless there is none on this connection.
 func (c *conn) answers(id, want string) bool {
 	isFirst := c.usedAt.IsZero()
-	return want == "" || id == want || id == "" && isFirst
+	return id == want || id == "" && isFirst
 }
 
 // isLate reports whether an answer without an id is a late one to an earlier request.
--- a/internal/fulmarlink/pool_test.go
+++ b/internal/fulmarlink/pool_test.go
@@ -210,6 +210,17 @@
 	}
 }
 
+// Guards against the late answer to another request being taken for the answer to a request without an id.
+func TestLateAnswerWithoutOwnID(t *testing.T) {
+	g := NewWithT(t)
+	s, p := startTarget(t, "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 503 x\r\nId: old\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok"), newPool(t)
+	for range 2 {
+		a, err := p.Do(t.Context(), s.Addr().String(), request("", ""))
+		expectBody(g, a, err, "ok")
+	}
+	g.Expect(s.connections()).To(Equal(1))
+}
+
 // Guards against an answer that looks whole although its target closed the connection within its head.
 func TestHeadCutOff(t *testing.T) {
 	const head = "HTTP/1.1 200 x\r\nId: one\r\nContent-Length: 12\r\nConnection: close\r\n\r\n"
