Play targets that send bytes without an end, and check the memory of the daemons

Other operators report a machine that kept all bytes of a faulty upstream until its memory was full, and ended with the requests of other clients. It cannot happen here: a daemon reads 64 KiB of heads for a request, 4 MiB of answers to others, which it discards, and 256 KiB of a body, of which it streams the rest. The product's own daemon bounds heads by its transport and streams bodies. Until now only single connections were tested (fulmarlink: TestAnswerWithoutEnd).

The soak plays it with real processes: bytes without an end in the status line, a header, headers, interim answers, a body, a chunk, and an answer to another request. It checks that no daemon uses more memory than its machine has, and that no process ends by itself, which nothing checked before.

--- a/internal/fulmarprocess/process.go
+++ b/internal/fulmarprocess/process.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -14,6 +18,7 @@
 	LogPath string // path of the file that holds its output
 	cmd     *exec.Cmd
 	done    chan struct{}
+	stopped atomic.Bool // Kill or Terminate was called
 }
 
 // Done returns a channel that is closed when the process has ended.
@@ -34,14 +39,39 @@
 	return p.cmd.ProcessState.String()
 }
 
+// EndedByItself waits until the process has ended and reports whether neither Kill nor Terminate had been called.
+func (p *Process) EndedByItself() bool {
+	<-p.done
+	return !p.stopped.Load()
+}
+
+// PeakMemory returns the greatest resident memory of the running process so far, in bytes.
+func (p *Process) PeakMemory() (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return 0, errors.Wrap(err, "fulmarprocess: read memory")
+	}
+	for line := range strings.Lines(string(status)) {
+		if text, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kilobytes, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(text), " kB"), 10, 64)
+			return kilobytes << 10, errors.Wrap(err, "fulmarprocess: parse memory")
+		}
+	}
+	return 0, errors.New("fulmarprocess: peak memory is not known")
+}
+
 // Kill sends SIGKILL and waits until the process has ended.
 func (p *Process) Kill() {
+	p.stopped.Store(true)
 	_ = p.cmd.Process.Kill()
 	<-p.done
 }
 
 // Terminate sends SIGTERM.
-func (p *Process) Terminate() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
+func (p *Process) Terminate() {
+	p.stopped.Store(true)
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+}
 
 // Freeze suspends the process with SIGSTOP until Resume.
 func (p *Process) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
