Send a request again only with its whole body

In chunks such a body looks whole. The loop of sends now asks before each send whether the body can still be read from its start (Payload.Replayable, which nothing called). If not, a rejection by the first target ends the request at once with a refusal, which is true, and a broken send with 502.

--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -48,6 +48,9 @@
 		return x.refuseOrFail(cancelReason(ctx)) // a send would count as one that may have run
 	}
 	for {
+		if !x.request.Payload.Replayable() {
+			return x.refuseOrFail(last) // a send without the part of the body that is gone would be another request
+		}
 		if x.isCondemned() {
 			return x.refuseOrFail(Crashes)
 		}
--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -398,6 +398,50 @@
 	}
 }
 
+// Guards against a request that is sent again without the part of its body that the first send has taken from the caller's
+// connection: targets executed orders whose bodies ended after 64 KiB.
+func TestLongBodySentOnce(t *testing.T) {
+	long := strings.Repeat("b", fulmarbody.PrefixLimit+40_000)
+	for _, c := range []struct {
+		name       string
+		idempotent bool
+		length     int
+		body       string
+		script     string
+		status     int
+		sends      int
+	}{
+		{"in chunks, rejected", false, -1, long, notRun, 503, 1},
+		{"with a length, rejected", false, len(long), long, notRun, 503, 1},
+		{"idempotent, rejected", true, -1, long, notRun, 503, 1},
+		{"idempotent, broken off", true, -1, long, closeConnection, 502, 1},
+		{"in memory, rejected", false, -1, long[:fulmarbody.PrefixLimit], notRun, 200, 2},
+		{"in memory, broken off", true, -1, long[:fulmarbody.PrefixLimit], closeConnection, 200, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			// The first target to be asked follows the script, and the second one answers.
+			x, y := newTarget(t, "x", c.script), newTarget(t, "y", ordinary)
+			f := start(t, c.idempotent, x, y)
+			for range 4 {
+				before := sends(x, y)
+				r := request(t, "/f/1", "")
+				payload, err := fulmarbody.Read(strings.NewReader(c.body), int64(c.length))
+				g.Expect(err).NotTo(HaveOccurred())
+				r.Payload = payload
+				a := f.forwarder.Serve(t.Context(), r)
+				if len(x.requests()) > 0 {
+					expectStatus(g, a, c.status)
+					g.Expect(sends(x, y) - before).To(Equal(c.sends))
+					return
+				}
+				expectStatus(g, a, 200)
+			}
+			g.Fail("target x was never asked")
+		})
+	}
+}
+
 // Guards against a keyed idempotent request that is not retried at its owner after a lost answer: while the answers of
 // a third of the targets were lost for 4 s, a fifth of all requests ended with 502 after a single send.
 func TestRepeatAtOwner(t *testing.T) {
