End callers' connections in one way that delivers what was written

A shutdown: the wait for the caller's remaining bytes ended at once if the function that interrupts reads was still running and set its deadline over the wait's, and it ended after 256 KiB in any case. A broken answer: the connection was reset, with the complete answers before it. There were three ways to end a connection (finish, abort, an unread body that is too long), of which only the first waited.

Now finish is the only one, and close comes after it: the server's side is closed, the caller's bytes are read and discarded until it closes its side, is quiet for 0.5 s, 5 s have passed, or it has sent as much as its longest body; the end of the server's context cuts this off, so a shutdown stays within its grace time. Deadlines of reads are set under the lock that also ends them. A broken answer has a length or lacks its last chunk, so the end of the connection shows it; only where nothing else ends the body is the connection reset.

'delivers the last answer before a shutdown ends the connection' and 'delivers the answers before one that breaks off' (both entries) failed before.

--- a/internal/fulmarhttpserver/conn.go
+++ b/internal/fulmarhttpserver/conn.go
@@ -20,10 +20,9 @@
 	readBuffer   = 4 << 10
 	maxPipelined = 32 // requests of one connection that may be in flight
 	writeTimeout = 30 * time.Second
-	// lingerTimeout limits the time for which the caller's remaining bytes are read after the last answer.
-	// Closing with unread bytes resets the connection, which may drop the answer.
-	lingerTimeout = 500 * time.Millisecond
-	lingerBytes   = 256 << 10
+	// maxDiscard limits the unread rest of a body that is read after its request was answered, so that the connection can be
+	// used again.
+	maxDiscard = 256 << 10
 )
 
 // errHeadTooLarge is returned for a request head over the limit.
@@ -43,23 +42,25 @@
 	group         sync.WaitGroup
 
 	mu              sync.Mutex
+	readEnd         context.Context // reads fail once it has ended
 	inFlight        int
 	lastStarted     int  // greatest number of a request that the handler has got
 	startsNoLater   bool // the handler gets no request after lastStarted, whose answer ends the connection
 	awaitingRequest bool // run waits for the first byte of a request
-	ended           bool // the last answer was written or the connection broke
+	ended           bool // no further answer is written
+	mustReset       bool // the end of the connection would make an incomplete answer look complete
 }
 
 // limitedReader fails after a number of bytes, or if a read takes longer than readTimeout, unless that is 0.
 type limitedReader struct {
-	net.Conn
+	*conn
 	remaining   int64
 	readTimeout time.Duration
 }
 
 func (b *limitedReader) Read(p []byte) (int, error) {
 	if b.readTimeout > 0 {
-		if err := b.SetReadDeadline(time.Now().Add(b.readTimeout)); err != nil {
+		if err := b.setReadDeadline(time.Now().Add(b.readTimeout)); err != nil {
 			return 0, err
 		}
 	}
@@ -69,23 +70,23 @@
 	if int64(len(p)) > b.remaining {
 		p = p[:b.remaining]
 	}
-	n, err := b.Conn.Read(p)
+	n, err := b.conn.Conn.Read(p)
 	b.remaining -= int64(n)
 	return n, err
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
 	c := &conn{Conn: raw, server: s, pipelineSlots: make(chan struct{}, maxPipelined)}
-	c.limited = limitedReader{Conn: raw}
+	c.limited = limitedReader{conn: c}
 	c.reader = bufio.NewReaderSize(&c.limited, readBuffer)
 	return c
 }
 
-// run reads requests until the connection ends.
+// run reads requests until the connection ends. ctx is that of the server.
 func (c *conn) run(ctx context.Context) {
 	c.ctx, c.cancel = context.WithCancel(ctx)
-	// Cancelling the context interrupts a read that waits for the next request.
-	stop := context.AfterFunc(c.ctx, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+	c.readEnd = c.ctx
+	stop := context.AfterFunc(c.ctx, c.interruptReads)
 	previous := closedChannel
 	for c.ctx.Err() == nil {
 		done, err := c.readRequest(previous)
@@ -99,8 +100,7 @@
 	c.cancel()
 	c.group.Wait()
 	stop()
-	c.linger()
-	c.Close()
+	c.close(ctx)
 }
 
 var closedChannel = func() chan struct{} {
@@ -109,20 +109,6 @@
 	return ch
 }()
 
-// linger reads and discards what the caller still sends after the last answer.
-func (c *conn) linger() {
-	c.mu.Lock()
-	ended := c.ended
-	c.mu.Unlock()
-	t, ok := c.Conn.(*net.TCPConn)
-	if !ended || !ok || t.CloseWrite() != nil {
-		return
-	}
-	if c.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
-		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes) // best effort before the connection is closed
-	}
-}
-
 // readRequest reads one request and starts to serve it. The returned channel is closed when it is answered.
 func (c *conn) readRequest(previous chan struct{}) (chan struct{}, error) {
 	limits := c.server.limits()
@@ -175,7 +161,7 @@
 func (c *conn) awaitRequest(limits Limits) error {
 	c.limited.readTimeout = 0
 	if c.reader.Buffered() > 0 {
-		return c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+		return c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	}
 	c.limited.remaining = 1 << 62
 	c.mu.Lock()
@@ -184,7 +170,7 @@
 	if c.inFlight == 0 {
 		deadline = time.Now().Add(limits.IdleTimeout)
 	}
-	err := c.SetReadDeadline(deadline)
+	err := c.setReadDeadlineLocked(deadline)
 	ended := c.ended
 	c.mu.Unlock()
 	if err == nil && ended || c.ctx.Err() != nil {
@@ -199,7 +185,7 @@
 	if err != nil {
 		return err
 	}
-	return c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	return c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 }
 
 // readBody reads the first part of the request's body.
@@ -240,11 +226,11 @@
 	if c.isEnded() {
 		return net.ErrClosed
 	}
-	n, err := io.CopyN(io.Discard, body, lingerBytes)
+	n, err := io.CopyN(io.Discard, body, maxDiscard)
 	if errors.Is(err, io.EOF) {
 		return nil
 	}
-	if err == nil && n == lingerBytes {
+	if err == nil && n == maxDiscard {
 		err = errors.New("fulmarhttpserver: unread rest of the body is too large to discard")
 	}
 	return err
@@ -337,7 +323,7 @@
 		return false
 	}
 	if a == nil || a.Status == 0 {
-		c.abort()
+		c.finish(true)
 		return false
 	}
 	deadline := time.Now().Add(writeTimeout)
@@ -349,12 +335,9 @@
 	if err == nil {
 		ended, err = a.write(c.Conn, r, r.Close || c.endsConnection(number))
 	}
-	a.end(err) // before abort, which ends the context of the connection as a caller does that leaves
-	switch {
-	case err != nil:
-		c.abort()
-	case ended:
-		c.finish()
+	a.end(err) // before finish, which ends the context of the connection as a caller does that leaves
+	if err != nil || ended {
+		c.finish(err != nil && !a.isDelimited(r))
 	}
 	return err == nil && !ended
 }
@@ -364,36 +347,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.awaitingRequest && c.inFlight == 0 && !c.ended {
-		_ = c.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout)) // fails only on a closed connection
+		_ = c.setReadDeadlineLocked(time.Now().Add(c.server.limits().IdleTimeout)) // fails only on a closed connection
 	}
 }
 
-// finish marks that the last answer was written and stops reading.
-func (c *conn) finish() {
-	c.mu.Lock()
-	c.ended = true
-	c.mu.Unlock()
-	c.cancel()
-}
-
-// abort resets the connection, so that an incomplete answer does not look complete.
-func (c *conn) abort() {
-	c.mu.Lock()
-	c.ended = true
-	c.mu.Unlock()
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		_ = t.SetLinger(0) // the connection is closed below in any case
-	}
-	c.Close()
-	c.cancel()
-}
-
 // closeIfIdle closes the connection if no request is in flight on it. A request whose first byte has just been read is
 // still served.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.awaitingRequest && c.inFlight == 0 && !c.ended {
-		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+		_ = c.SetReadDeadline(past) // fails only on a closed connection
 	}
 }
--- a/internal/fulmarhttpserver/message.go
+++ b/internal/fulmarhttpserver/message.go
@@ -19,7 +19,7 @@
 	RemoteAddress string
 }
 
-// Answer is the answer to a request. If Status is zero, the connection is reset without an answer.
+// Answer is the answer to a request. If Status is zero, the connection ends with a reset in its place.
 type Answer struct {
 	Status    int
 	Header    http.Header   // end-to-end headers without Content-Length
@@ -57,6 +57,12 @@
 	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
 }
 
+// isDelimited reports whether callers can tell an incomplete body of the answer from a complete one without a reset: by its length
+// or its last chunk.
+func (a *Answer) isDelimited(r *http.Request) bool {
+	return a.Remainder == nil || a.Length >= 0 || r.ProtoAtLeast(1, 1) || hasNoBody(r.Method, a.Status)
+}
+
 // write writes the answer. If closeAfter is set, it announces that the connection is closed after the answer. mustClose
 // reports that the connection cannot be reused.
 func (a *Answer) write(w io.Writer, r *http.Request, closeAfter bool) (mustClose bool, err error) {
