--- a/internal/fulmarhttpserver/conn.go
+++ b/internal/fulmarhttpserver/conn.go
@@ -267,6 +267,9 @@
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
+	if c.server.requests.Err() != nil {
+		cancel(ErrInterrupted) // the function below would run beside the handler, which could begin a send
+	}
 	defer context.AfterFunc(c.server.requests, func() { cancel(ErrInterrupted) })()
 	a := c.server.handler.Serve(ctx, r)
 	<-previous
