Let an answer also clear a request of silent targets whose end is not known yet

Three targets that fell silent together under an innocent request, such as a list that many callers ask for, condemned it for ten minutes: their end is known only once their entries are gone, up to 8 s later, and dates back to the send, while an answer of another target in between was not kept, as there was no record to clear. An answer now drops the sends with the same content that still wait for the end of their target. It covers the daemon that gets both; answers at other daemons count from the second recorded crash on, as before.

TestInnocentRequest, 'answered before the entries of targets that fell silent together are gone' failed before. 'answered in between' could not fail: its targets bore the same name and birth in each round, so that six crashes counted as two. Each crashed target has a name of its own in these tests now, and it fails without RecordAnswer.

--- a/internal/fulmarforwarder/crash.go
+++ b/internal/fulmarforwarder/crash.go
@@ -44,6 +44,20 @@
 	u.sends = append(u.sends[max(len(u.sends)+1-maxUnanswered, 0):], s)
 }
 
+// isEmpty reports whether no requests are remembered.
+func (u *unansweredSends) isEmpty() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.sends) == 0
+}
+
+// drop removes the requests with the given work.
+func (u *unansweredSends) drop(work uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.sends = slices.DeleteFunc(u.sends, func(s unansweredSend) bool { return s.work == work })
+}
+
 // take removes and returns the requests for whose target ended returns true, and drops those before oldest.
 func (u *unansweredSends) take(ended func(unansweredSend) bool, oldest time.Time) (out []unansweredSend) {
 	u.mu.Lock()
@@ -124,9 +138,13 @@
 	return condemned
 }
 
-// clearSuspicion records that a target has answered the request, so that it is not one that crashes targets.
+// clearSuspicion records that a target has answered the request, so that it is not one that crashes targets. That includes those
+// that have not answered it and whose end is not known yet.
 func (x *exchange) clearSuspicion() {
 	d := &x.forwarder.deps
+	if unanswered := &x.forwarder.unanswered; !unanswered.isEmpty() {
+		unanswered.drop(x.work())
+	}
 	if !d.Crashes.IsEmpty() && d.Crashes.RecordAnswer(d.Clock(), x.work()) {
 		d.Log.Info("request answered after a target had ended during the same one", "id", x.id, "work", x.work())
 	}
--- a/internal/fulmarforwarder/crash_test.go
+++ b/internal/fulmarforwarder/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,11 +29,14 @@
 	})
 }
 
-// crashTargets sends the same request n times, each time under another id and to a target that ends when it gets it.
+// crashed numbers the targets that tests have crashed, so that no two count as one.
+var crashed atomic.Int64
+
+// crashTargets sends the same request n times, each time under another id and to another target, which ends when it gets it.
 func crashTargets(t *testing.T, f *fixture, n int, path, body string, headers ...string) {
 	t.Helper()
 	for i := range n {
-		s := newTarget(t, fmt.Sprint("crashing", i), crashTarget)
+		s := newTarget(t, fmt.Sprint("crashing", crashed.Add(1)), crashTarget)
 		f.serveFrom(s)
 		a := f.forwarder.Serve(t.Context(), request(t, path, body, append(headers, "Id", fmt.Sprint("crash-", i))...))
 		expectStatus(NewWithT(t), a, http.StatusBadGateway)
@@ -83,6 +87,19 @@
 			expectStatus(g, f.forwarder.Serve(t.Context(), request(t, "/f/1", "")), http.StatusOK)
 		}
 	})
+	t.Run("answered before the entries of targets that fell silent together are gone", func(t *testing.T) {
+		g := NewWithT(t)
+		f := start(t, true, newTarget(t, "x"))
+		for n := range 3 {
+			f.serveFrom(newTarget(t, fmt.Sprint("silent", n), noAnswer))
+			expectStatus(g, f.forwarder.Serve(t.Context(), request(t, "/f/1", "")), http.StatusGatewayTimeout)
+		}
+		f.serveFrom(newTarget(t, "y"))
+		for range 2 {
+			expectStatus(g, f.forwarder.Serve(t.Context(), request(t, "/f/1", "")), http.StatusOK)
+			f.forwarder.RecordEndedTargets(f.views.Get().Catalog)
+		}
+	})
 	t.Run("connections end, but the targets live", func(t *testing.T) {
 		g := NewWithT(t)
 		f := start(t, true, newTarget(t, "x"))
