Notice a caller that leaves while the answer to its long body is awaited

After a body over 64 KiB had been forwarded, nobody read the caller's connection until the answer was there. A caller that left was not noticed, and the target worked on (GONE). The connection is read on as soon as the body has been read to its end; a body that fails on the way still ends the connection after the answer, as its rest must not be read as a request. Pipelined requests behind a long body start earlier by this, and requests by HTTP/1.0 are watched in the same way.

'cancels the request of a caller that leaves after it has sent a long body' (three cases) and 'serves requests behind one with a long body' failed before.

--- a/internal/fulmarbody/body.go
+++ b/internal/fulmarbody/body.go
@@ -17,6 +17,8 @@
 	rest     io.Reader // nil if the prefix is the whole body
 	length   int64
 	restRead atomic.Bool
+	ended    bool          // rest has returned its end
+	consumed chan struct{} // closed once rest has returned its end; nil if the prefix is the whole body
 }
 
 // Read reads the prefix of a body from r. length is the announced length, or -1 if it is not known. Read returns the
@@ -46,7 +48,7 @@
 		case err != nil:
 			return nil, errors.Wrap(err, "fulmarbody: read")
 		case len(buf) > PrefixLimit:
-			b.prefix, b.rest = buf, r
+			b.prefix, b.rest, b.consumed = buf, r, make(chan struct{})
 			return b, nil
 		}
 	}
@@ -58,6 +60,10 @@
 // Complete reports whether the whole body is held in memory.
 func (b *Body) Complete() bool { return b.rest == nil }
 
+// Consumed returns a channel that is closed once the body has been read to its end, nil if it is complete in
+// memory.
+func (b *Body) Consumed() <-chan struct{} { return b.consumed }
+
 // Length returns the length of the body, or -1 if it is not known.
 func (b *Body) Length() int64 { return b.length }
 
@@ -80,5 +86,10 @@
 
 func (r restReader) Read(p []byte) (int, error) {
 	r.body.restRead.Store(true)
-	return r.body.rest.Read(p)
+	n, err := r.body.rest.Read(p)
+	if errors.Is(err, io.EOF) && !r.body.ended {
+		r.body.ended = true
+		close(r.body.consumed)
+	}
+	return n, err
 }
--- a/internal/fulmarhttpserver/conn.go
+++ b/internal/fulmarhttpserver/conn.go
@@ -146,12 +146,13 @@
 		<-c.pipelineSlots
 	})
 	// After the last request of a connection, run still waits for bytes, as it learns in this way that the caller leaves.
-	c.lastRead = req.Close && r.ProtoAtLeast(1, 1)
-	if !req.Payload.Complete() || !r.ProtoAtLeast(1, 1) {
-		// The rest of the body must be read first, or no other request follows.
-		<-done
-		if !req.Payload.Complete() {
+	c.lastRead = req.Close
+	if !req.Payload.Complete() {
+		select {
+		case <-done:
+			// The rest of the body must be read first, or no other request follows.
 			return done, c.discardBody(r.Body)
+		case <-req.Payload.Consumed():
 		}
 	}
 	return done, nil
--- a/internal/fulmarhttpserver/server_test.go
+++ b/internal/fulmarhttpserver/server_test.go
@@ -21,7 +21,7 @@
 )
 
 // handler answers with the path of the request. A request for a path that begins with /wait waits until the channel
-// gate(path) is closed.
+// gate(path) is closed; with /waitread, it reads the body before.
 type handler struct {
 	mu       sync.Mutex
 	gates    map[string]chan struct{}
@@ -51,6 +51,11 @@
 func (h *handler) Serve(ctx context.Context, r *fulmarhttpserver.Request) *fulmarhttpserver.Answer {
 	h.served.Add(1)
 	h.started <- r.RequestURI
+	if reader := r.Payload.Reader(); reader != nil && strings.HasPrefix(r.RequestURI, "/waitread") {
+		if _, err := io.Copy(io.Discard, reader); err != nil {
+			return nil
+		}
+	}
 	if strings.HasPrefix(r.RequestURI, "/wait") {
 		select {
 		case <-h.gate(r.RequestURI):
@@ -225,6 +230,50 @@
 		Eventually(f.canceled).Should(Receive())
 	})
 
+	// Guards against a caller that leaves unnoticed while the answer to a request with a long body is awaited: the connection was
+	// not read until then, and the target worked on.
+	DescribeTable("cancels the request of a caller that leaves after it has sent a long body", func(head, body string) {
+		f := start(limits)
+		c := f.dial()
+		c.send("POST /waitread " + head + "\r\nHost: h\r\n" + body)
+		Eventually(f.started).Should(Receive())
+		Consistently(f.canceled, 50*time.Millisecond).ShouldNot(Receive())
+		c.Close()
+		Eventually(f.canceled).Should(Receive())
+	},
+		Entry("with a length", "HTTP/1.1", "Content-Length: 90000\r\n\r\n"+strings.Repeat("x", 90000)),
+		Entry("in chunks", "HTTP/1.1", "Transfer-Encoding: chunked\r\n\r\n15f90\r\n"+strings.Repeat("x", 90000)+"\r\n0\r\n\r\n"),
+		Entry("by HTTP/1.0", "HTTP/1.0", "Content-Length: 90000\r\n\r\n"+strings.Repeat("x", 90000)),
+	)
+
+	// Guards against the request behind one with a long body being read as a part of it, or before it.
+	It("serves requests behind one with a long body", func() {
+		f := start(limits)
+		c := f.dial()
+		c.send("GET /waitread HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n" + strings.Repeat("x", 90000))
+		c.get("/two")
+		Eventually(f.started).Should(Receive(Equal("/waitread")))
+		Eventually(f.started).Should(Receive(Equal("/two")))
+		close(f.gate("/waitread"))
+		c.expect(200, "")
+		c.expect(200, "/two")
+	})
+
+	// Guards against the rest of a body that stalled being read as a request.
+	It("serves nothing behind a long body that did not arrive in time", func() {
+		f := start(fulmarhttpserver.Limits{HeaderBytes: 1024, BodyBytes: 100 << 10, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: time.Second})
+		f.answer = func(r *fulmarhttpserver.Request) *fulmarhttpserver.Answer {
+			_, err := io.Copy(io.Discard, r.Payload.Reader())
+			return &fulmarhttpserver.Answer{Status: 200, Header: http.Header{}, Body: []byte(fmt.Sprint(err != nil))}
+		}
+		c := f.dial()
+		c.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n" + strings.Repeat("x", 70000))
+		c.expect(200, "true")
+		_, _ = io.WriteString(c, "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n") // fails if the connection has ended
+		c.expectClosed()
+		Expect(f.served.Load()).To(BeEquivalentTo(1))
+	})
+
 	It("serves nothing that follows a request which announces to close the connection", func() {
 		f := start(limits)
 		c := f.dial()
