Ask the store for no lease that is shorter than it grants

The setting TtlMinMs was not read: before a store whose shortest lease is longer than the leader's 1.2 s, no daemon would ever lead, and no key would have an owner. The leader's lease has the longer of both times now.

TestShortestLeaseOfStore (a store that grants no lease below 2 s, in virtual time: election, renewal, a lost leader) fails without the setting. Nothing changes where the store grants 1.2 s.

--- a/internal/fulmarfollower/follower.go
+++ b/internal/fulmarfollower/follower.go
@@ -183,7 +183,7 @@
 		f.electionAt = time.Time{}
 		switch f.follow(ctx, leader.Address, false) {
 		case silent:
-			f.unresponsiveNonce, f.ignoreLeaderUntil = leader.Nonce, f.deps.Now().Add(fulmarleader.LeaseDuration)
+			f.unresponsiveNonce, f.ignoreLeaderUntil = leader.Nonce, f.deps.Now().Add(f.deps.LeaseTTL())
 		case referred:
 			f.followRelays(ctx)
 		}
--- a/internal/fulmarfollower/follower_test.go
+++ b/internal/fulmarfollower/follower_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarfollower"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarkvforwarder"
@@ -97,6 +98,8 @@
 	configs atomic.Int64                     // number of configurations that leaders have sent
 	limits  atomic.Int64                     // number of limits that leaders have sent
 	orders  fulmarleader.OrderSender         // used by all daemons; nil acknowledges every order
+
+	minLease time.Duration // shortest lease that the store grants, zero for none
 }
 
 // inProcessLeader passes the reports of a daemon to a Follower in the same process.
@@ -166,7 +169,7 @@
 	}
 	d := fulmarfollower.New(fulmarleader.Deps{
 		ID: id, Address: id, Store: store, Registry: registry, Orders: orders, Views: views,
-		MaxGrantDuration: 10 * time.Second, CPUShare: cpuShare, Metrics: noMetrics{}, Notices: fulmarnotice.New(), Crashes: fulmarcrash.New(), Log: slog.New(slog.DiscardHandler), Now: time.Now, Limits: limits, StoreForwarded: forwarded,
+		MaxGrantDuration: 10 * time.Second, MinLease: f.minLease, CPUShare: cpuShare, Metrics: noMetrics{}, Notices: fulmarnotice.New(), Crashes: fulmarcrash.New(), Log: slog.New(slog.DiscardHandler), Now: time.Now, Limits: limits, StoreForwarded: forwarded,
 	}, noLoad{}, f.dial)
 	f.setLeader(id, inProcessLeader{d, &f.configs, &f.limits})
 	go d.Run(ctx)
@@ -337,6 +340,39 @@
 	})
 }
 
+// shortLeaseStore is a store that grants no lease below a least time to live.
+type shortLeaseStore struct {
+	fulmarkv.Store
+	least time.Duration
+}
+
+func (s shortLeaseStore) CreateLease(ctx context.Context, ttl time.Duration) (fulmarkv.Lease, error) {
+	if ttl < s.least {
+		return 0, errors.New("lease is too short")
+	}
+	return s.Store.CreateLease(ctx, ttl)
+}
+
+// Guards against a fleet without a leader before a store whose shortest lease is longer than the usual one, and against a leader
+// that is lost for longer than that.
+func TestShortestLeaseOfStore(t *testing.T) {
+	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
+		const least = 2 * time.Second
+		f := &fleet{minLease: least}
+		short := shortLeaseStore{fulmarmemory.NewClient(store), least}
+		first, stop := context.WithCancel(ctx)
+		f.startWithCPUShare(first, "a", 0.5, short)
+		time.Sleep(2 * time.Second)
+		g.Expect(leader(t, store)).To(Equal("a"))
+		f.startWithCPUShare(ctx, "b", 0.5, short)
+		time.Sleep(10 * time.Second)
+		g.Expect(leader(t, store)).To(Equal("a"), "the lease is renewed in time")
+		stop()
+		time.Sleep(least + time.Second)
+		g.Expect(leader(t, store)).To(Equal("b"))
+	})
+}
+
 // Guards against equally weak daemons that all wait for stronger ones after a restart of the whole fleet: the election
 // was delayed by 0.75 s.
 func TestRestartOfAllDaemons(t *testing.T) {
--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -126,7 +126,7 @@
 	loads := fulmarkeyload.New(f.balancer)
 	leaderDeps := fulmarleader.Deps{
 		ID: s.ID, Address: s.Listen.Peers, DC: s.DC, Store: f.forwardedStore, Registry: p.Registry,
-		Orders: p.NewOrders(f.orderPool), Views: f.views, MaxGrantDuration: s.MaxGrant, CPUShare: s.CPUShare, Metrics: metrics, Log: log, Now: fulmarclock.Now, Limits: f.targetLimits, Notices: f.notices, Crashes: f.crashes, StoreForwarded: f.forwardedStore.Forwarding,
+		Orders: p.NewOrders(f.orderPool), Views: f.views, MaxGrantDuration: s.MaxGrant, MinLease: s.MinLease, CPUShare: s.CPUShare, Metrics: metrics, Log: log, Now: fulmarclock.Now, Limits: f.targetLimits, Notices: f.notices, Crashes: f.crashes, StoreForwarded: f.forwardedStore.Forwarding,
 	}
 	f.follower = fulmarfollower.New(leaderDeps, loads, func(ctx context.Context, address string) (fulmarfollower.Leader, error) {
 		return fulmarleaderrpc.Dial(ctx, address)
--- a/internal/fulmarfrontdaemon/settings.go
+++ b/internal/fulmarfrontdaemon/settings.go
@@ -22,6 +22,7 @@
 	DC          string
 	Listen      ListenAddresses
 	Store       string               // address of the key-value service
+	MinLease    time.Duration        // shortest lease that the store grants, zero for none
 	MaxGrant    time.Duration        // longest grant that targets accept
 	DrainTime   time.Duration        // time for which a leaving target still accepts requests for its keys
 	GracePeriod time.Duration        // time from SIGTERM to the exit of the process
@@ -52,5 +53,8 @@
 			return errors.Errorf("fulmarfrontdaemon: %s is not positive", field.name)
 		}
 	}
+	if s.MinLease < 0 {
+		return errors.New("fulmarfrontdaemon: shortest lease of the store is negative")
+	}
 	return nil
 }
--- a/internal/fulmarleader/election.go
+++ b/internal/fulmarleader/election.go
@@ -15,7 +15,8 @@
 
 // Timing of the leader's lease.
 const (
-	// LeaseDuration is the time to live of the leader lease. It bounds the time until a lost leader is replaced.
+	// LeaseDuration is the time to live of the leader lease, unless the store grants only longer ones. It bounds the time until a
+	// lost leader is replaced.
 	LeaseDuration      = 1200 * time.Millisecond
 	leaseRenewInterval = 200 * time.Millisecond
 	// leaseMargin is the time before the lease expires in which no orders are sent.
@@ -31,6 +32,9 @@
 	maxConcurrentRenewals = 4
 )
 
+// LeaseTTL returns the time to live of the leader lease at the store.
+func (d Deps) LeaseTTL() time.Duration { return max(LeaseDuration, d.MinLease) }
+
 // acquiredLease is the leader lease that an election obtained.
 type acquiredLease struct {
 	id         fulmarkv.Lease
@@ -43,7 +47,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	started := d.Now()
-	lease, err := d.Store.CreateLease(ctx, LeaseDuration)
+	lease, err := d.Store.CreateLease(ctx, d.LeaseTTL())
 	if err != nil {
 		return acquiredLease{}, errors.Wrap(err, "fulmarleader: open leader lease")
 	}
@@ -69,7 +73,7 @@
 	if err != nil {
 		return acquiredLease{}, errors.Wrap(err, "fulmarleader: write leader record")
 	}
-	return acquiredLease{id: lease, revision: revision, validUntil: started.Add(LeaseDuration - leaseMargin)}, nil
+	return acquiredLease{id: lease, revision: revision, validUntil: started.Add(d.LeaseTTL() - leaseMargin)}, nil
 }
 
 // readBack returns the revision of key if it holds value, else ErrConflict. It resolves the outcome of a write that
--- a/internal/fulmarleader/lease.go
+++ b/internal/fulmarleader/lease.go
@@ -123,7 +123,7 @@
 	if t.ended || began.Before(t.lastRenewal) {
 		return // a call that began later has already renewed the lease
 	}
-	t.validUntil, t.lastRenewal = began.Add(LeaseDuration-leaseMargin), began
+	t.validUntil, t.lastRenewal = began.Add(t.deps.LeaseTTL()-leaseMargin), began
 	validUntil := t.validUntil
 	t.permitsUntil.Store(&validUntil)
 	if t.grantsExtended {
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -68,6 +68,7 @@
 	Orders           OrderSender
 	Views            *fulmarview.Holder
 	MaxGrantDuration time.Duration              // longest grant that targets accept
+	MinLease         time.Duration              // shortest lease that the store grants, zero for none
 	CPUShare         float64                    // usable share of a CPU core of this daemon
 	Limits           *fulmarlimit.Board         // limits that targets have stated
 	Notices          *fulmarnotice.Board        // what targets say of themselves
