Repeat an unacknowledged write of the tables until its outcome is known

Two targets could own a key (OWNER), found by reading: a write of the tables gets no answer, its repetition is refused by the store (503), and the leader plans anew. The next plan may leave keys with their owner, which then gets extended grants again, while the first write may still take effect. The next leader reads it, takes that owner for a former one with short grants, and gives the keys away while an unanswered extended grant may be applied.

An attempt without an answer is repeated now, also after refusals, until the store acknowledges it, reports a conflict or the term ends. Until then the pending table stays, under which keys that it gives away get no extended grants.

TestOneHolder has the three steps: a write without an acknowledgement, a refused repetition, and an effect before the next leader reads.

--- a/internal/fulmarfollower/follower_test.go
+++ b/internal/fulmarfollower/follower_test.go
@@ -373,6 +373,59 @@
 	})
 }
 
+// unreliableStore loses the first write of the ownership tables after it was armed and refuses further ones for some time.
+type unreliableStore struct {
+	fulmarkv.Store
+	mu     sync.Mutex
+	armed  bool
+	first  time.Time // when the write was lost
+	values [][]byte  // tables of all writes since then
+}
+
+func (s *unreliableStore) Commit(ctx context.Context, txn fulmarkv.Txn) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range txn.Writes {
+		if w.Key != fulmarsnapshot.TablesKey || !s.armed {
+			continue
+		}
+		s.values = append(s.values, w.Value)
+		if s.first.IsZero() {
+			s.first = time.Now()
+			return 0, fulmarkv.ErrAmbiguous
+		}
+		if time.Since(s.first) < 2*time.Second {
+			return 0, fulmarkv.ErrUnavailable
+		}
+		s.armed = false
+	}
+	return s.Store.Commit(ctx, txn)
+}
+
+// Guards against other tables that are written, and acted on, while an unacknowledged write of the former ones may still take
+// effect: the next leader would count the grants of the owners that they keep as shorter than they are, and two targets would own
+// a key (TestOneHolder).
+func TestUnacknowledgedTables(t *testing.T) {
+	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
+		unreliable := &unreliableStore{Store: fulmarmemory.NewClient(store)}
+		(&fleet{}).startWithCPUShare(ctx, "a", 0.5, unreliable)
+		time.Sleep(3 * time.Second)
+		unreliable.mu.Lock()
+		unreliable.armed = true
+		unreliable.mu.Unlock()
+		store.Set("targets/y", encode(t, target("y", false)))
+		store.Remove("targets/x")
+		time.Sleep(1500 * time.Millisecond)
+		store.Set("targets/z", encode(t, target("z", false)))
+		time.Sleep(3 * time.Second)
+		g.Expect(len(unreliable.values)).To(BeNumerically(">", 2))
+		for _, v := range unreliable.values {
+			g.Expect(v).To(Equal(unreliable.values[0]))
+		}
+		g.Expect(unreliable.armed).To(BeFalse(), "the write is repeated until it is acknowledged")
+	})
+}
+
 // Guards against equally weak daemons that all wait for stronger ones after a restart of the whole fleet: the election
 // was delayed by 0.75 s.
 func TestRestartOfAllDaemons(t *testing.T) {
--- a/internal/fulmarleader/tables.go
+++ b/internal/fulmarleader/tables.go
@@ -59,9 +59,11 @@
 	return next, err
 }
 
-// commit makes the change that writes value as the tables, and returns their new revision.
+// commit makes the change that writes value as the tables, and returns their new revision. Once an attempt was not acknowledged, it
+// is repeated until the change is known to have been made or to be impossible: it may take effect at any time, so that no other
+// tables may be planned and acted on.
 func (t *Term) commit(ctx context.Context, change fulmarkv.Txn, value []byte) (int64, error) {
-	for {
+	for unacknowledged := false; ; {
 		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 		next, err := t.deps.Store.Commit(callCtx, change)
 		cancel()
@@ -75,7 +77,8 @@
 			}
 			return 0, err
 		}
-		if !errors.Is(err, fulmarkv.ErrAmbiguous) {
+		unacknowledged = unacknowledged || errors.Is(err, fulmarkv.ErrAmbiguous)
+		if !unacknowledged {
 			return 0, err
 		}
 		t.deps.Log.Warn("write of ownership tables not acknowledged, retrying", "term", t.lease.revision, "error", err)
--- a/pkg/fulmarorder/safety_test.go
+++ b/pkg/fulmarorder/safety_test.go
@@ -76,6 +76,8 @@
 	scheduler *fulmarorder.Scheduler
 	targets   map[string]*modelTarget
 	late      []delayedGrant
+	// pending is a table whose write was not acknowledged and that may still take effect, nil for none.
+	pending *fulmarrange.Table
 	// extended reports that the leader sends grants of the maximum duration.
 	extended bool
 	fences   [modelKeys]map[fulmarrange.Incarnation]int64 // greatest fence by incarnation
@@ -191,6 +193,24 @@
 	m.commit()
 }
 
+// loseWrite writes a table that assigns random keys to the target, without an acknowledgement.
+func (m *model) loseWrite(id string) {
+	from := rapid.IntRange(0, modelKeys-1).Draw(m.t, "from")
+	next := m.table.WithOwner(from, min(from+modelKeys/4, modelKeys-1), m.targets[id].incarnation)
+	next = next.WithExtendedGrants(m.scheduler.ExtendedGrants(m.now))
+	m.scheduler.SetPendingTable(next)
+	m.pending = &next
+}
+
+// repeatWrite repeats the write of the pending table, which the store refuses or acknowledges.
+func (m *model) repeatWrite() {
+	if rapid.Bool().Draw(m.t, "refused") {
+		return
+	}
+	m.table, m.pending = *m.pending, nil
+	m.scheduler.Commit(m.table)
+}
+
 // extend switches between grants of the normal and of the maximum duration.
 func (m *model) extend() {
 	m.extended = !m.extended
@@ -235,11 +255,15 @@
 		ids := rapid.SampledFrom([]string{"t0", "t1", "t2"})
 		for range 300 {
 			id := ids.Draw(t, "id")
-			switch action := rapid.IntRange(0, 20).Draw(t, "action"); {
+			switch action := rapid.IntRange(0, 21).Draw(t, "action"); {
 			case action < 11:
 				m.order(id)
 			case action < 14:
 				m.advance(time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond)
+			case m.pending != nil && (action < 17 || action == 21): // no other table is written
+				m.repeatWrite()
+			case action == 21:
+				m.loseWrite(id)
 			case action < 16:
 				m.move(id)
 			case action < 17:
@@ -257,6 +281,10 @@
 					latest = m.scheduler.LatestExpiry(m.now)
 				}
 				m.advance(1200 * time.Millisecond)
+				if m.pending != nil && rapid.Bool().Draw(t, "effective") {
+					m.table = *m.pending // the unacknowledged write took effect while its leader still led
+				}
+				m.pending = nil
 				m.scheduler = fulmarorder.New(m.now, m.table, modelTiming)
 				if !latest.IsZero() {
 					m.scheduler.LimitInherited(latest)
