Read a target's rejection while a long body is still being sent

A target may reject a request before it has read a long body. The daemon sent the whole body first: if the target read nothing more, it noticed the rejection only when the connection failed, after data had been unacknowledged for 1 s in the test (3 s in the daemon), or at the request's deadline. The head is sent first, so that bytes from before it are no answer; then the body is sent by a goroutine while the answer is read. An answer with status 400 or above ends sending and the connection; any other one waits for the rest of the body, as its target has begun to serve. Bodies in memory go out with the head, as before, without a goroutine.

TestEarlyRejection failed before. TestEarlyAnswer and TestStreamedBodyBreaksOff (bodies and targets that break off at six points) held. No race in fulmarlink and fulmarforwarder under the race detector.

--- a/internal/fulmarlink/conn.go
+++ b/internal/fulmarlink/conn.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,6 +27,7 @@
 	usedAt      time.Time     // end of the last exchange
 	idleTimeout time.Duration // longest time that it may be idle
 	written     bool          // a byte of the current request may have been sent
+	sendStopped atomic.Bool   // nothing more of the current request is to be sent
 	lastToken   string        // value of the token header of the last answer that had one
 	readLimit   int           // bytes that may still be read, noReadLimit for any number
 }
@@ -71,8 +73,11 @@
 	return out, nil
 }
 
-// Write sets written before it sends b.
+// Write sets written before it sends b, unless sending was stopped.
 func (c *conn) Write(b []byte) (int, error) {
+	if c.sendStopped.Load() {
+		return 0, errSendStopped
+	}
 	c.written = true
 	return c.Conn.Write(b)
 }
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -345,12 +345,10 @@
 // exchange writes the request and reads the head of the answer and the body up to the body limit. keep reports whether
 // the connection can be reused.
 func (p *Pool) exchange(c *conn, r *Request) (a *Answer, keep bool, err error) {
-	sendErr := send(c, r)
-	if sendErr != nil && (!c.written || errors.Is(sendErr, errBodyIncomplete)) {
-		return nil, false, sendErr
-	}
+	sending := startSending(c, r)
+	defer sending.stop()
 	for range maxStaleAnswers {
-		resp, err := receive(c, r.Method) //nolint:bodyclose // read to its end by readAnswer or discardAnswer, or closed with the connection
+		resp, err := sending.receive(r.Method) //nolint:bodyclose // read to its end by readAnswer or discardAnswer, or closed with the connection
 		if err != nil {
 			return nil, false, err
 		}
@@ -361,14 +359,18 @@
 			}
 			continue
 		}
+		complete, err := sending.end(resp.StatusCode)
+		if err != nil {
+			return nil, false, err
+		}
 		a, keep, err := p.readAnswer(c, resp)
 		if err != nil {
 			return nil, false, err
 		}
 		a.Identified = id == r.ID
-		// After a failed write the target may have answered early, but still expects the rest of the request. A copy of an
-		// answer without an id could not be told from the answer to the next request.
-		return a, keep && sendErr == nil && a.Identified, nil
+		// A target that has not received the whole request still expects the rest of it. A copy of an answer without an id could
+		// not be told from the answer to the next request.
+		return a, keep && complete && a.Identified, nil
 	}
 	return nil, false, errors.New("too many answers to other requests")
 }
--- a/internal/fulmarlink/send.go
+++ b/internal/fulmarlink/send.go
@@ -9,8 +9,9 @@
 	"github.com/pkg/errors"
 )
 
-// send writes the request to the connection. A body that is already in memory goes out in one write with the head.
-func send(c *conn, r *Request) error {
+// sendHead writes the head of the request to the connection. A body that is already in memory goes out in one write with it;
+// otherwise, sendBody writes the body, and is nil if there is none.
+func sendHead(c *conn, r *Request) (sendBody func() error, err error) {
 	var head bytes.Buffer
 	head.Grow(requestBuffer)
 	head.WriteString(r.Method)
@@ -20,7 +21,7 @@
 	head.WriteString(r.Host)
 	head.WriteString("\r\n")
 	if err := r.Header.Write(&head); err != nil {
-		return err
+		return nil, err
 	}
 	switch {
 	case r.Body == nil:
@@ -37,23 +38,28 @@
 	head.WriteString("\r\n")
 	if b, ok := r.Body.(*bytes.Reader); ok && r.Length >= 0 {
 		if _, err := b.WriteTo(&head); err != nil {
-			return err
+			return nil, err
 		}
 		_, err := c.Write(head.Bytes())
-		return err
+		return nil, err
 	}
 	if _, err := c.Write(head.Bytes()); err != nil || r.Body == nil {
-		return err
+		return nil, err
 	}
 	if r.Length >= 0 {
-		body := &bodyReader{Reader: r.Body}
-		n, err := io.Copy(c, body)
-		if body.readError != nil || err == nil && n != r.Length {
-			return errors.Wrapf(errBodyIncomplete, "%d of %d bytes: %v", n, r.Length, body.readError)
-		}
-		return err
+		return func() error { return sendWithLength(c, r.Body, r.Length) }, nil
+	}
+	return func() error { return sendChunked(c, r.Body) }, nil
+}
+
+// sendWithLength writes a body of the given length.
+func sendWithLength(c *conn, r io.Reader, length int64) error {
+	body := &bodyReader{Reader: r}
+	n, err := io.Copy(c, body)
+	if body.readError != nil || err == nil && n != length {
+		return errors.Wrapf(errBodyIncomplete, "%d of %d bytes: %v", n, length, body.readError)
 	}
-	return sendChunked(c, r.Body)
+	return err
 }
 
 // sendChunked writes the body in the chunked transfer coding.
