--- a/internal/fulmarhttpserver/conn.go
+++ b/internal/fulmarhttpserver/conn.go
@@ -70,7 +70,7 @@
 	if int64(len(p)) > b.remaining {
 		p = p[:b.remaining]
 	}
-	n, err := b.conn.Conn.Read(p)
+	n, err := b.conn.Read(p)
 	b.remaining -= int64(n)
 	return n, err
 }
--- a/internal/fulmarhttpserver/end.go
+++ b/internal/fulmarhttpserver/end.go
@@ -84,7 +84,7 @@
 		if c.setReadDeadline(deadline) != nil {
 			return
 		}
-		n, err := c.Conn.Read(buf)
+		n, err := c.Read(buf)
 		if err != nil {
 			return
 		}
