--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -116,6 +116,7 @@
 	mayHaveRun  bool               // a target may have executed the request
 	lastError   error              // error of the last send
 	statements  []statement        // what the targets answered, for each send
+	first       [1]statement       // memory of statements for the first send
 	tried       map[string]bool
 	target      string
 	reason      Reason
@@ -128,6 +129,7 @@
 // Serve implements fulmarhttpserver.Handler.
 func (f *Forwarder) Serve(ctx context.Context, r *fulmarhttpserver.Request) *fulmarhttpserver.Answer {
 	x := &exchange{forwarder: f, request: r, view: f.deps.Views.Get(), id: r.Header.Get(f.deps.HeaderNames.RequestID), key: -1}
+	x.statements = x.first[:0]
 	a := x.serve(ctx)
 	if a.Remainder != nil {
 		x.stream(ctx, a)
--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -62,7 +62,7 @@
 	seen     []*http.Request
 }
 
-func newTarget(t *testing.T, id string, script ...string) *target {
+func newTarget(t testing.TB, id string, script ...string) *target {
 	t.Helper()
 	s := &target{id: id, script: script}
 	s.listener = listen(t, s.serve)
@@ -70,7 +70,7 @@
 }
 
 // listen accepts connections until the test ends, and hands each to serve in a goroutine of its own.
-func listen(t *testing.T, serve func(net.Conn)) net.Listener {
+func listen(t testing.TB, serve func(net.Conn)) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -173,13 +173,13 @@
 
 // start returns a forwarder in front of the targets. All of them serve "free", which has no keys; the first one also owns
 // all keys of "keyed".
-func start(t *testing.T, idempotent bool, targets ...*target) *fixture {
+func start(t testing.TB, idempotent bool, targets ...*target) *fixture {
 	t.Helper()
 	return startWithMargin(t, time.Millisecond, idempotent, targets...)
 }
 
 // startWithMargin is start with a time to wait for the reset of a new connection.
-func startWithMargin(t *testing.T, margin time.Duration, idempotent bool, targets ...*target) *fixture {
+func startWithMargin(t testing.TB, margin time.Duration, idempotent bool, targets ...*target) *fixture {
 	t.Helper()
 	kind := fulmarroute.AtMostOnce
 	if idempotent {
--- a/internal/fulmarhttpserver/server_test.go
+++ b/internal/fulmarhttpserver/server_test.go
@@ -28,6 +28,7 @@
 	started  chan string // paths of started requests
 	canceled chan string // paths of requests that were canceled while they waited
 	served   atomic.Int64
+	ended    atomic.Int64 // requests whose context had ended when they started
 	answer   func(r *fulmarhttpserver.Request) *fulmarhttpserver.Answer
 	// answerCanceled makes canceled requests return the cause as their answer.
 	answerCanceled bool
@@ -50,6 +51,9 @@
 
 func (h *handler) Serve(ctx context.Context, r *fulmarhttpserver.Request) *fulmarhttpserver.Answer {
 	h.served.Add(1)
+	if ctx.Err() != nil {
+		h.ended.Add(1)
+	}
 	h.started <- r.RequestURI
 	if reader := r.Payload.Reader(); reader != nil && strings.HasPrefix(r.RequestURI, "/waitread") {
 		if _, err := io.Copy(io.Discard, reader); err != nil {
@@ -375,6 +379,20 @@
 		later.expect(504, "")
 	})
 
+	// Guards against a request that arrives after the interruption and is sent to a target, as its context ends a moment later.
+	It("starts no request after the interruption with a context that has not ended", func() {
+		const requests = 200
+		f := start(limits)
+		c := f.dial()
+		f.server.Interrupt()
+		for range requests {
+			c.get("/a")
+			c.expect(200, "")
+			<-f.started
+		}
+		Expect(f.ended.Load()).To(BeEquivalentTo(requests))
+	})
+
 	// Guards against pipelined requests that are cut off without an answer by a shutdown: the answer to the first one closed
 	// the connection, although targets were working on those behind it.
 	It("answers all requests that it has started before a shutdown closes their connection", func() {
--- a/internal/fulmarlink/sending.go
+++ b/internal/fulmarlink/sending.go
@@ -10,6 +10,13 @@
 // errSendStopped means that the rest of a request was not sent, as its target had rejected it.
 var errSendStopped = errors.New("fulmarlink: rest of the request is not sent")
 
+// ended is a closed channel.
+var ended = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 // past is a deadline that ends reads and writes at once.
 var past = time.Unix(1, 0)
 
@@ -24,13 +31,11 @@
 // startSending sends a request. Its head has been sent when it returns, so that bytes that came before are no answer, or sending has
 // failed; so has a body that is in memory.
 func startSending(c *conn, r *Request) *sending {
-	s := &sending{conn: c, done: make(chan struct{})}
 	sendBody, err := sendHead(c, r)
 	if err != nil || sendBody == nil {
-		s.err = err
-		close(s.done)
-		return s
+		return &sending{conn: c, done: ended, err: err}
 	}
+	s := &sending{conn: c, done: make(chan struct{})}
 	go func() {
 		defer close(s.done)
 		if s.err = sendBody(); errors.Is(s.err, errBodyIncomplete) {
