Drop the held bytes of a connection that its sender has reset in the tests' network

Traced in the logs: the link to target k4 stalls from 57:25.2 to 57:27.5; d1, which leads, sends k4 a grant (fence 31) on a new connection at 57:26.03, resets it unanswered at 57:26.53, and counts the grant until 57:28.47; k4's releases are answered when the link heals, and the keys go to another target at 57:28.517, as they may. But the network delivered the grant of the connection that had been reset when the link healed, after the releases, and k4 held the keys until 57:29.4.

The tests' network drops them now. 'drops the held bytes of a connection that its sender has reset' failed before for new and for kept connections. The check of owners is unchanged.

--- a/internal/fulmarnetwork/network.go
+++ b/internal/fulmarnetwork/network.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Mode is the state of the connections between two servers.
@@ -19,7 +20,8 @@
 	// Refuse resets existing and new connections.
 	Refuse
 	// Stall accepts connections but forwards nothing until the link is open
-	// again; the delayed data is then delivered.
+	// again; the delayed data is then delivered, unless its sender has reset the
+	// connection.
 	Stall
 )
 
@@ -163,7 +165,7 @@
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { resetConn(in) })()
-	if !n.waitOpen(ctx, p) {
+	if !n.waitOpen(ctx, p) || isReset(in) {
 		cancel()
 		return
 	}
@@ -253,13 +255,14 @@
 
 // copy forwards data until src is closed for writing, and returns false after an
 // error. Data waits until the link is open, and so does the end of the stream,
-// which must not overtake the data. If src is a server, ended is closed when its
+// which must not overtake the data. Data that waits is lost if its sender resets
+// the connection meanwhile. If src is a server, ended is closed when its
 // process has ended; otherwise ended is nil.
 func (n *Network) copy(ctx context.Context, p serverPair, dst, src net.Conn, ended <-chan struct{}) bool {
 	buffer := make([]byte, bufferSize)
 	for {
 		k, err := src.Read(buffer)
-		if err != nil && !errors.Is(err, io.EOF) || !n.waitOpen(ctx, p) {
+		if err != nil && !errors.Is(err, io.EOF) || !n.waitOpen(ctx, p) || isReset(src) {
 			return false
 		}
 		if _, writeErr := dst.Write(buffer[:k]); writeErr != nil {
@@ -275,6 +278,24 @@
 	}
 }
 
+// isReset reports whether the peer has reset a connection, of which unread data can still be read.
+func isReset(c net.Conn) bool {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return true
+	}
+	reset := false
+	err = raw.Control(func(fd uintptr) {
+		code, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+		reset = err != nil || code != 0
+	})
+	return err != nil || reset
+}
+
 // resetConn closes a connection with a TCP reset, as a lost server or link would.
 func resetConn(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
