--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -490,6 +490,11 @@
 	left, err := strconv.Atoi(r.Header.Get("Left"))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(left).To(And(BeNumerically(">", 0), BeNumerically("<=", 250)))
+	// The caller's own deadline lies beyond the route's timeout of 400 ms, so that it must not be passed on as it is.
+	expectStatus(g, f.forwarder.Serve(t.Context(), request(t, "/f/1", "body", "Left", "5000")), 200)
+	left, err = strconv.Atoi(x.requests()[1].Header.Get("Left"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(left).To(And(BeNumerically(">", 0), BeNumerically("<=", 400)))
 	g.Expect(r.RequestURI).To(Equal("/f/1?q=%2f"))
 	g.Expect(r.Header.Get("Id")).To(Equal("one"))
 	g.Expect(r.Header.Get("Other")).To(Equal("o"))
