Share what the soak's faults of answers and the tests of early answers have in common

Three faults give a target a set of faults for a time, and a listener for one connection stood in the tests already.

--- a/internal/fulmarlink/early_test.go
+++ b/internal/fulmarlink/early_test.go
@@ -26,22 +26,12 @@
 // earlyTarget accepts one connection, reads the head of one request, and calls serve with the rest.
 func earlyTarget(t *testing.T, serve func(c net.Conn, r *http.Request)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
+	return limitedTarget(t, 1, func(c net.Conn) {
 		defer c.Close()
 		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 			serve(c, r)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // streamed returns a request whose body is read while it is sent.
