--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -284,7 +284,7 @@
 		return nil, err
 	}
 	c.written = false
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) }) // fails only on a closed connection
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) }) // fails only on a closed connection
 	a, keep, err := p.exchange(c, r)
 	if err != nil {
 		stop()
--- a/internal/fulmarlink/sending.go
+++ b/internal/fulmarlink/sending.go
@@ -10,8 +10,8 @@
 // errSendStopped means that the rest of a request was not sent, as its target had rejected it.
 var errSendStopped = errors.New("fulmarlink: rest of the request is not sent")
 
-// ended is a closed channel.
-var ended = func() chan struct{} {
+// closedChannel is the channel done of a request that needs no goroutine to be sent.
+var closedChannel = func() chan struct{} {
 	c := make(chan struct{})
 	close(c)
 	return c
@@ -33,7 +33,7 @@
 func startSending(c *conn, r *Request) *sending {
 	sendBody, err := sendHead(c, r)
 	if err != nil || sendBody == nil {
-		return &sending{conn: c, done: ended, err: err}
+		return &sending{conn: c, done: closedChannel, err: err}
 	}
 	s := &sending{conn: c, done: make(chan struct{})}
 	go func() {
