Log what a leader does in each second, and a daemon's failed reads of the store

The logs could not tell apart a leader whose reads fail, one that has no processor time left, and a daemon that gets its configuration late by itself.

- 'reports answered' has the reads of the store, the failed ones, the longest read, the plans, the longest plan and the orders of the last second.
- 'whole store not read' says how long a failed read took, and how old the daemon's knowledge was.

No decision changes.

--- a/internal/fulmarfollower/follower.go
+++ b/internal/fulmarfollower/follower.go
@@ -239,9 +239,11 @@
 	defer cancel()
 	view := f.views.Get()
 	f.deps.Metrics.Count("control.store_read")
+	began := f.deps.Now()
 	s, err := f.reader.Read(ctx, view.Catalog, view.AsOf)
 	if err != nil {
 		f.deps.Metrics.Count("control.store_read_failed")
+		f.log.Info("whole store not read", "took", f.deps.Now().Sub(began), "age", began.Sub(view.AsOf), "error", err)
 		return nil, err
 	}
 	f.log.Info("whole store read", "took", f.deps.Now().Sub(s.ReadAt), "targets", s.Catalog.Len(), "age", s.ReadAt.Sub(view.AsOf))
@@ -272,7 +274,6 @@
 	}
 	reads.TryGo(func() error {
 		if _, err := f.readStore(ctx); err != nil {
-			f.log.Info("view not refreshed from the store", "error", err)
 			fulmarclock.Sleep(ctx, storeRetryInterval)
 		}
 		return nil
--- a/internal/fulmarleader/plan.go
+++ b/internal/fulmarleader/plan.go
@@ -60,6 +60,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.deps.Now()
+	defer t.countPlan(now)
 	tables = make(map[string]fulmarrange.Table, len(t.services))
 	for name, s := range t.services {
 		s.rates.Advance(now)
--- a/internal/fulmarleader/publish.go
+++ b/internal/fulmarleader/publish.go
@@ -156,18 +156,42 @@
 // answerCounts counts answers to reports.
 type answerCounts struct{ updates, complete, configs, referrals int }
 
-// logLoad logs the load of the leader by reports regularly until ctx ends.
+// dutyCounts counts what the leader did besides answering reports.
+type dutyCounts struct {
+	reads, failedReads, plans, orders int
+	slowestRead, slowestPlan          time.Duration
+}
+
+// countRead counts a read of the store that began at the given time.
+func (t *Term) countRead(began time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.duties.reads++
+	if !ok {
+		t.duties.failedReads++
+	}
+	t.duties.slowestRead = max(t.duties.slowestRead, t.deps.Now().Sub(began))
+}
+
+// countPlan counts a plan that began at the given time. The caller holds mu.
+func (t *Term) countPlan(began time.Time) {
+	t.duties.plans++
+	t.duties.slowestPlan = max(t.duties.slowestPlan, t.deps.Now().Sub(began))
+}
+
+// logLoad logs the load of the leader by reports and by its other duties regularly until ctx ends.
 func (t *Term) logLoad(ctx context.Context) {
 	for fulmarclock.Sleep(ctx, loadLogInterval) {
 		t.mu.Lock()
-		load := t.load
-		t.load = answerCounts{}
+		load, duties := t.load, t.duties
+		t.load, t.duties = answerCounts{}, dutyCounts{}
 		now := t.deps.Now()
 		daemons, _ := t.countDaemons(now)
 		share, age := t.fleet.reportingShare(now), now.Sub(t.snapshot.ReadAt)
 		t.mu.Unlock()
 		t.deps.Log.Info("reports answered", "daemons", daemons, "reporting", share, "updates", load.updates,
-			"complete", load.complete, "configs", load.configs, "referrals", load.referrals, "age", age)
+			"complete", load.complete, "configs", load.configs, "referrals", load.referrals, "age", age,
+			"reads", duties.reads, "failed", duties.failedReads, "read", duties.slowestRead, "plans", duties.plans, "plan", duties.slowestPlan, "orders", duties.orders)
 	}
 }
 
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -121,6 +121,7 @@
 	permitsUntil     atomic.Pointer[time.Time] // validUntil; it is read without mu, which a publication may hold for long
 	crashesWritten   int64                     // version of the crashes that this term has stored; planLoop uses it
 	load             answerCounts              // of the answers to reports since the last line in the log
+	duties           dutyCounts                // since the last line in the log
 	group            sync.WaitGroup
 }
 
@@ -217,7 +218,9 @@
 	t.mu.Lock()
 	former := t.snapshot
 	t.mu.Unlock()
+	began := t.deps.Now()
 	s, err := t.reader.Read(callCtx, former.Catalog, former.ReadAt)
+	t.countRead(began, err == nil)
 	if err != nil {
 		return false
 	}
--- a/internal/fulmarleader/worker.go
+++ b/internal/fulmarleader/worker.go
@@ -106,6 +106,7 @@
 	o, wait, ok = book.Next(now, w.target.Incarnation())
 	if ok {
 		entry = book.BeginSend(o)
+		t.duties.orders++
 	}
 	return o, entry, wait, ok
 }
