--- a/internal/fulmarfollower/follower_test.go
+++ b/internal/fulmarfollower/follower_test.go
@@ -214,10 +214,11 @@
 	lastRead time.Time
 	targets  []fulmarcatalog.Target
 	config   fulmarroute.Config
+	version  uint64 // of the configuration, 1 if it is zero
 }
 
 func (l *staleLeader) Sync(ctx context.Context, r *fulmarleaderrpc.Report) (*fulmarleaderrpc.Update, error) {
-	u := &fulmarleaderrpc.Update{Versions: fulmarleaderrpc.Versions{Term: 1, Config: 1, Targets: 1}, Age: time.Since(l.lastRead), Daemons: 2}
+	u := &fulmarleaderrpc.Update{Versions: fulmarleaderrpc.Versions{Term: 1, Config: max(l.version, 1), Targets: 1}, Age: time.Since(l.lastRead), Daemons: 2}
 	if r.Versions != u.Versions {
 		packed, err := fulmarleaderrpc.PackConfig(l.config)
 		if err != nil {
--- a/internal/fulmarfollower/largefleet_test.go
+++ b/internal/fulmarfollower/largefleet_test.go
@@ -39,7 +39,6 @@
 	byteCost       = 9 * time.Nanosecond // each side, to encode or decode
 	entryCost      = 12 * time.Microsecond
 	entryBytes     = 420 // of a target's entry in an answer of the store
-	orderCost      = 80 * time.Microsecond
 	zoneDelay      = 1400 * time.Microsecond
 	storeDelay     = 4 * time.Millisecond
 	pageEntries    = 500
@@ -49,18 +48,19 @@
 // machine is the simulated machine of a daemon: its processor does one thing at a time, its link sends one message at a
 // time.
 type machine struct {
-	id       string
-	dc       string
-	cpuShare float64
-	link     float64                // bytes per second
-	cpu      chan struct{}          // holds a value while the processor works
-	out      chan struct{}          // holds a value while the link sends
-	received atomic.Int64           // calls of other daemons
-	sent     atomic.Int64           // bytes
-	storeCut atomic.Bool            // the store rejects the machine
-	oldBuild bool                   // the daemon's build knows no relays
-	hears    func(from string) bool // whether answers and calls of a daemon arrive; nil for all
-	peersCut atomic.Bool            // no other daemon is reached, in either direction
+	id        string
+	dc        string
+	cpuShare  float64
+	link      float64                // bytes per second
+	orderCost time.Duration          // processor time
+	cpu       chan struct{}          // holds a value while the processor works
+	out       chan struct{}          // holds a value while the link sends
+	received  atomic.Int64           // calls of other daemons
+	sent      atomic.Int64           // bytes
+	storeCut  atomic.Bool            // the store rejects the machine
+	oldBuild  bool                   // the daemon's build knows no relays
+	hears     func(from string) bool // whether answers and calls of a daemon arrive; nil for all
+	peersCut  atomic.Bool            // no other daemon is reached, in either direction
 }
 
 // use occupies a resource for d.
@@ -83,6 +83,7 @@
 type largeFleet struct {
 	store     *fulmarmemory.Store
 	storeLink chan struct{}
+	size      fleetSize
 	entries   int
 	mu        sync.Mutex
 	daemons   map[string]*simulatedDaemon // by address
@@ -180,7 +181,7 @@
 
 // Send models an order to a target.
 func (m *machine) Send(_ context.Context, _ string, _ fulmarorder.Order) (string, error) {
-	m.work(orderCost)
+	m.work(m.orderCost)
 	return "", nil
 }
 
@@ -311,12 +312,42 @@
 	return f.daemons[address]
 }
 
-// newLargeFleet returns a fleet without daemons before a store with a configuration and the given number of targets.
-func newLargeFleet(t *testing.T, targets int) *largeFleet {
+// fleetSize is the size of a simulated fleet.
+type fleetSize struct {
+	daemons, targets int
+	unkeyed          int     // one of so many targets is of a service without keys; zero for none
+	strongCPUShare   float64 // of every twentieth daemon, less what requests take
+	weakCPUShare     float64 // of the others
+	weakLink         float64 // in bytes per second
+	orderCost        time.Duration
+}
+
+func (s fleetSize) String() string {
+	return fmt.Sprintf("%d daemons, %d targets", s.daemons, s.targets)
+}
+
+// sizeOf returns the size of a fleet of n daemons with the machines of hkv-rota-large, of whose processors requests take
+// half, and three targets each.
+func sizeOf(n int) fleetSize {
+	return fleetSize{daemons: n, targets: 3 * n, strongCPUShare: 0.4, weakCPUShare: 0.08, weakLink: 2.5e6, orderCost: 80 * time.Microsecond}
+}
+
+// manyTargets is the size at which configurations came too late: the machines of osierbank-hub-grown, and ten targets each.
+// A leader that sends 2,700 orders a second has none of its 0.8 of a core left there.
+var manyTargets = fleetSize{
+	daemons: 310, targets: 3006, unkeyed: 3, strongCPUShare: 0.8, weakCPUShare: 0.112, weakLink: 1.25e6, orderCost: 300 * time.Microsecond,
+}
+
+// newLargeFleet returns a fleet without daemons before a store with a configuration and the targets of the size.
+func newLargeFleet(t *testing.T, size fleetSize) *largeFleet {
 	t.Helper()
-	f := &largeFleet{store: configuredStore(t), storeLink: make(chan struct{}, 1), entries: targets, daemons: make(map[string]*simulatedDaemon)}
-	for i := range targets {
-		f.store.Set(fmt.Sprintf("targets/t%d", i), encode(t, target(fmt.Sprintf("t%d", i), false)))
+	f := &largeFleet{store: configuredStore(t), storeLink: make(chan struct{}, 1), size: size, entries: size.targets, daemons: make(map[string]*simulatedDaemon)}
+	for i := range size.targets {
+		x := target(fmt.Sprintf("t%d", i), false)
+		if size.unkeyed > 0 && i%size.unkeyed == 0 {
+			x.Service = "desk"
+		}
+		f.store.Set("targets/"+x.ID, encode(t, x))
 	}
 	return f
 }
@@ -353,15 +384,16 @@
 	go exchange.Run(ctx)
 }
 
-// startAll starts n daemons in five data centres, of which every twentieth has 0.8 of a core and a link of 200 Mbit/s
-// and the others 0.16 and 20 Mbit/s. Half of the processors is taken by requests.
-func (f *largeFleet) startAll(ctx context.Context, n int) {
+// startAll starts the daemons in five data centres. Every twentieth has 0.8 of a core and a link of 200 Mbit/s.
+func (f *largeFleet) startAll(ctx context.Context) {
+	n := f.size.daemons
 	for i := range n {
 		m := &machine{
-			id: fmt.Sprintf("d%d", i), dc: fmt.Sprint("dc", i%5), cpuShare: 0.08, link: 2.5e6, cpu: make(chan struct{}, 1), out: make(chan struct{}, 1),
+			id: fmt.Sprintf("d%d", i), dc: fmt.Sprint("dc", i%5), cpuShare: f.size.weakCPUShare, link: f.size.weakLink, orderCost: f.size.orderCost,
+			cpu: make(chan struct{}, 1), out: make(chan struct{}, 1),
 		}
 		if i < max(2, n/20) {
-			m.cpuShare, m.link = 0.4, 25e6
+			m.cpuShare, m.link = f.size.strongCPUShare, 25e6
 		}
 		f.start(ctx, m)
 	}
@@ -474,18 +506,25 @@
 	configBound  = 3 * time.Second
 	maxStretch   = 6 * time.Second
 	leavingBound = 3 * time.Second
+	stateBound   = 2 * time.Second // of the leader's state: a second less than leavingBound, for the way to the daemons
 	recoverBound = 15 * time.Second
 )
 
 // simulateLargeFleet runs a test with n daemons and three times as many targets, which have settled.
 func simulateLargeFleet(t *testing.T, n int, test func(ctx context.Context, t *testing.T, g *WithT, f *largeFleet)) {
+	t.Helper()
+	simulateSize(t, sizeOf(n), test)
+}
+
+// simulateSize runs a test with a fleet of the given size, which has settled.
+func simulateSize(t *testing.T, size fleetSize, test func(ctx context.Context, t *testing.T, g *WithT, f *largeFleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() { cancel(); time.Sleep(10 * time.Second) }()
 		g := NewWithT(t)
-		f := newLargeFleet(t, 3*n)
-		f.startAll(ctx, n)
+		f := newLargeFleet(t, size)
+		f.startAll(ctx)
 		f.expectWithin(g, recoverBound, "owners after the start", hasOwners)
 		time.Sleep(2 * time.Second)
 		test(ctx, t, g, f)
@@ -508,31 +547,31 @@
 
 // fleetSizes returns the numbers of daemons to simulate. FULMARFOLLOWER_DAEMONS replaces them by another one, as 1,500 take
 // minutes.
-func fleetSizes(t *testing.T) []int {
+func fleetSizes(t *testing.T) []fleetSize {
 	t.Helper()
 	text := os.Getenv("FULMARFOLLOWER_DAEMONS")
 	if text == "" {
-		return []int{30, 295}
+		return []fleetSize{sizeOf(30), sizeOf(295), manyTargets}
 	}
 	n, err := strconv.Atoi(text)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return []int{n}
+	return []fleetSize{sizeOf(n)}
 }
 
 // Guards against changes that come too late because all daemons ask one leader: at 295 daemons, requests reached targets
 // that had left and followed an older configuration for seconds.
 func TestLargeFleet(t *testing.T) {
-	for _, n := range fleetSizes(t) {
-		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) {
+	for _, size := range fleetSizes(t) {
+		t.Run(size.String(), func(t *testing.T) {
 			t.Run("targets change all the time", func(t *testing.T) {
-				simulateLargeFleet(t, n, func(ctx context.Context, t *testing.T, g *WithT, f *largeFleet) {
+				simulateSize(t, size, func(ctx context.Context, t *testing.T, g *WithT, f *largeFleet) {
 					f.change(t, g, 2, "t1")
 					go func() {
 						for i := 0; ctx.Err() == nil; i++ {
 							f.store.Set(fmt.Sprint("targets/t", i%f.entries), encode(t, target(fmt.Sprint("t", i%f.entries), i/f.entries%2 == 1)))
-							time.Sleep(3 * time.Second / time.Duration(n))
+							time.Sleep(3 * time.Second / time.Duration(size.daemons))
 						}
 					}()
 					time.Sleep(time.Second)
@@ -545,8 +584,21 @@
 					}
 				})
 			})
+			// Guards against a leader whose orders to targets take the processor time that its reads of the store need: its
+			// state was up to 7.2 s old.
+			t.Run("age of the leader's state", func(t *testing.T) {
+				simulateSize(t, size, func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
+					time.Sleep(5 * time.Second) // all targets have been granted keys
+					var oldest time.Duration
+					for began := time.Now(); time.Since(began) < 5*time.Second; time.Sleep(50 * time.Millisecond) {
+						oldest = max(oldest, time.Since(f.daemon(f.leader(t)).views.Get().AsOf))
+					}
+					t.Log("at most", oldest)
+					g.Expect(oldest).To(BeNumerically("<", stateBound))
+				})
+			})
 			t.Run("loss of the leader", func(t *testing.T) {
-				simulateLargeFleet(t, n, func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
+				simulateSize(t, size, func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
 					f.kill(f.leader(t))
 					f.change(t, g, 2, "t1")
 					time.Sleep(4 * time.Second)
@@ -554,8 +606,8 @@
 				})
 			})
 			t.Run("loss of the leader while the store rejects a third", func(t *testing.T) {
-				simulateLargeFleet(t, n, func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
-					for i := range n {
+				simulateSize(t, size, func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
+					for i := range size.daemons {
 						f.daemon(fmt.Sprint("d", i)).storeCut.Store(i%3 == 2)
 					}
 					f.kill(f.leader(t))
@@ -564,7 +616,7 @@
 				})
 			})
 			t.Run("loss of all", func(t *testing.T) {
-				simulateLargeFleet(t, n, func(ctx context.Context, t *testing.T, g *WithT, f *largeFleet) {
+				simulateSize(t, size, func(ctx context.Context, t *testing.T, g *WithT, f *largeFleet) {
 					f.restartAll(ctx)
 					t.Log("owners known after", f.expectWithin(g, recoverBound, "owners", hasOwners))
 					time.Sleep(4 * time.Second)
