Give the configuration an age and reads of its own on its way to each daemon

Cause: a daemon got the configuration only together with the targets and owners. An update of a relay whose list of targets was over 1.7 s old was dropped with the configuration in it; a leader whose reads of all keys failed had no newer one to send; a daemon without a source read the whole store at a random time within 0.9 s, or not at all. A fact of some KB waited for one that grows with the targets.

Change: a view has ConfigAsOf beside AsOf, updates carry the difference (ConfigLead, absent from earlier builds), and the configuration of an update is taken however old the rest is. fulmarconfigreader reads the one key: the leader when its configuration is 0.7 s old, any other daemon at 1.4 s.

TestRelays bounds the reads.

--- a/internal/fulmarfollower/follow.go
+++ b/internal/fulmarfollower/follow.go
@@ -82,9 +82,15 @@
 			return referred
 		}
 		computedAt, asOf := timesOf(u, began, f.deps.Now())
+		configAsOf, err := f.recordConfig(received, u, computedAt, asOf)
+		if err != nil {
+			f.log.Error("configuration from leader is invalid", "error", err)
+			return result
+		}
 		if f.deps.Now().Sub(asOf) > maxAge {
 			f.log.Warn("leader has not read the store recently", "address", address, "relay", relay, "age", u.Age)
 			if relay {
+				f.setConfig(received.routes, configAsOf)
 				return result
 			}
 			// The leader still holds its lease, or it would not answer.
@@ -95,10 +101,7 @@
 			f.log.Info("complete state received from leader", "address", address, "relay", relay, "took", f.deps.Now().Sub(began), "targets", len(u.Targets), "age", u.Age)
 		}
 		f.recordCPUShare(u.MaxCPUShare)
-		if err := received.apply(computedAt, u); err != nil {
-			f.log.Error("configuration from leader is invalid", "error", err)
-			return result
-		}
+		received.apply(computedAt, u)
 		f.deps.RecordLimits(u.Limits, "leader")
 		f.deps.RecordCrashes(u.Crashes, "leader")
 		received.crashes.note(f.deps.Now(), u.Crashes)
@@ -106,8 +109,10 @@
 			f.setLeaderAddress(u.Leader)
 		}
 		if !asOf.Before(f.latestStoreRead()) {
-			f.updateView(received, u, asOf)
+			f.updateView(received, u, asOf, configAsOf)
 			result = ended
+		} else {
+			f.setConfig(received.routes, configAsOf)
 		}
 		if relay && f.views.Get().Relays.Has(f.deps.Address) {
 			return ended // this daemon has become a relay, which follows the leader itself
@@ -138,19 +143,8 @@
 	crashes  knownCrashes
 }
 
-// apply merges an update whose times refer to computedAt.
-func (s *leaderState) apply(computedAt time.Time, u *fulmarleaderrpc.Update) error {
-	if u.Config != nil {
-		config, err := u.Config.Unpack()
-		if err != nil {
-			return err
-		}
-		routes, err := fulmarroute.New(config)
-		if err != nil {
-			return err
-		}
-		s.routes = routes
-	}
+// apply merges an update whose times refer to computedAt, but for its configuration; see Follower.recordConfig.
+func (s *leaderState) apply(computedAt time.Time, u *fulmarleaderrpc.Update) {
 	for i := range u.Targets {
 		u.Targets[i].SeenAt = computedAt
 	}
@@ -182,21 +176,15 @@
 		s.limits[l.Target] = l
 	}
 	s.versions = u.Versions
-	return nil
 }
 
 // updateView replaces the view by the state received from the leader.
-func (f *Follower) updateView(s *leaderState, u *fulmarleaderrpc.Update, asOf time.Time) {
+func (f *Follower) updateView(s *leaderState, u *fulmarleaderrpc.Update, asOf, configAsOf time.Time) {
 	f.mu.Lock()
 	leaderAddress := f.leaderAddress
 	f.mu.Unlock()
 	f.views.Update(func(v *fulmarview.View) {
-		if s.routes != nil {
-			if v.Routes == nil || v.Routes.Version() < s.routes.Version() {
-				f.log.Info("configuration in force", "version", s.routes.Version(), "source", "leader")
-			}
-			v.Routes = s.routes
-		}
+		v.Routes, v.ConfigAsOf = s.routes, configAsOf
 		if s.catalog != nil {
 			v.Catalog = s.catalog
 		}
--- a/internal/fulmarfollower/follower.go
+++ b/internal/fulmarfollower/follower.go
@@ -12,6 +12,7 @@
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmaraggregate"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarconfigreader"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarkvmonitor"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleader"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
@@ -70,6 +71,7 @@
 type Follower struct {
 	deps   fulmarleader.Deps
 	reader *fulmarsnapshot.Reader
+	config *fulmarconfigreader.Reader
 	views  *fulmarview.Holder
 	loads  LoadCollector
 	dial   Dial
@@ -100,8 +102,9 @@
 func New(d fulmarleader.Deps, loads LoadCollector, dial Dial) *Follower {
 	store := fulmarkvmonitor.New(d.Store, d.Now)
 	d.Store = store // the leader's renewals show, too, whether the store answers
+	config := fulmarconfigreader.New(store, d.Registry.ConfigKey, d.Registry.Config, d.Log)
 	f := &Follower{
-		deps: d, reader: fulmarsnapshot.New(store, d.Registry, d.Log, d.Now), views: d.Views, loads: loads, dial: dial,
+		deps: d, reader: fulmarsnapshot.New(store, d.Registry, config, d.Log, d.Now), config: config, views: d.Views, loads: loads, dial: dial,
 		log: d.Log, grantLapse: make(map[int64]time.Time), children: fulmaraggregate.New(), relayRetryAt: make(map[string]time.Time),
 		publisher: fulmarpublisher.New(d.Views, d.Limits, d.Crashes, d.Log, d.Now),
 	}
@@ -141,6 +144,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { f.publishCrashes(ctx) })
+	group.Go(func() { f.followConfig(ctx) })
 	for ctx.Err() == nil {
 		wait := leaderCheckInterval + rand.N(leaderCheckInterval/4)
 		if !f.views.Get().Ready() {
@@ -329,6 +333,13 @@
 	return (f.term != nil || f.leaderAddress != "") && f.deps.Now().Sub(f.views.Get().AsOf) <= maxRelayAge
 }
 
+// leads reports whether this daemon leads.
+func (f *Follower) leads() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.term != nil
+}
+
 // setTerm sets the term in which this daemon leads, or nil if it does not lead.
 func (f *Follower) setTerm(t *fulmarleader.Term) {
 	f.mu.Lock()
--- a/internal/fulmarleaderrpc/message.go
+++ b/internal/fulmarleaderrpc/message.go
@@ -89,6 +89,8 @@
 type Update struct {
 	Versions Versions      `cbor:"have"`
 	Age      time.Duration `cbor:"age"` // time since the read of the store on which the state is based
+	// ConfigLead is the time by which the configuration was read later than the rest; 0 from daemons of earlier builds.
+	ConfigLead time.Duration `cbor:"ahead,omitempty"`
 	// Waited is the time between the arrival of the report and the answer. The rest of the duration of the call was spent
 	// on the way.
 	Waited  time.Duration `cbor:"waited,omitempty"`
--- a/internal/fulmarmemory/store.go
+++ b/internal/fulmarmemory/store.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// Calls returns the number of calls of an operation: Scan, Peek, Commit, Open, Keep or End.
+// Calls returns the number of calls of an operation: Scan (of all keys), ScanPrefix, Peek, Commit, Open, Keep or End.
 func (s *Store) Calls(name string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -124,7 +124,11 @@
 func (s *Store) Scan(_ context.Context, prefix string) ([]fulmarkv.Item, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.beginCall("Scan")
+	if prefix == "" {
+		s.beginCall("Scan")
+	} else {
+		s.beginCall("ScanPrefix")
+	}
 	var out []fulmarkv.Item
 	for key, i := range s.items {
 		if strings.HasPrefix(key, prefix) {
--- a/internal/fulmarpublisher/publisher.go
+++ b/internal/fulmarpublisher/publisher.go
@@ -277,6 +277,6 @@
 func (p *Publisher) baseUpdate(now time.Time) *fulmarleaderrpc.Update {
 	s := p.published
 	return &fulmarleaderrpc.Update{
-		Versions: s.versions, Age: now.Sub(s.AsOf), Daemons: s.Daemons, MaxCPUShare: s.MaxCPUShare, Leader: s.Leader, Hops: s.Hops,
+		Versions: s.versions, Age: now.Sub(s.AsOf), ConfigLead: s.ConfigAsOf.Sub(s.AsOf), Daemons: s.Daemons, MaxCPUShare: s.MaxCPUShare, Leader: s.Leader, Hops: s.Hops,
 	}
 }
--- a/internal/fulmarsnapshot/reader.go
+++ b/internal/fulmarsnapshot/reader.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarconfigreader"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcrash"
@@ -53,8 +54,7 @@
 	log     *slog.Logger
 	now     func() time.Time
 
-	configRevision    int64
-	routes            *fulmarroute.Table
+	config            *fulmarconfigreader.Reader
 	tablesRevision    int64
 	tablesWriter      Writer
 	tables            map[string]fulmarrange.Table
@@ -63,10 +63,10 @@
 	storeFailing      bool
 }
 
-// New returns a reader of store.
-func New(store Store, registry Decoder, log *slog.Logger, now func() time.Time) *Reader {
+// New returns a reader of store, which decodes configurations by config.
+func New(store Store, registry Decoder, config *fulmarconfigreader.Reader, log *slog.Logger, now func() time.Time) *Reader {
 	return &Reader{
-		store: store, decoder: registry, log: log, now: now,
+		store: store, decoder: registry, config: config, log: log, now: now,
 		reportedRevisions: make(map[string]int64),
 	}
 }
@@ -111,7 +111,7 @@
 				return nil, err
 			}
 		case item.Key == r.decoder.ConfigKey:
-			r.readConfig(item)
+			r.config.Decode(item)
 		case strings.HasPrefix(item.Key, r.decoder.TargetPrefix):
 			t, err := r.decoder.Target(item.Key, item.Value)
 			if err != nil {
@@ -121,7 +121,7 @@
 			targets = append(targets, t)
 		}
 	}
-	s.Routes = r.routes
+	s.Routes = r.config.Newest()
 	if r.tables != nil {
 		s.Tables, s.TablesRevision, s.TablesWriter = r.tables, r.tablesRevision, r.tablesWriter
 	}
@@ -170,29 +170,6 @@
 	return nil
 }
 
-// readConfig decodes the configuration if it has changed. If it is invalid, the previous one stays in force.
-func (r *Reader) readConfig(item fulmarkv.Item) {
-	if item.Revision == r.configRevision {
-		return
-	}
-	config, err := r.decoder.Config(item.Value)
-	if err == nil {
-		var routes *fulmarroute.Table
-		if routes, err = fulmarroute.New(config); err == nil {
-			r.configRevision = item.Revision
-			if r.routes == nil || routes.Version() >= r.routes.Version() {
-				r.routes = routes
-				r.log.Info("configuration in force", "version", config.Version, "routes", len(config.Routes), "source", "store")
-				if names := routes.UnknownKinds(); len(names) > 0 {
-					r.log.Warn("routes of an unknown kind are served at most once", "version", config.Version, "routes", names)
-				}
-			}
-			return
-		}
-	}
-	r.reportDamaged(item, err)
-}
-
 // reportDamaged logs a value that cannot be decoded, once per revision.
 func (r *Reader) reportDamaged(item fulmarkv.Item, err error) {
 	if r.reportedRevisions[item.Key] == item.Revision {
--- a/internal/fulmarview/view.go
+++ b/internal/fulmarview/view.go
@@ -25,6 +25,8 @@
 	Term     int64     // of the leader that the view comes from
 	Hops     int       // number of instances that passed the view on; 0 for the leader's own and for one read from the store
 	AsOf     time.Time // the view contains all changes up to this time
+	// ConfigAsOf is the same for Routes alone; it is never before AsOf.
+	ConfigAsOf time.Time
 }
 
 // Ready reports whether requests can be routed.
@@ -67,7 +69,7 @@
 }
 
 // Update replaces the view by a copy that change has modified. It never replaces a configuration by an older version, nor
-// AsOf by an earlier time.
+// AsOf and ConfigAsOf by earlier times.
 func (h *Holder) Update(change func(v *View)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -76,11 +78,13 @@
 	if old := h.view.Routes; old != nil && (next.Routes == nil || next.Routes.Version() < old.Version()) {
 		next.Routes = old
 	}
-	if next.AsOf.Before(h.view.AsOf) {
-		next.AsOf = h.view.AsOf
-	}
+	next.AsOf = latest(next.AsOf, h.view.AsOf)
+	next.ConfigAsOf = latest(next.ConfigAsOf, h.view.ConfigAsOf, next.AsOf)
 	next.Daemons = max(next.Daemons, 1)
 	h.view = &next
 	close(h.changed)
 	h.changed = make(chan struct{})
 }
+
+// latest returns the latest of the times.
+func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
