Let renewals of grants take at most half of the leader's processor

Cause: each granted range is renewed every 0.45 s, 4,300 orders a second for 1,962 keyed targets at 0.3 ms of a core each, all included. That is more than the leader's 0.8 of a core, so reads of the store waited for orders: 0.15 s at 690 orders a second, 0.9 s and failing from 2,000 on. Plans took 4%; the choice of an order read the whole table, 40 us at 2,000 ranges.

Change: renewals are as frequent as before while they take at most half of the leader's processor, else as rare as that needs, spread over their interval, with grants of 2.4 intervals. The scheduler keeps the ranges of each target apart: 2.0 us in place of 40 us (BenchmarkNext).

Ruled out: the store and the link (a read took 0.15 s in the same daemon before it led), plans, and the loss of the lease. Ending the term of such a leader was tried by the users and moves the fault to the next one.

--- a/internal/fulmarleader/lease.go
+++ b/internal/fulmarleader/lease.go
@@ -129,7 +129,8 @@
 	if t.grantsExtended {
 		t.grantsExtended = false
 		t.deps.Log.Info("store answers again, grants return to their normal duration", "term", t.lease.revision)
-		t.setGrantDuration(grantDuration)
+		_, ttl := t.deps.grantPace(t.countRanges())
+		t.setGrantDuration(ttl)
 	}
 }
 
--- a/internal/fulmarleader/plan.go
+++ b/internal/fulmarleader/plan.go
@@ -62,6 +62,7 @@
 	now := t.deps.Now()
 	defer t.countPlan(now)
 	tables = make(map[string]fulmarrange.Table, len(t.services))
+	t.setGrantPace()
 	for name, s := range t.services {
 		s.rates.Advance(now)
 		s.orders.Expire(now)
--- a/pkg/fulmarorder/safety_test.go
+++ b/pkg/fulmarorder/safety_test.go
@@ -221,6 +221,12 @@
 	m.scheduler.SetGrantTTL(m.now, ttl)
 }
 
+// setPace changes the time between renewals and the duration of grants, as a leader does when the number of ranges changes.
+func (m *model) setPace() {
+	renew := time.Duration(rapid.IntRange(450, 3900).Draw(m.t, "renew")) * time.Millisecond
+	m.scheduler.SetPace(renew, max(modelGrantTTL, renew*12/5))
+}
+
 // settle removes obsolete prior claims and renews fences where needed.
 func (m *model) settle() {
 	for _, s := range m.scheduler.SegmentsWithObsoletePrior() {
@@ -255,7 +261,7 @@
 		ids := rapid.SampledFrom([]string{"t0", "t1", "t2"})
 		for range 300 {
 			id := ids.Draw(t, "id")
-			switch action := rapid.IntRange(0, 21).Draw(t, "action"); {
+			switch action := rapid.IntRange(0, 22).Draw(t, "action"); {
 			case action < 11:
 				m.order(id)
 			case action < 14:
@@ -294,6 +300,8 @@
 				m.settle()
 			case action == 19: // the store becomes unavailable, so that grants are extended, or available again
 				m.extend()
+			case action == 22:
+				m.setPace()
 			default:
 				m.targets[id].cut = !m.targets[id].cut
 			}
--- a/pkg/fulmarorder/scheduler.go
+++ b/pkg/fulmarorder/scheduler.go
@@ -1,6 +1,8 @@
 package fulmarorder
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,7 +14,7 @@
 // Timing configures the duration of grants and the intervals between orders.
 type Timing struct {
 	GrantTTL      time.Duration // normal duration of a grant
-	RenewInterval time.Duration // time between renewals of a grant
+	RenewInterval time.Duration // normal time between renewals of a grant
 	RetryInterval time.Duration // delay before a failed order is sent again
 	MaxGrantTTL   time.Duration // longest duration of any grant that a previous sender may have sent
 }
@@ -49,7 +51,11 @@
 	// replaced them since.
 	answered map[fulmarrange.Incarnation]bool
 	grantTTL time.Duration // duration of the grants that are sent now
+	renew    time.Duration // time between renewals of a grant
+	renewals int           // number of answered grants, which spreads the next ones
 	failures map[string]failureStreak
+	owned    map[fulmarrange.Incarnation][]fulmarrange.Segment // by owner: the segments of table, in their order
+	leaving  map[string][]fulmarrange.Segment                  // by target: those of which it is a prior owner
 }
 
 // failureStreak counts consecutive failures of orders to one target.
@@ -62,10 +68,11 @@
 // New returns a scheduler for a table on which a previous sender may have acted up to now.
 func New(now time.Time, table fulmarrange.Table, t Timing) *Scheduler {
 	b := &Scheduler{
-		timing: t, table: table, pendingTable: table, ledger: fulmarledger.New(), orders: make(map[orderKey]*orderStatus),
-		answered: make(map[fulmarrange.Incarnation]bool), grantTTL: t.GrantTTL,
+		timing: t, ledger: fulmarledger.New(), orders: make(map[orderKey]*orderStatus),
+		answered: make(map[fulmarrange.Incarnation]bool), grantTTL: t.GrantTTL, renew: t.RenewInterval,
 		failures: make(map[string]failureStreak),
 	}
+	b.setTable(table)
 	// The previous sender may have extended grants to current owners after it wrote the table, but not grants to
 	// prior owners.
 	longest := now.Add(t.MaxHoldTime())
@@ -85,6 +92,21 @@
 	return b
 }
 
+// setTable makes a table the current one. The segments of each target are kept apart, so that the choice of its next order does
+// not read the whole table.
+func (b *Scheduler) setTable(table fulmarrange.Table) {
+	b.table, b.pendingTable = table, table
+	b.owned, b.leaving = make(map[fulmarrange.Incarnation][]fulmarrange.Segment), make(map[string][]fulmarrange.Segment)
+	for _, s := range table.Segments() {
+		b.owned[s.Owner.Incarnation] = append(b.owned[s.Owner.Incarnation], s)
+		for i, p := range s.PriorClaims {
+			if !slices.ContainsFunc(s.PriorClaims[:i], func(q fulmarrange.Claim) bool { return q.Incarnation.ID == p.Incarnation.ID }) {
+				b.leaving[p.Incarnation.ID] = append(b.leaving[p.Incarnation.ID], s)
+			}
+		}
+	}
+}
+
 // LimitInherited records that the previous sender's grants have expired by latest.
 func (b *Scheduler) LimitInherited(latest time.Time) { b.ledger.LimitInherited(latest) }
 
@@ -140,10 +162,37 @@
 	}
 }
 
+// SetPace sets the time between renewals of a grant and the duration of the grants that are sent from now on. A duration of more
+// than the normal one counts as extended; see ExtendedGrants.
+func (b *Scheduler) SetPace(renew, ttl time.Duration) { b.renew, b.grantTTL = renew, ttl }
+
+const (
+	// goldenRatio spreads any number of successive multiples evenly over the unit interval.
+	goldenRatio = 0.6180339887498949
+	// Renewals that are slower than normal are spread over the last part of their interval, the first ones over more of it: a new
+	// leader grants all keys at once, and would send all renewals at once as well.
+	renewalSpread      = 0.125
+	firstRenewalSpread = 0.75
+)
+
+// untilRenewal returns the time until the next renewal of a grant that has been answered now.
+func (b *Scheduler) untilRenewal(first bool) time.Duration {
+	if b.renew <= b.timing.RenewInterval {
+		return b.renew
+	}
+	spread := renewalSpread
+	if first {
+		spread = firstRenewalSpread
+	}
+	b.renewals++
+	_, part := math.Modf(float64(b.renewals) * goldenRatio)
+	return time.Duration(float64(b.renew) * (1 - spread*part))
+}
+
 // Commit replaces the current table with one that was written to the store.
 func (b *Scheduler) Commit(table fulmarrange.Table) {
 	old, formerFence := b.orders, b.table.MaxFence()
-	b.table, b.pendingTable = table, table
+	b.setTable(table)
 	b.orders = make(map[orderKey]*orderStatus)
 	carry := func(kind Kind, claim fulmarrange.Claim, from, to int) {
 		k := orderKey{kind, claim, from, to}
@@ -207,14 +256,14 @@
 
 // Next returns the order that is due for the target at now. If ok is false, none is due before wait has passed.
 func (b *Scheduler) Next(now time.Time, target fulmarrange.Incarnation) (o Order, wait time.Duration, ok bool) {
-	wait = b.timing.RenewInterval
+	wait = b.renew
 	wakeAt := func(at time.Time) {
 		if d := at.Sub(now); d < wait {
 			wait = max(d, time.Millisecond)
 		}
 	}
-	var best *orderStatus
-	for _, s := range b.table.Segments() {
+	// Releases are sent first because another target waits for the keys.
+	for _, s := range b.leaving[target.ID] {
 		for _, p := range s.PriorClaims {
 			if p.Incarnation.ID != target.ID {
 				continue
@@ -227,12 +276,14 @@
 				wakeAt(st.notBefore)
 				continue
 			}
-			// Releases are sent first because another target waits for the keys.
 			return Order{Kind: Release, Incarnation: p.Incarnation, From: s.From, To: s.To, Fence: p.Fence}, 0, true
 		}
-		if s.Owner.Incarnation != target || b.NeedsNewFence(target) {
-			continue
-		}
+	}
+	if b.NeedsNewFence(target) {
+		return o, wait, false
+	}
+	var best *orderStatus
+	for _, s := range b.owned[target] {
 		st := b.status(orderKey{Grant, s.Owner, s.From, s.To})
 		if st.inFlight {
 			continue
@@ -334,7 +385,7 @@
 	st.done, st.handover, st.notBefore = true, handover, now
 	if o.Kind == Grant {
 		st.handover = ""
-		st.notBefore = now.Add(b.timing.RenewInterval)
+		st.notBefore = now.Add(b.untilRenewal(changed))
 		b.answered[o.Incarnation] = true
 	}
 	return changed
--- a/pkg/fulmarorder/scheduler_test.go
+++ b/pkg/fulmarorder/scheduler_test.go
@@ -1,6 +1,7 @@
 package fulmarorder_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -76,6 +77,37 @@
 		h.g.Expect(second.Fence).To(Equal(first.Fence))
 	})
 
+	// Guards against renewals of thousands of ranges that all fall due together, and against grants that lapse before them.
+	t.Run("spreads slow renewals", func(t *testing.T) {
+		const renew, ranges = 2 * time.Second, 64
+		h := newHarness(t, fulmarrange.New())
+		h.SetPace(renew, 5*time.Second)
+		table := fulmarrange.New()
+		for i := range ranges {
+			table = table.WithOwner(i*1024, i*1024+1023, fulmarrange.Incarnation{ID: fmt.Sprint("t", i), Born: 1})
+		}
+		h.Commit(table)
+		var perTenth [31]int
+		for tenth := range perTenth {
+			for i := range ranges {
+				target := fulmarrange.Incarnation{ID: fmt.Sprint("t", i), Born: 1}
+				for o, _, ok := h.Next(h.now, target); ok; o, _, ok = h.Next(h.now, target) {
+					h.g.Expect(o.TTL).To(Equal(5 * time.Second))
+					h.EndSend(h.now, o, h.BeginSend(o), "", nil)
+					perTenth[tenth]++
+				}
+			}
+			h.now = h.now.Add(renew / 10)
+		}
+		h.g.Expect(perTenth[0]).To(Equal(ranges))
+		total := 0
+		for _, n := range perTenth[1:11] {
+			total += n
+			h.g.Expect(n).To(BeNumerically("<=", ranges/5), "renewals in a tenth of the interval: %v", perTenth)
+		}
+		h.g.Expect(total).To(BeNumerically(">=", ranges), "each grant is renewed within the interval")
+	})
+
 	// Guards against waiting for a grant to expire although its target has certainly ended.
 	t.Run("reassigns keys of an ended target at once", func(t *testing.T) {
 		h := newHarness(t, fulmarrange.New())
