Start no worker for a target once the leader's term has stopped them

What callers would see: the view of one daemon no longer changes, as it follows nobody and stands for no election for as long as it runs.

Cause: a read of the store that ends just after the term's workers have been stopped starts one for a target that has appeared meanwhile. Nothing stops it, so Term.Run waits for it forever.

The simulated fleets wait a minute of virtual time for work that an overloaded fleet has left, so that a failed test does not end in a deadlock of the harness.

--- a/internal/fulmarfollower/largefleet_test.go
+++ b/internal/fulmarfollower/largefleet_test.go
@@ -521,7 +521,8 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		defer func() { cancel(); time.Sleep(10 * time.Second) }()
+		// Work that waits for the processors of a fleet that is overloaded, as in a failed test, ends first.
+		defer func() { cancel(); time.Sleep(time.Minute) }()
 		g := NewWithT(t)
 		f := newLargeFleet(t, size)
 		f.startAll(ctx)
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -107,6 +107,7 @@
 	tablesRevision   int64
 	services         map[string]*keyedService
 	workers          map[fulmarrange.Incarnation]*worker
+	workersStopped   bool
 	fleet            *fleet
 	beganAt          time.Time
 	formerDaemons    int // number of daemons that was known when the term began
--- a/internal/fulmarleader/worker.go
+++ b/internal/fulmarleader/worker.go
@@ -33,8 +33,11 @@
 }
 
 // startWorkers starts a worker for each target of a keyed service and stops those of targets that have not been listed
-// for workerRetention. The caller holds mu.
+// for workerRetention. It does nothing after stopWorkers: a read of the store may end after the term. The caller holds mu.
 func (t *Term) startWorkers(now time.Time) {
+	if t.workersStopped {
+		return
+	}
 	for _, target := range t.snapshot.Catalog.Targets() {
 		if t.services[target.Service] == nil {
 			continue
@@ -57,10 +60,11 @@
 	}
 }
 
-// stopWorkers stops all workers.
+// stopWorkers stops all workers for good.
 func (t *Term) stopWorkers() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.workersStopped = true
 	for _, w := range t.workers {
 		w.cancel()
 	}
