--- a/internal/fulmarfollower/configuration_test.go
+++ b/internal/fulmarfollower/configuration_test.go
@@ -13,6 +13,7 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrelay"
 )
 
@@ -78,20 +79,42 @@
 		})
 	})
 	t.Run("a relay has an old list of targets", func(t *testing.T) {
-		simulate(t, func(ctx context.Context, t *testing.T, g *WithT, memory *fulmarmemory.Store) {
-			record, err := fulmarsnapshot.Fleet{Daemons: 50, Relays: fulmarrelay.Set{{Address: "r"}}}.Encode()
-			g.Expect(err).NotTo(HaveOccurred())
-			memory.Set(fulmarsnapshot.FleetKey, record)
-			storeLeader(t, memory, "a")
-			f, store := &fleet{}, fulmarmemory.NewClient(memory)
-			b := f.start(ctx, "b", store)
-			time.Sleep(2 * time.Second)
-			g.Expect(b.Get().Ready()).To(BeTrue())
-			store.SetFault(fulmarmemory.Rejected)
-			f.setLeader("r", &staleLeader{lastRead: time.Now().Add(-5 * time.Second), config: config(2), version: 2})
-			time.Sleep(5 * time.Second) // the daemon did not reach the relay before, and tries it again
-			expectConfig(g, b, 2)
-		})
+		followOldRelay(t, func(g *WithT, b *fulmarview.Holder, _ *fulmarlimit.Board) { expectConfig(g, b, 2) })
+	})
+}
+
+// Guards against limits of targets that are dropped with the old list of targets beside them.
+func TestLimitsOfOldRelay(t *testing.T) {
+	followOldRelay(t, func(g *WithT, _ *fulmarview.Holder, limits *fulmarlimit.Board) { expectLimited(g, limits, "x", true) })
+}
+
+// oldRelay is a relay with an old list of targets, a new configuration and a limit of a target.
+type oldRelay struct{ *staleLeader }
+
+func (r oldRelay) Sync(ctx context.Context, report *fulmarleaderrpc.Report) (*fulmarleaderrpc.Update, error) {
+	u, err := r.staleLeader.Sync(ctx, report)
+	if err == nil {
+		u.Limits = []fulmarleaderrpc.TargetLimit{fulmarleaderrpc.PackLimit(time.Now(), stated("x", true))}
+	}
+	return u, err
+}
+
+// followOldRelay runs a test with a daemon that can only follow an oldRelay, when it has got its first answer.
+func followOldRelay(t *testing.T, test func(g *WithT, v *fulmarview.Holder, limits *fulmarlimit.Board)) {
+	t.Helper()
+	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, memory *fulmarmemory.Store) {
+		record, err := fulmarsnapshot.Fleet{Daemons: 50, Relays: fulmarrelay.Set{{Address: "r"}}}.Encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		memory.Set(fulmarsnapshot.FleetKey, record)
+		storeLeader(t, memory, "a")
+		f, store := &fleet{}, fulmarmemory.NewClient(memory)
+		b, limits := f.startWithLimits(ctx, "b", 0.2, store)
+		time.Sleep(2 * time.Second)
+		g.Expect(b.Get().Ready()).To(BeTrue())
+		store.SetFault(fulmarmemory.Rejected)
+		f.setLeader("r", oldRelay{&staleLeader{lastRead: time.Now().Add(-5 * time.Second), config: config(2), version: 2}})
+		time.Sleep(6 * time.Second) // the daemon did not reach the relay before, and tries it again
+		test(g, b, limits)
 	})
 }
 
--- a/internal/fulmarfollower/follow.go
+++ b/internal/fulmarfollower/follow.go
@@ -87,6 +87,9 @@
 			f.log.Error("configuration from leader is invalid", "error", err)
 			return result
 		}
+		// These have ages of their own, and count however old the rest is.
+		f.deps.RecordLimits(u.Limits, "leader")
+		f.deps.RecordCrashes(u.Crashes, "leader")
 		if f.deps.Now().Sub(asOf) > maxAge {
 			f.log.Warn("leader has not read the store recently", "address", address, "relay", relay, "age", u.Age)
 			if relay {
@@ -102,8 +105,6 @@
 		}
 		f.recordCPUShare(u.MaxCPUShare)
 		received.apply(computedAt, u)
-		f.deps.RecordLimits(u.Limits, "leader")
-		f.deps.RecordCrashes(u.Crashes, "leader")
 		received.crashes.note(f.deps.Now(), u.Crashes)
 		if relay {
 			f.setLeaderAddress(u.Leader)
