Keep the view of a relay fresh while it waits for a new leader's first answer

What callers would see: requests reach a leaving target after its time, at all daemons of a data centre.

Cause, from a trace of the model: the new leader grants 2,004 ranges at once and takes 0.65 s and more for the complete states of its relays. The three relays of a data centre wait for that, up to 0.7 s, and read no store meanwhile. Their views are 1.9 s old when they do, so all their daemons have left them for 5 s by then, and are too weak to read the store themselves.

Change: a daemon that follows the leader reads the store when its view is 1.1 s old, also while a report waits for its answer. Before, only an answer started such a read.

TestRelayWaitsForLeader fails without the change in five of five runs and passes with it.

--- a/internal/fulmarfollower/configuration_test.go
+++ b/internal/fulmarfollower/configuration_test.go
@@ -14,7 +14,6 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
-	"github.com/fulmarbend/fulmarbend/pkg/fulmarrelay"
 )
 
 // lateScans is a store whose reads of all keys get no answer while late is set; all other calls do.
@@ -103,9 +102,7 @@
 func followOldRelay(t *testing.T, test func(g *WithT, v *fulmarview.Holder, limits *fulmarlimit.Board)) {
 	t.Helper()
 	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, memory *fulmarmemory.Store) {
-		record, err := fulmarsnapshot.Fleet{Daemons: 50, Relays: fulmarrelay.Set{{Address: "r"}}}.Encode()
-		g.Expect(err).NotTo(HaveOccurred())
-		memory.Set(fulmarsnapshot.FleetKey, record)
+		storeRelay(t, memory, "r")
 		storeLeader(t, memory, "a")
 		f, store := &fleet{}, fulmarmemory.NewClient(memory)
 		b, limits := f.startWithLimits(ctx, "b", 0.2, store)
--- a/internal/fulmarfollower/follow.go
+++ b/internal/fulmarfollower/follow.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"maps"
+	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
@@ -48,12 +47,14 @@
 		// the configuration again.
 		received.routes, received.versions.Config = routes, routes.Version()
 	}
-	var refresh errgroup.Group
-	refresh.SetLimit(1)
-	defer func() { _ = refresh.Wait() }() // reads return no errors
 	maxAge, result := maxLeaderAge, failed
 	if relay {
 		maxAge = maxRelayAge
+	} else {
+		refreshCtx, cancel := context.WithCancel(ctx)
+		var refresh sync.WaitGroup
+		refresh.Go(func() { f.keepViewFresh(refreshCtx) })
+		defer func() { cancel(); refresh.Wait() }()
 	}
 	for ctx.Err() == nil {
 		began := f.deps.Now()
@@ -96,8 +97,7 @@
 				f.setConfig(received.routes, configAsOf)
 				return result
 			}
-			// The leader still holds its lease, or it would not answer.
-			f.refreshView(ctx, &refresh)
+			// A leader that answers still holds its lease, so it is followed on; keepViewFresh reads the store meanwhile.
 		}
 		if u.Complete {
 			f.deps.Metrics.Count("control.complete_state")
--- a/internal/fulmarfollower/follower.go
+++ b/internal/fulmarfollower/follower.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmaraggregate"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
@@ -30,9 +29,11 @@
 	// startCheckInterval replaces leaderCheckInterval for a daemon that has no view yet, and so refuses all requests.
 	startCheckInterval = 100 * time.Millisecond
 	// maxViewAge is the age of the view at which a daemon without a leader reads the whole store itself.
-	maxViewAge  = 1100 * time.Millisecond
-	readTimeout = 900 * time.Millisecond // allows for a slow store
-	syncTimeout = 700 * time.Millisecond // longer than the leader waits for a change
+	maxViewAge = 1100 * time.Millisecond
+	// viewCheckInterval is the time between two checks of the view's age while a leader is followed.
+	viewCheckInterval = 100 * time.Millisecond
+	readTimeout       = 900 * time.Millisecond // allows for a slow store
+	syncTimeout       = 700 * time.Millisecond // longer than the leader waits for a change
 	// maxLeaderAge is the age of the leader's state at which the daemon reads the store itself.
 	maxLeaderAge = 1200 * time.Millisecond
 	// maxRelayAge is the age of a relay's state at which the daemon tries another relay. It allows a relay that has lost
@@ -270,18 +271,17 @@
 	return s, nil
 }
 
-// refreshView reads the store in the background if the view is old and no read is under way. Reports to the leader go on, as
-// it counts on them.
-func (f *Follower) refreshView(ctx context.Context, reads *errgroup.Group) {
-	if f.deps.Now().Sub(f.views.Get().AsOf) <= maxViewAge || !f.mayReadStore(ctx) {
-		return
-	}
-	reads.TryGo(func() error {
+// keepViewFresh reads the store whenever the view is old, until ctx ends. It runs beside the reports to the leader, which counts on
+// them and may take long to answer the first one: relays would pass on an old view meanwhile.
+func (f *Follower) keepViewFresh(ctx context.Context) {
+	for fulmarclock.Sleep(ctx, viewCheckInterval) {
+		if f.deps.Now().Sub(f.views.Get().AsOf) <= maxViewAge || !f.mayReadStore(ctx) {
+			continue
+		}
 		if _, err := f.readStore(ctx); err != nil {
 			fulmarclock.Sleep(ctx, storeRetryInterval)
 		}
-		return nil
-	})
+	}
 }
 
 // recordCPUShare records the CPU share of another daemon.
--- /dev/null
+++ b/internal/fulmarfollower/refresh_test.go
@@ -0,0 +1,39 @@
+package fulmarfollower_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarmemory"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrelay"
+)
+
+// Guards against a relay that waits for the first answer of a new leader while its view gets old: the daemons that follow it left
+// it for seconds, and 61 of 310 did not know in time that a target leaves.
+func TestRelayWaitsForLeader(t *testing.T) {
+	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, memory *fulmarmemory.Store) {
+		storeRelay(t, memory, "b")
+		storeLeader(t, memory, "a")
+		f := &fleet{}
+		f.setLeader("a", unresponsiveLeader{})
+		b := f.start(ctx, "b", fulmarmemory.NewClient(memory))
+		time.Sleep(2 * time.Second)
+		for began := time.Now(); time.Since(began) < 5*time.Second; time.Sleep(10 * time.Millisecond) {
+			g.Expect(time.Since(b.Get().AsOf)).To(BeNumerically("<", 1450*time.Millisecond), "others leave a relay at 1.7 s, of which they wait up to 0.25 s")
+		}
+	})
+}
+
+// storeRelay stores the record of a large fleet with one relay.
+func storeRelay(t *testing.T, store *fulmarmemory.Store, address string) {
+	t.Helper()
+	record, err := fulmarsnapshot.Fleet{Daemons: 50, Relays: fulmarrelay.Set{{Address: address}}}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.Set(fulmarsnapshot.FleetKey, record)
+}
