Follow the leader although the read of all keys has failed

What callers would see: a daemon that refuses all requests for as long as it runs.

Cause: a daemon whose view is old reads all keys first, and looks for the leader only if that succeeds. 1.2 MB do not pass a link of 10 Mbit/s in 0.9 s, so a daemon that may read at any time, as it is a relay, never gets to the leader, which would send 0.3 MB.

Change: after such a failure it reads the leader's record, for at most 0.3 s, and follows the leader. It does not stand for election: what it cannot read it cannot lead by.

TestStartOnSlowLink fails without the change and passes with it.

--- a/internal/fulmarfollower/follower.go
+++ b/internal/fulmarfollower/follower.go
@@ -33,6 +33,8 @@
 	// viewCheckInterval is the time between two checks of the view's age while a leader is followed.
 	viewCheckInterval = 100 * time.Millisecond
 	readTimeout       = 900 * time.Millisecond // allows for a slow store
+	// leaderReadTimeout bounds the read of one key after a read of all keys has failed. A slow store takes 250 ms.
+	leaderReadTimeout = 300 * time.Millisecond
 	syncTimeout       = 700 * time.Millisecond // longer than the leader waits for a change
 	// maxLeaderAge is the age of the leader's state at which the daemon reads the store itself.
 	maxLeaderAge = 1200 * time.Millisecond
@@ -171,6 +173,10 @@
 	if view := f.views.Get(); (!view.Ready() || f.deps.Now().Sub(view.AsOf) > maxViewAge) && f.mayReadStore(ctx) {
 		if s, err = f.readStore(ctx); err == nil {
 			leader = s.Leader
+		} else if leader = f.leaderAfterFailure(ctx); leader == nil {
+			return err // a daemon that cannot read all keys cannot lead either
+		} else {
+			err = nil
 		}
 	} else {
 		leader, err = f.readLeader(ctx)
@@ -196,6 +202,19 @@
 	return nil
 }
 
+// leaderAfterFailure returns the leader when a read of all keys has failed, or nil. A weak link may be too slow for all keys, but
+// not for the one of the leader.
+func (f *Follower) leaderAfterFailure(ctx context.Context) *fulmarsnapshot.Leader {
+	ctx, cancel := context.WithTimeout(ctx, leaderReadTimeout)
+	defer cancel()
+	leader, err := f.reader.Leader(ctx)
+	if err != nil {
+		f.log.Info("leader not read", "error", err)
+		return nil
+	}
+	return leader
+}
+
 // readLeader reads only the leader record, which is cheaper than a snapshot.
 func (f *Follower) readLeader(ctx context.Context) (*fulmarsnapshot.Leader, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/internal/fulmarfollower/refresh_test.go
+++ b/internal/fulmarfollower/refresh_test.go
@@ -28,6 +28,20 @@
 	})
 }
 
+// Guards against a daemon that refuses all requests for as long as it cannot read all keys in time, although a leader answers.
+func TestStartOnSlowLink(t *testing.T) {
+	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, memory *fulmarmemory.Store) {
+		storeRelay(t, memory, "b") // relays read the store first
+		storeLeader(t, memory, "a")
+		f, store := &fleet{}, &lateScans{Client: fulmarmemory.NewClient(memory)}
+		store.late.Store(true)
+		f.setLeader("a", &staleLeader{lastRead: time.Now().Add(time.Hour), config: config(1)})
+		b := f.start(ctx, "b", store)
+		time.Sleep(3 * time.Second)
+		g.Expect(b.Get().Ready()).To(BeTrue())
+	})
+}
+
 // storeRelay stores the record of a large fleet with one relay.
 func storeRelay(t *testing.T, store *fulmarmemory.Store, address string) {
 	t.Helper()
