--- /dev/null
+++ b/internal/fulmarhttpserver/benchmark_test.go
@@ -0,0 +1,83 @@
+package fulmarhttpserver_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarhttpserver"
+)
+
+// waitingHandler answers no request before its channel is closed.
+type waitingHandler chan struct{}
+
+func (waitingHandler) Repeatable(*fulmarhttpserver.Request) bool { return true }
+
+func (h waitingHandler) Serve(ctx context.Context, _ *fulmarhttpserver.Request) *fulmarhttpserver.Answer {
+	select {
+	case <-h:
+	case <-ctx.Done():
+	}
+	return &fulmarhttpserver.Answer{Status: http.StatusOK, Header: http.Header{}}
+}
+
+// memoryInUse returns the bytes of the heap and of stacks that are in use.
+func memoryInUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse + m.StackInuse)
+}
+
+// BenchmarkConnection measures the memory of a connection that waits for a request, and of one with a request in flight. The
+// callers' ends, which are in the same process, count as well.
+func BenchmarkConnection(b *testing.B) {
+	const connections = 300
+	for _, c := range []struct{ name, text string }{
+		{"idle", ""},
+		{"in flight", "GET /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9c41d07be2a35f68\r\n\r\n"},
+		{"in flight with a body of 24 KB", fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", 24<<10, make([]byte, 24<<10))},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				h := make(waitingHandler)
+				s := fulmarhttpserver.New(h, func() fulmarhttpserver.Limits { return limits }, slog.New(slog.DiscardHandler))
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					b.Fatal(err)
+				}
+				ctx, cancel := context.WithCancel(b.Context())
+				served := make(chan error, 1)
+				go func() { served <- s.Serve(ctx, listener) }()
+				before := memoryInUse()
+				callers := make([]net.Conn, connections)
+				for i := range callers {
+					if callers[i], err = net.Dial("tcp", listener.Addr().String()); err == nil {
+						_, err = io.WriteString(callers[i], c.text)
+					}
+					if err != nil {
+						b.Fatal(err)
+					}
+				}
+				for s.Connections() < connections || c.text != "" && s.InFlight() < connections {
+					time.Sleep(time.Millisecond)
+				}
+				b.ReportMetric((memoryInUse()-before)/connections, "B/connection")
+				close(h)
+				for _, conn := range callers {
+					conn.Close()
+				}
+				cancel()
+				if err := <-served; err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/fulmarhttpserver/server_test.go
+++ b/internal/fulmarhttpserver/server_test.go
@@ -311,6 +311,48 @@
 		Entry("no HTTP request", "hello\r\n\r\n", 400),
 	)
 
+	// Guards against a parser that needs a request in few pieces, and against a caller that holds up the others.
+	DescribeTable("serves a request that arrives a byte at a time, and others meanwhile",
+		func(text, want string) {
+			f := start(limits)
+			slow, other := f.dial(), f.dial()
+			for i := range text {
+				slow.send(text[i : i+1])
+				if i%16 == 0 {
+					other.get("/other")
+					other.expect(200, "/other")
+				}
+			}
+			slow.expect(200, want)
+		},
+		Entry("no body", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", "/a"),
+		Entry("a body with a length", "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello", "/b 5"),
+		Entry("a body in chunks", "PUT /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", "/c 5"),
+	)
+
+	// Guards against a part of a request that is served as a whole one: its caller may send it again.
+	DescribeTable("answers no request that breaks off, at any byte, with a success",
+		func(text string) {
+			f := start(limits)
+			for end := 1; end < len(text); end++ {
+				c := f.dial()
+				c.send(text[:end])
+				Expect(c.Conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+				if resp, _, err := c.receive(); err == nil {
+					Expect(resp.StatusCode).To(BeNumerically(">=", 400), "after %q", text[:end])
+				}
+				c.expectClosed()
+			}
+			other := f.dial()
+			other.get("/other")
+			other.expect(200, "/other")
+			Eventually(f.server.InFlight).Should(BeZero())
+		},
+		Entry("no body", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"),
+		Entry("a body with a length", "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"),
+		Entry("a body in chunks", "PUT /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"),
+	)
+
 	It("sends 100 Continue to a request that expects it", func() {
 		c := start(limits).dial()
 		c.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n")
