--- a/internal/fulmarfollower/follower_test.go
+++ b/internal/fulmarfollower/follower_test.go
@@ -460,58 +460,70 @@
 // slowStore is a store that takes 250 ms for each answer, and 700 ms for every fourth one.
 type slowStore struct {
 	fulmarkv.Store
-	calls atomic.Int64
+	calls   atomic.Int64
+	givesUp bool // callers get no answer after the deadline of their call
 }
 
-func (s *slowStore) wait() {
+// wait returns err when the answer has arrived, or unanswered if the caller gives up before.
+func (s *slowStore) wait(ctx context.Context, err, unanswered error) error {
+	delay := 250 * time.Millisecond
 	if s.calls.Add(1)%4 == 0 {
-		time.Sleep(700 * time.Millisecond)
-		return
+		delay = 700 * time.Millisecond
+	}
+	if !s.givesUp {
+		ctx = context.WithoutCancel(ctx)
+	}
+	select {
+	case <-time.After(delay):
+		return err
+	case <-ctx.Done():
+		return unanswered
 	}
-	time.Sleep(250 * time.Millisecond)
 }
 
 func (s *slowStore) Scan(ctx context.Context, prefix string) ([]fulmarkv.Item, error) {
-	s.wait()
-	return s.Store.Scan(ctx, prefix)
+	items, err := s.Store.Scan(ctx, prefix)
+	return items, s.wait(ctx, err, fulmarkv.ErrUnavailable)
 }
 
 func (s *slowStore) Commit(ctx context.Context, c fulmarkv.Txn) (int64, error) {
-	s.wait()
-	return s.Store.Commit(ctx, c)
+	revision, err := s.Store.Commit(ctx, c)
+	return revision, s.wait(ctx, err, fulmarkv.ErrAmbiguous)
 }
 
+// CreateLease returns a lease that runs from the arrival of the call.
 func (s *slowStore) CreateLease(ctx context.Context, ttl time.Duration) (fulmarkv.Lease, error) {
-	lease, err := s.Store.CreateLease(ctx, ttl) // the lease runs from the arrival of the call
-	s.wait()
-	return lease, err
+	lease, err := s.Store.CreateLease(ctx, ttl)
+	return lease, s.wait(ctx, err, fulmarkv.ErrAmbiguous)
 }
 
 func (s *slowStore) RenewLease(ctx context.Context, l fulmarkv.Lease) error {
-	err := s.Store.RenewLease(ctx, l)
-	s.wait()
-	return err
+	return s.wait(ctx, s.Store.RenewLease(ctx, l), fulmarkv.ErrAmbiguous)
 }
 
 // Guards against a leader that loses its lease, or is not elected, because the store is slow: keys had no owners for
 // two seconds.
 func TestSlowStore(t *testing.T) {
-	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
-		f := &fleet{}
-		f.startWithCPUShare(ctx, "a", 0.5, &slowStore{Store: fulmarmemory.NewClient(store)})
-		time.Sleep(4 * time.Second)
-		items, err := store.Scan(ctx, fulmarsnapshot.LeaderKey)
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(items).To(HaveLen(1))
-		term := items[0].Revision
-		for range 80 {
-			time.Sleep(100 * time.Millisecond)
-			items, err = store.Scan(ctx, fulmarsnapshot.LeaderKey)
+	keepsTerm := func(t *testing.T, givesUp bool) {
+		simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
+			f := &fleet{}
+			f.startWithCPUShare(ctx, "a", 0.5, &slowStore{Store: fulmarmemory.NewClient(store), givesUp: givesUp})
+			time.Sleep(4 * time.Second)
+			items, err := store.Scan(ctx, fulmarsnapshot.LeaderKey)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(items).To(HaveLen(1))
-			g.Expect(items[0].Revision).To(Equal(term))
-		}
-	})
+			term := items[0].Revision
+			for range 80 {
+				time.Sleep(100 * time.Millisecond)
+				items, err = store.Scan(ctx, fulmarsnapshot.LeaderKey)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(items).To(HaveLen(1))
+				g.Expect(items[0].Revision).To(Equal(term))
+			}
+		})
+	}
+	t.Run("answers always arrive", func(t *testing.T) { keepsTerm(t, false) })
+	t.Run("callers give up", func(t *testing.T) { keepsTerm(t, true) })
 }
 
 // grantRecorder acknowledges every order and records the longest duration of a grant.
