Find the leader in one place, and read its record by one function

followOrLead decided in nested branches from which read the leader comes, and two functions read its record with different timeouts. findLeader holds the choice, and readLeader takes the timeout. The comment of maxLeaderAge says what it still does: reads of an old view moved to keepViewFresh. Behaviour is the same.

The tests of fulmarfollower and the linter pass.

--- a/internal/fulmarfollower/follower.go
+++ b/internal/fulmarfollower/follower.go
@@ -36,7 +36,7 @@
 	// leaderReadTimeout bounds the read of one key after a read of all keys has failed. A slow store takes 250 ms.
 	leaderReadTimeout = 300 * time.Millisecond
 	syncTimeout       = 700 * time.Millisecond // longer than the leader waits for a change
-	// maxLeaderAge is the age of the leader's state at which the daemon reads the store itself.
+	// maxLeaderAge is the age of the leader's state at which the daemon warns of it.
 	maxLeaderAge = 1200 * time.Millisecond
 	// maxRelayAge is the age of a relay's state at which the daemon tries another relay. It allows a relay that has lost
 	// its leader to read the store first.
@@ -167,20 +167,7 @@
 	if ctx.Err() != nil {
 		return nil
 	}
-	var leader *fulmarsnapshot.Leader
-	var s *fulmarsnapshot.Snapshot
-	var err error
-	if view := f.views.Get(); (!view.Ready() || f.deps.Now().Sub(view.AsOf) > maxViewAge) && f.mayReadStore(ctx) {
-		if s, err = f.readStore(ctx); err == nil {
-			leader = s.Leader
-		} else if leader = f.leaderAfterFailure(ctx); leader == nil {
-			return err // a daemon that cannot read all keys cannot lead either
-		} else {
-			err = nil
-		}
-	} else {
-		leader, err = f.readLeader(ctx)
-	}
+	leader, s, err := f.findLeader(ctx)
 	switch {
 	case err != nil:
 		return err
@@ -202,22 +189,32 @@
 	return nil
 }
 
-// leaderAfterFailure returns the leader when a read of all keys has failed, or nil. A weak link may be too slow for all keys, but
-// not for the one of the leader.
-func (f *Follower) leaderAfterFailure(ctx context.Context) *fulmarsnapshot.Leader {
-	ctx, cancel := context.WithTimeout(ctx, leaderReadTimeout)
-	defer cancel()
-	leader, err := f.reader.Leader(ctx)
-	if err != nil {
-		f.log.Info("leader not read", "error", err)
-		return nil
+// findLeader returns the leader, or nil if there is none. If the view is old it reads all keys and returns the snapshot as well.
+func (f *Follower) findLeader(ctx context.Context) (*fulmarsnapshot.Leader, *fulmarsnapshot.Snapshot, error) {
+	view := f.views.Get()
+	if view.Ready() && f.deps.Now().Sub(view.AsOf) <= maxViewAge || !f.mayReadStore(ctx) {
+		leader, err := f.readLeader(ctx, readTimeout)
+		return leader, nil, err
+	}
+	s, err := f.readStore(ctx)
+	if err == nil {
+		return s.Leader, s, nil
+	}
+	// A weak link may be too slow for all keys, but not for the one of the leader. Without a leader the error stands: a daemon
+	// that cannot read all keys cannot lead either.
+	leader, leaderErr := f.readLeader(ctx, leaderReadTimeout)
+	if leaderErr != nil {
+		f.log.Info("leader not read", "error", leaderErr)
 	}
-	return leader
+	if leader == nil {
+		return nil, nil, err
+	}
+	return leader, nil, nil
 }
 
 // readLeader reads only the leader record, which is cheaper than a snapshot.
-func (f *Follower) readLeader(ctx context.Context) (*fulmarsnapshot.Leader, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+func (f *Follower) readLeader(ctx context.Context, timeout time.Duration) (*fulmarsnapshot.Leader, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return f.reader.Leader(ctx)
 }
