Log the connection and the position of each target's answer

The log named neither the connection nor the answers that were skipped before the accepted one, so it could not tell two sends over one connection from two sends over two.

fulmarlink reports the place of an answer: the number of its connection, of the request on it, and of late answers before it. The field answers of a request's line has them ("i-1 503 marked at 12.3 late 1"), and a counter shows answers behind late ones. The choice of connections is unchanged.

Ruled out as means: the address of the target, as several connections go to one address, and the local port, as ports are used again.

TestPlace and TestPlacesOfAnswersLogged cover the fields; both need them to compile or to pass.

--- a/internal/fulmarforwarder/statement.go
+++ b/internal/fulmarforwarder/statement.go
@@ -15,6 +15,7 @@
 	marked     bool // it has the header that states that the request was not executed
 	signed     bool // it has the target's signature
 	identified bool // it bears the id of the request
+	place      fulmarlink.Place
 }
 
 // newStatement returns the statement of an answer.
@@ -22,7 +23,7 @@
 	names := x.forwarder.deps.HeaderNames
 	return statement{
 		target: target, status: a.Status, marked: a.Header.Get(names.NotRun) != "", signed: a.Header.Get(names.Signature) != "",
-		identified: a.Identified,
+		identified: a.Identified, place: a.Place,
 	}
 }
 
@@ -79,11 +80,15 @@
 			text += " " + mark.word
 		}
 	}
+	text += " at " + strconv.FormatInt(s.place.Connection, 10) + "." + strconv.Itoa(s.place.Exchange)
+	if s.place.Late > 0 {
+		text += " late " + strconv.Itoa(s.place.Late)
+	}
 	return text
 }
 
-// recordStatement keeps a statement for the log and counts those that leave open whether the request was executed although
-// their status promises that it was not.
+// recordStatement keeps a statement for the log. It counts those that leave open whether the request was executed although
+// their status promises that it was not, and those that came after late answers to other requests.
 func (x *exchange) recordStatement(s statement) {
 	x.statements = append(x.statements, s)
 	metrics := x.forwarder.deps.Metrics
@@ -93,6 +98,9 @@
 	if s.status != 0 && !s.identified {
 		metrics.Count("relay.answer_without_id")
 	}
+	if s.place.Late > 0 {
+		metrics.Count("relay.answer_after_late")
+	}
 }
 
 // statementsText returns the statements of all answers in the order of the sends, empty if the only one was a success.
--- a/internal/fulmarforwarder/stream_test.go
+++ b/internal/fulmarforwarder/stream_test.go
@@ -302,3 +302,14 @@
 	g.Expect(status).To(Equal(503), "not sent to any target")
 	g.Expect(sends(x)).To(Equal(1))
 }
+
+// Guards against a refusal of which the log cannot tell whether its target's answers came on one connection.
+func TestPlacesOfAnswersLogged(t *testing.T) {
+	g := NewWithT(t)
+	x, y := newTarget(t, "x", notRun), newTarget(t, "y", strings.Replace(late, "200", "503", 1)+notRun)
+	s := serve(t, x, y)
+	status, _, err := s.call(t).receive()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+	s.expectLogged(g, " 503 marked at 1.1", " 503 marked at 2.1", " late 1")
+}
--- a/internal/fulmarlink/conn.go
+++ b/internal/fulmarlink/conn.go
@@ -22,6 +22,8 @@
 // conn is a connection to a target.
 type conn struct {
 	net.Conn
+	number      int64 // counts the connections of the pool
+	exchanges   int   // requests sent on it, with the current one
 	raw         syscall.RawConn
 	reader      *bufio.Reader
 	usedAt      time.Time     // end of the last exchange
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -80,6 +80,14 @@
 	// Identified reports whether the answer bears the id of the request. One without an id is accepted only as the first
 	// answer of its connection.
 	Identified bool
+	Place      Place
+}
+
+// Place tells where an answer was received.
+type Place struct {
+	Connection int64 // number of the connection in its pool, from 1
+	Exchange   int   // number of the request on the connection, from 1
+	Late       int   // answers to other requests that were skipped before the answer
 }
 
 // Pool holds persistent connections to targets; it is safe for concurrent use.
@@ -89,6 +97,7 @@
 	idle     map[string][]*conn   // by address, the most recently used one last
 	open     map[string]int       // number of connections by address, idle or in use
 	resetAt  map[string]time.Time // by address: when the target last reset a connection before it answered on it
+	opened   int64                // number of connections opened so far
 }
 
 // New returns an empty pool.
@@ -250,8 +259,13 @@
 	p.mu.Unlock()
 	if c, err = dial(ctx, address, p.settings.DialTimeout, p.settings.AckTimeout); err != nil {
 		p.countClosed(address)
+		return nil, nearLimit, err
 	}
-	return c, nearLimit, err
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opened++
+	c.number = p.opened
+	return c, nearLimit, nil
 }
 
 // Refuses reports whether the target at address refuses new connections, as it does once its process has ended.
@@ -284,6 +298,7 @@
 		return nil, err
 	}
 	c.written = false
+	c.exchanges++
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) }) // fails only on a closed connection
 	a, keep, err := p.exchange(c, r)
 	if err != nil {
@@ -347,7 +362,7 @@
 func (p *Pool) exchange(c *conn, r *Request) (a *Answer, keep bool, err error) {
 	sending := startSending(c, r)
 	defer sending.stop()
-	for range maxStaleAnswers {
+	for late := range maxStaleAnswers {
 		resp, err := sending.receive(r.Method) //nolint:bodyclose // read to its end by readAnswer or discardAnswer, or closed with the connection
 		if err != nil {
 			return nil, false, err
@@ -368,6 +383,7 @@
 			return nil, false, err
 		}
 		a.Identified = id == r.ID
+		a.Place = Place{Connection: c.number, Exchange: c.exchanges, Late: late}
 		// A target that has not received the whole request still expects the rest of it. A copy of an answer without an id could
 		// not be told from the answer to the next request.
 		return a, keep && complete && a.Identified, nil
--- a/internal/fulmarlink/pool_test.go
+++ b/internal/fulmarlink/pool_test.go
@@ -498,3 +498,23 @@
 		}
 	})
 }
+
+// Guards against answers of which the log cannot tell that they came on one connection, or behind answers to other requests.
+func TestPlace(t *testing.T) {
+	g := NewWithT(t)
+	const lateAnswer = "HTTP/1.1 503 x\r\nId: old\r\nContent-Length: 0\r\n\r\n"
+	s, other, p := startTarget(t, okAnswer, lateAnswer+lateAnswer+okAnswer), startTarget(t, okAnswer), newPool(t)
+	for _, c := range []struct {
+		id     string
+		target *scriptedTarget
+		place  fulmarlink.Place
+	}{
+		{"one", s, fulmarlink.Place{Connection: 1, Exchange: 1}},
+		{"two", s, fulmarlink.Place{Connection: 1, Exchange: 2, Late: 2}},
+		{"three", other, fulmarlink.Place{Connection: 2, Exchange: 1}},
+	} {
+		a, err := p.Do(t.Context(), c.target.Addr().String(), request(c.id, ""))
+		expectBody(g, a, err, "ok")
+		g.Expect(a.Place).To(Equal(c.place))
+	}
+}
