Send no id twice on one connection to a target

Callers saw refusals of requests that had run. A target may write one answer too many, which may be the copy of a refusal. The pool matched answers by the request's id alone, and gave a connection to any request.

An id names the request, not the attempt, so attempts are told apart by where they travel. Each connection remembers the ids that it has carried, as hashes of 32 bits (internal/fulmaridset: never a miss, a false hit costs another connection). A request whose id it has carried takes another idle connection or a new one. All ids count, not only refused ones: a copy of a success or of a failure is no answer to a later send either, and what an answer says of its target besides (limit, pause, load) is then as old as it seems. A connection that has carried 1,024 requests is closed after its exchange, so that nothing is ever forgotten while it lives.

Weighed: closing the connection at each refusal (a new connection for each of thousands of refusals under load), and 502 where the id was refused on the connection before (fails callers who could be served, and needs the same memory).

Memory: 8 KB at most for each connection. The fixture of 'reuse only' in TestUnsentOrBroken has a second id, as it sent one id twice on a connection; what it checks is the same.

--- a/internal/fulmarforwarder/benchmark_test.go
+++ b/internal/fulmarforwarder/benchmark_test.go
@@ -39,10 +39,11 @@
 			}
 			defer c.Close()
 			reader := bufio.NewReader(c)
-			wire := fmt.Sprintf("POST /f/1 HTTP/1.1\r\nHost: h\r\nId: one\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("b", size))
+			const wire = "POST /f/1 HTTP/1.1\r\nHost: h\r\nId: %d\r\nContent-Length: %d\r\n\r\n%s"
+			body := strings.Repeat("b", size)
 			b.ReportAllocs()
-			for b.Loop() {
-				if _, err := io.WriteString(c, wire); err != nil {
+			for id := 0; b.Loop(); id++ { // callers have a new id for each request
+				if _, err := fmt.Fprintf(c, wire, id, size, body); err != nil {
 					b.Fatal(err)
 				}
 				resp, err := http.ReadResponse(reader, nil)
--- a/internal/fulmarforwarder/statement.go
+++ b/internal/fulmarforwarder/statement.go
@@ -88,7 +88,8 @@
 }
 
 // recordStatement keeps a statement for the log. It counts those that leave open whether the request was executed although
-// their status promises that it was not, and those that came after late answers to other requests.
+// their status promises that it was not, those that came after late answers to other requests, and those to
+// repeated ids that could not be sent on a connection that was idle.
 func (x *exchange) recordStatement(s statement) {
 	x.statements = append(x.statements, s)
 	metrics := x.forwarder.deps.Metrics
@@ -101,6 +102,9 @@
 	if s.place.Late > 0 {
 		metrics.Count("relay.answer_after_late")
 	}
+	if s.place.Avoided > 0 {
+		metrics.Count("relay.id_repeated")
+	}
 }
 
 // statementsText returns the statements of all answers in the order of the sends, empty if the only one was a success.
--- a/internal/fulmarlink/conn.go
+++ b/internal/fulmarlink/conn.go
@@ -14,6 +14,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmaridset"
 )
 
 // readBuffer is large enough for the head of an answer and most small bodies, in bytes.
@@ -22,8 +24,9 @@
 // conn is a connection to a target.
 type conn struct {
 	net.Conn
-	number      int64 // counts the connections of the pool
-	exchanges   int   // requests sent on it, with the current one
+	number      int64            // counts the connections of the pool
+	exchanges   int              // requests sent on it, with the current one
+	carried     *fulmaridset.Set // ids of these requests
 	raw         syscall.RawConn
 	reader      *bufio.Reader
 	usedAt      time.Time     // end of the last exchange
@@ -70,7 +73,7 @@
 		c.Close()
 		return nil, err
 	}
-	out := &conn{Conn: c, raw: raw, readLimit: noReadLimit}
+	out := &conn{Conn: c, raw: raw, readLimit: noReadLimit, carried: fulmaridset.New(maxRequests)}
 	out.reader = bufio.NewReaderSize(out, readBuffer)
 	return out, nil
 }
--- a/internal/fulmarlink/doc.go
+++ b/internal/fulmarlink/doc.go
@@ -5,6 +5,8 @@
 // written. The calling goroutine writes the request and reads the answer, so an
 // idle connection needs no goroutine; the pool checks just before the next use
 // whether the target has closed it. Answers are matched by request id: late
-// answers to earlier requests on the same connection are skipped. A connection
-// is reused only after a complete exchange.
+// answers to earlier requests on the same connection are skipped. An id names a
+// request, not one send of it, and a target may repeat an answer. So no connection
+// carries an id twice: it remembers those that it has carried, and is closed when
+// its memory is full. A connection is reused only after a complete exchange.
 package fulmarlink
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -32,6 +33,9 @@
 	chunkSize         = 4 << 10     // buffer for a body of unknown length, in bytes
 	keepAliveMargin   = time.Second // close this much before the timeout of a Keep-Alive header
 	requestBuffer     = 1 << 10
+	// maxRequests is the number of requests after which a connection is not kept, as it remembers the id of each. That takes 8 KB
+	// at most, and one in a thousand requests opens a connection more.
+	maxRequests = 1 << 10
 
 	// A target that has reached its limit of connections accepts a further one and resets it at once. A request that was
 	// written by then may have run, for all that the daemon knows, and must fail. So the daemon waits for the reset before
@@ -49,6 +53,7 @@
 	IdleTimeout     time.Duration // longest time that a connection stays idle
 	BodyLimit       int64         // longest body that is read into memory, in bytes; the rest of a longer one is streamed
 	RequestIDHeader string        // name of the header with the request id
+	UniqueIDs       bool          // no two requests have the same id, so that connections need not remember them
 }
 
 // Request is one request to a target.
@@ -88,6 +93,7 @@
 	Connection int64 // number of the connection in its pool, from 1
 	Exchange   int   // number of the request on the connection, from 1
 	Late       int   // answers to other requests that were skipped before the answer
+	Avoided    int   // idle connections that were not used, as they had carried the request's id before
 }
 
 // Pool holds persistent connections to targets; it is safe for concurrent use.
@@ -191,63 +197,77 @@
 	}
 }
 
-// takeIdle removes and returns an idle connection that is still open, or returns nil.
-func (p *Pool) takeIdle(address string, now time.Time) *conn {
+// takeIdle removes and returns an idle connection that is still open and has not carried a request with the id, or returns nil.
+// avoided is the number of connections that have carried one.
+func (p *Pool) takeIdle(address, id string, now time.Time) (c *conn, avoided int) {
 	for {
-		p.mu.Lock()
-		list := p.idle[address]
-		if len(list) == 0 {
-			p.mu.Unlock()
-			return nil
+		if c, avoided = p.removeIdle(address, id); c == nil {
+			return nil, avoided
 		}
-		c := list[len(list)-1]
-		list[len(list)-1] = nil
-		p.idle[address] = list[:len(list)-1]
-		p.mu.Unlock()
 		if now.Sub(c.usedAt) < c.idleTimeout && c.usable() {
-			return c
+			return c, avoided
 		}
 		p.closeConn(address, c)
 	}
 }
 
-// putIdle keeps a connection for later requests, or closes it if maxIdle connections are idle already.
+// removeIdle removes and returns the most recently used idle connection that has not carried a request with the id, or returns
+// nil.
+func (p *Pool) removeIdle(address, id string) (c *conn, avoided int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	for i, c := range slices.Backward(list) {
+		if c.carried.Contains(id) {
+			avoided++
+			continue
+		}
+		p.idle[address] = slices.Delete(list, i, i+1)
+		return c, avoided
+	}
+	return nil, avoided
+}
+
+// putIdle keeps a connection for later requests, or closes it if maxIdle connections are idle already or it has carried its
+// last request.
 func (p *Pool) putIdle(address string, c *conn, now time.Time, maxIdle int) {
 	c.usedAt = now
 	p.mu.Lock()
-	full := maxIdle > 0 && len(p.idle[address]) >= maxIdle
-	if !full {
+	keep := !c.carried.Full() && (maxIdle <= 0 || len(p.idle[address]) < maxIdle)
+	if keep {
 		p.idle[address] = append(p.idle[address], c)
 	}
 	p.mu.Unlock()
-	if full {
+	if !keep {
 		p.closeConn(address, c)
 	}
 }
 
-// connect returns an idle connection or, unless reuseOnly is set, a new one.
-func (p *Pool) connect(ctx context.Context, address string, reuseOnly bool) (*conn, error) {
-	if c := p.takeIdle(address, time.Now()); c != nil {
-		return c, nil
+// connect returns an idle connection that has not carried the id of the request or, unless it requires one, a new connection.
+// avoided is the number of idle connections that have carried the id.
+func (p *Pool) connect(ctx context.Context, address string, r *Request) (c *conn, avoided int, err error) {
+	c, avoided = p.takeIdle(address, r.ID, time.Now())
+	if c != nil {
+		return c, avoided, nil
 	}
-	if reuseOnly {
-		return nil, errors.Wrap(ErrUnsent, "no idle connection to the target")
+	if r.ReuseOnly {
+		return nil, avoided, errors.Wrap(ErrUnsent, "no idle connection to the target")
 	}
 	started := time.Now()
 	c, nearLimit, err := p.dialCounted(ctx, address, started)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNRESET) {
 			p.recordReset(address)
-			return nil, ErrNoRoom
+			return nil, avoided, ErrNoRoom
 		}
-		return nil, errors.Wrap(ErrUnsent, err.Error())
+		return nil, avoided, errors.Wrap(ErrUnsent, err.Error())
 	}
 	if nearLimit && !c.accepted(min(time.Since(started), p.settings.AcceptMargin)+p.settings.AcceptMargin) {
 		p.recordReset(address)
 		p.closeConn(address, c)
-		return nil, ErrNoRoom
+		return nil, avoided, ErrNoRoom
 	}
-	return c, nil
+	return c, avoided, nil
 }
 
 // dialCounted opens a connection at now, which counts as open until it is closed. nearLimit reports whether the target may be at
@@ -293,12 +313,15 @@
 // Do sends the request to address once and returns the answer. Cancelling ctx aborts the exchange. If the answer has a
 // Remainder, the caller must read it to its end or close it.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
-	c, err := p.connect(ctx, address, r.ReuseOnly)
+	c, avoided, err := p.connect(ctx, address, r)
 	if err != nil {
 		return nil, err
 	}
 	c.written = false
 	c.exchanges++
+	if r.ID != "" && !p.settings.UniqueIDs {
+		c.carried.Add(r.ID)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) }) // fails only on a closed connection
 	a, keep, err := p.exchange(c, r)
 	if err != nil {
@@ -312,6 +335,7 @@
 		}
 		return nil, errors.Wrap(ErrBroken, err.Error())
 	}
+	a.Place.Avoided = avoided
 	finish := func(whole bool) {
 		if !stop() || !whole || !keep || c.reader.Buffered() > 0 {
 			p.resetConn(address, c)
--- a/internal/fulmarlink/pool_test.go
+++ b/internal/fulmarlink/pool_test.go
@@ -324,7 +324,7 @@
 	t.Run("reuse only, without an idle connection", func(t *testing.T) {
 		g := NewWithT(t)
 		s, p := startTarget(t, okAnswer), newPool(t)
-		r := request("one", "")
+		r := request("two", "") // the id of the request between would rule its connection out
 		r.ReuseOnly = true
 		_, err := p.Do(t.Context(), s.Addr().String(), r)
 		g.Expect(err).To(MatchError(fulmarlink.ErrUnsent))
