Renew the lease during an election, and give each of its calls its own time

While the store took 250 ms for an answer and 700 ms for every fourth one, a daemon was not elected within 4 s in 4 of 10 runs, and in all runs if the slow answers began two calls earlier; keys got no orders meanwhile.

Cause: both calls of an election shared 0.9 s. If the write of the leader's record was the slow one, it had taken effect but was not read back, as no time was left, and the record kept all daemons from being elected until its lease had ended. The lease was renewed once, so more time for the calls alone would have used up its 1.2 s.

Each call has 0.9 s of its own now, and the lease is renewed all the while, by calls that may overlap, as it is after the election. If the outcome of the write stays open, the lease is revoked: the record goes with it, or is not written later, as a write with an ended lease fails. A write that was refused leaves no record, so its lease needs no call.

--- a/internal/fulmarfollower/follower_test.go
+++ b/internal/fulmarfollower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"slices"
 	"sync"
@@ -461,13 +462,14 @@
 type slowStore struct {
 	fulmarkv.Store
 	calls   atomic.Int64
-	givesUp bool // callers get no answer after the deadline of their call
+	offset  int64 // number of calls by which the slow answers begin earlier
+	givesUp bool  // callers get no answer after the deadline of their call
 }
 
 // wait returns err when the answer has arrived, or unanswered if the caller gives up before.
 func (s *slowStore) wait(ctx context.Context, err, unanswered error) error {
 	delay := 250 * time.Millisecond
-	if s.calls.Add(1)%4 == 0 {
+	if (s.calls.Add(1)+s.offset)%4 == 0 {
 		delay = 700 * time.Millisecond
 	}
 	if !s.givesUp {
@@ -504,10 +506,10 @@
 // Guards against a leader that loses its lease, or is not elected, because the store is slow: keys had no owners for
 // two seconds.
 func TestSlowStore(t *testing.T) {
-	keepsTerm := func(t *testing.T, givesUp bool) {
+	keepsTerm := func(t *testing.T, offset int64, givesUp bool) {
 		simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
 			f := &fleet{}
-			f.startWithCPUShare(ctx, "a", 0.5, &slowStore{Store: fulmarmemory.NewClient(store), givesUp: givesUp})
+			f.startWithCPUShare(ctx, "a", 0.5, &slowStore{Store: fulmarmemory.NewClient(store), offset: offset, givesUp: givesUp})
 			time.Sleep(4 * time.Second)
 			items, err := store.Scan(ctx, fulmarsnapshot.LeaderKey)
 			g.Expect(err).NotTo(HaveOccurred())
@@ -522,8 +524,10 @@
 			}
 		})
 	}
-	t.Run("answers always arrive", func(t *testing.T) { keepsTerm(t, false) })
-	t.Run("callers give up", func(t *testing.T) { keepsTerm(t, true) })
+	for offset := range int64(4) {
+		t.Run(fmt.Sprintf("answers always arrive, slow ones %d calls earlier", offset), func(t *testing.T) { keepsTerm(t, offset, false) })
+		t.Run(fmt.Sprintf("callers give up, slow ones %d calls earlier", offset), func(t *testing.T) { keepsTerm(t, offset, true) })
+	}
 }
 
 // grantRecorder acknowledges every order and records the longest duration of a grant.
--- a/internal/fulmarleader/election.go
+++ b/internal/fulmarleader/election.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
@@ -42,38 +41,51 @@
 	validUntil time.Time
 }
 
-// acquireLease tries to become the leader. It fails if a leader record exists.
+// acquireLease tries to become the leader. It fails if a leader record exists. The calls have a deadline each, and the lease is
+// renewed meanwhile: with a slow store, they last longer than its time to live.
 func acquireLease(ctx context.Context, d Deps) (acquiredLease, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-	defer cancel()
-	started := d.Now()
-	lease, err := d.Store.CreateLease(ctx, d.LeaseTTL())
+	keeper, err := createLease(ctx, d)
 	if err != nil {
 		return acquiredLease{}, errors.Wrap(err, "fulmarleader: open leader lease")
 	}
+	renewCtx, stop := context.WithCancel(ctx)
+	go keeper.renewLoop(renewCtx)
+	revision, err := writeRecord(ctx, d, keeper.lease)
+	stop()
+	acquired := acquiredLease{id: keeper.lease, revision: revision, validUntil: keeper.validUntil()}
+	if err == nil && !d.Now().Before(acquired.validUntil) {
+		err = errors.Wrap(fulmarkv.ErrAmbiguous, "lease ended before the answer")
+	}
+	if errors.Is(err, fulmarkv.ErrAmbiguous) {
+		// The write may have taken effect, or may do so later. Without its lease, the record keeps no other daemon from being elected.
+		d.revokeLease(keeper.lease)
+	}
+	return acquired, errors.Wrap(err, "fulmarleader: write leader record")
+}
+
+// writeRecord makes this daemon the leader for as long as the lease lasts, and returns the revision of its record. It fails with
+// ErrAmbiguous if the record may have been written, or may be later.
+func writeRecord(ctx context.Context, d Deps, lease fulmarkv.Lease) (int64, error) {
 	record := fulmarsnapshot.Leader{ID: d.ID, Address: d.Address, Nonce: rand.Uint64()}
 	value, err := record.Encode()
 	if err != nil {
-		return acquiredLease{}, err
+		return 0, err
 	}
-	var group errgroup.Group
-	// Renew the lease at once: with a slow store, the election's calls use up most of its time to live.
-	extended := d.Now()
-	group.Go(func() error { return d.Store.RenewLease(ctx, lease) })
-	revision, err := d.Store.Commit(ctx, fulmarkv.Txn{
+	writeCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	revision, err := d.Store.Commit(writeCtx, fulmarkv.Txn{
 		Conditions: []fulmarkv.Condition{{Key: fulmarsnapshot.LeaderKey}},
 		Writes:     []fulmarkv.Write{{Key: fulmarsnapshot.LeaderKey, Value: value, Lease: lease}},
 	})
-	if errors.Is(err, fulmarkv.ErrAmbiguous) {
-		revision, err = readBack(ctx, d.Store, fulmarsnapshot.LeaderKey, value)
+	if !errors.Is(err, fulmarkv.ErrAmbiguous) {
+		return revision, err
 	}
-	if group.Wait() == nil {
-		started = extended
-	}
-	if err != nil {
-		return acquiredLease{}, errors.Wrap(err, "fulmarleader: write leader record")
+	readCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	if revision, err = readBack(readCtx, d.Store, fulmarsnapshot.LeaderKey, value); err != nil {
+		return 0, errors.Wrap(fulmarkv.ErrAmbiguous, err.Error())
 	}
-	return acquiredLease{id: lease, revision: revision, validUntil: started.Add(d.LeaseTTL() - leaseMargin)}, nil
+	return revision, nil
 }
 
 // readBack returns the revision of key if it holds value, else ErrConflict. It resolves the outcome of a write that
--- a/internal/fulmarleader/lease.go
+++ b/internal/fulmarleader/lease.go
@@ -13,13 +13,7 @@
 )
 
 // resign ends the lease, so that another daemon can be elected at once.
-func (t *Term) resign() {
-	ctx, cancel := context.WithTimeout(context.Background(), storeCallTimeout)
-	defer cancel()
-	if err := t.deps.Store.RevokeLease(ctx, t.lease.id); err != nil {
-		t.deps.Log.Info("leader lease not released", "error", err)
-	}
-}
+func (t *Term) resign() { t.deps.revokeLease(t.lease.id) }
 
 // holdsLease reports whether the lease is certain to be valid at now.
 func (t *Term) holdsLease(now time.Time) bool {
