Reproduce orders whose answers are copies of earlier ones

Answers to orders bear no id, and an answer too many may be the copy of any earlier answer of its connection; the answers behind it are then shifted by one.

--- a/pkg/fulmarorder/scheduler_test.go
+++ b/pkg/fulmarorder/scheduler_test.go
@@ -66,6 +66,19 @@
 		h.g.Expect(h.SegmentsWithObsoletePrior()).To(HaveLen(1))
 	})
 
+	// Guards against a second owner of the keys: the answer to the renewal may be the copy of an earlier one, so the target may
+	// apply the renewal after the release, which it gets on another connection.
+	t.Run("waits for a renewal whose answer may be a copy", func(t *testing.T) {
+		h := newHarness(t, fulmarrange.New())
+		h.Commit(owned)
+		h.expectOrder(incarnationA, fulmarorder.Grant, 0, fulmarrange.MaxKey, "", nil)
+		h.now = h.now.Add(modelTiming.RenewInterval)
+		h.expectOrder(incarnationA, fulmarorder.Grant, 0, fulmarrange.MaxKey, "", nil)
+		h.Commit(owned.WithOwner(100, 200, incarnationB))
+		h.expectOrder(incarnationA, fulmarorder.Release, 100, 200, "token", nil)
+		h.expectNoOrder(incarnationB)
+	})
+
 	t.Run("renews grants over the same connection", func(t *testing.T) {
 		h := newHarness(t, fulmarrange.New())
 		h.Commit(owned)
