Send orders to each incarnation of a target on connections of its own

Callers saw nothing yet; a key could get two owners. Connections for orders were pooled by address alone: - The 421 for an order of a target that has ended, copied on the connection to its successor, passed as the answer to the successor's grant, and the ledger dropped all grants of a living target. - A release for an incarnation that has ended opened a connection to the next one, and the next renewal took this connection for a known one and gave the earlier fence to the next incarnation.

Requests of fulmarlink may name a lane, and requests of different lanes share no connection. A worker sends grants one after the other, so a known connection is the one on which this incarnation has answered grants. Renewals also no longer fail because a release has taken the only idle connection.

--- a/internal/fulmarlink/conn.go
+++ b/internal/fulmarlink/conn.go
@@ -25,6 +25,7 @@
 type conn struct {
 	net.Conn
 	number      int64            // counts the connections of the pool
+	lane        string           // of the requests that it may carry
 	exchanges   int              // requests sent on it, with the current one
 	carried     *fulmaridset.Set // ids of these requests
 	raw         syscall.RawConn
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -63,6 +63,7 @@
 	Host      string
 	Header    http.Header // without connection headers, Host and Content-Length
 	ID        string      // request id; empty if the answer carries none
+	Lane      string      // requests of different lanes share no connection
 	Body      io.Reader   // nil for none
 	Length    int64       // of the body, -1 if unknown
 	ReuseOnly bool        // fail with ErrUnsent if there is no idle connection
@@ -197,11 +198,11 @@
 	}
 }
 
-// takeIdle removes and returns an idle connection that is still open and has not carried a request with the id, or returns nil.
-// avoided is the number of connections that have carried one.
-func (p *Pool) takeIdle(address, id string, now time.Time) (c *conn, avoided int) {
+// takeIdle removes and returns an idle connection of the request's lane that is still open and has not carried a request with
+// its id, or returns nil. avoided is the number of connections that have carried one.
+func (p *Pool) takeIdle(address string, r *Request, now time.Time) (c *conn, avoided int) {
 	for {
-		if c, avoided = p.removeIdle(address, id); c == nil {
+		if c, avoided = p.removeIdle(address, r); c == nil {
 			return nil, avoided
 		}
 		if now.Sub(c.usedAt) < c.idleTimeout && c.usable() {
@@ -211,14 +212,17 @@
 	}
 }
 
-// removeIdle removes and returns the most recently used idle connection that has not carried a request with the id, or returns
-// nil.
-func (p *Pool) removeIdle(address, id string) (c *conn, avoided int) {
+// removeIdle removes and returns the most recently used idle connection of the request's lane that has not carried a request
+// with its id, or returns nil.
+func (p *Pool) removeIdle(address string, r *Request) (c *conn, avoided int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	for i, c := range slices.Backward(list) {
-		if c.carried.Contains(id) {
+		if c.lane != r.Lane {
+			continue
+		}
+		if c.carried.Contains(r.ID) {
 			avoided++
 			continue
 		}
@@ -246,7 +250,7 @@
 // connect returns an idle connection that has not carried the id of the request or, unless it requires one, a new connection.
 // avoided is the number of idle connections that have carried the id.
 func (p *Pool) connect(ctx context.Context, address string, r *Request) (c *conn, avoided int, err error) {
-	c, avoided = p.takeIdle(address, r.ID, time.Now())
+	c, avoided = p.takeIdle(address, r, time.Now())
 	if c != nil {
 		return c, avoided, nil
 	}
@@ -267,6 +271,7 @@
 		p.closeConn(address, c)
 		return nil, avoided, ErrNoRoom
 	}
+	c.lane = r.Lane
 	return c, avoided, nil
 }
 
--- a/pkg/fulmarorder/order.go
+++ b/pkg/fulmarorder/order.go
@@ -50,4 +50,7 @@
 	// RequireKnownConnection restricts the order to a connection on which this incarnation has answered before, so that
 	// another incarnation with the same id cannot receive its fence.
 	RequireKnownConnection bool
+	// AfterGrants sends a release on the connection of the grants in place of one of its own. The target handles the orders of a
+	// connection one after the other, so the answer proves that it has handled all grants that were sent on it before.
+	AfterGrants bool
 }
