Believe the refusal of an order only as the first answer of its connection

A target that refused a grant (409, or 421 as it was another one) could apply a later one on the same connection and write the copy of the refusal before its answer, or a copy could shift the refusal to the next order. The ledger dropped the grant as refused, and its keys could get a second owner.

Nothing in such an answer tells which order it is for. The first answer of a connection is that to its first order; any later refusal is reported as unanswered, so that the grant counts until its time has passed, and counted as order_answer_uncertain. After any answer but 200 the connection is closed, which also holds what the ledger assumes of an unanswered order: that its connection was reset. Ruled out: no id is echoed, whatever is sent.

TestOrders expects ErrUnanswered for a refusal on a used connection, and ErrRefused for the same order once more on a new one.

--- a/internal/fulmarleader/worker.go
+++ b/internal/fulmarleader/worker.go
@@ -132,6 +132,9 @@
 		// An address is reused for another target only after the process of the former target has ended.
 		err = errors.Wrap(fulmarorder.ErrTargetEnded, err.Error())
 	}
+	if errors.Is(err, fulmarorder.ErrUncertain) {
+		t.deps.Metrics.Count("order.answer_uncertain")
+	}
 	book := t.services[w.target.Service].orders
 	changed := book.EndSend(now, o, entry, handover, err)
 	if err != nil || changed {
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -71,6 +71,8 @@
 	// Matches reports whether an answer can be the one to this request; others are late ones to earlier requests. It is
 	// for requests without an ID, and may be nil.
 	Matches func(status int, header http.Header) bool
+	// CloseAfter reports whether the connection isn't kept after an answer with the status; it may be nil.
+	CloseAfter func(status int) bool
 	// TokenHeader names a header whose value differs in each answer, empty for none. An answer that repeats the last
 	// value of its connection is a copy of an earlier one.
 	TokenHeader string
@@ -415,7 +417,8 @@
 		a.Place = Place{Connection: c.number, Exchange: c.exchanges, Late: late}
 		// A target that has not received the whole request still expects the rest of it. A copy of an answer without an id could
 		// not be told from the answer to the next request.
-		return a, keep && complete && a.Identified, nil
+		keep = keep && complete && a.Identified && (r.CloseAfter == nil || !r.CloseAfter(a.Status))
+		return a, keep, nil
 	}
 	return nil, false, errors.New("too many answers to other requests")
 }
--- a/pkg/fulmarorder/order.go
+++ b/pkg/fulmarorder/order.go
@@ -20,6 +20,9 @@
 	ErrMisdirected = errors.New("fulmarorder: address belongs to another target")
 	// ErrUnanswered means that no answer was received; the target may apply the order now or later.
 	ErrUnanswered = errors.New("fulmarorder: order not answered")
+	// ErrUncertain means that an answer was received that may be the copy of an earlier one, and does not say that the order was
+	// applied. It is a case of ErrUnanswered.
+	ErrUncertain = errors.Wrap(ErrUnanswered, "answer may be that of another order")
 )
 
 // Kind is the type of an order.
