Remember all handover data that a connection to a target has returned

A connection remembered only the handover data of its last answered release. The copy of an older answer passed as that to a release whose work had not ended, and the keys were granted to the next owner meanwhile.

All of them are remembered, as ids are, and a connection that remembers as many as it may is closed after its exchange.

--- a/internal/fulmarlink/conn.go
+++ b/internal/fulmarlink/conn.go
@@ -30,12 +30,12 @@
 	carried     *fulmaridset.Set // ids of these requests
 	raw         syscall.RawConn
 	reader      *bufio.Reader
-	usedAt      time.Time     // end of the last exchange
-	idleTimeout time.Duration // longest time that it may be idle
-	written     bool          // a byte of the current request may have been sent
-	sendStopped atomic.Bool   // nothing more of the current request is to be sent
-	lastToken   string        // value of the token header of the last answer that had one
-	readLimit   int           // bytes that may still be read, noReadLimit for any number
+	usedAt      time.Time        // end of the last exchange
+	idleTimeout time.Duration    // longest time that it may be idle
+	written     bool             // a byte of the current request may have been sent
+	sendStopped atomic.Bool      // nothing more of the current request is to be sent
+	tokens      *fulmaridset.Set // values of the token header of all answers
+	readLimit   int              // bytes that may still be read, noReadLimit for any number
 }
 
 // noReadLimit permits any number of bytes to be read.
@@ -74,7 +74,7 @@
 		c.Close()
 		return nil, err
 	}
-	out := &conn{Conn: c, raw: raw, readLimit: noReadLimit, carried: fulmaridset.New(maxRequests)}
+	out := &conn{Conn: c, raw: raw, readLimit: noReadLimit, carried: fulmaridset.New(maxRequests), tokens: fulmaridset.New(maxRequests)}
 	out.reader = bufio.NewReaderSize(out, readBuffer)
 	return out, nil
 }
--- a/internal/fulmarlink/lane_test.go
+++ b/internal/fulmarlink/lane_test.go
@@ -1,7 +1,9 @@
 package fulmarlink_test
 
 import (
+	"strconv"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -31,3 +33,22 @@
 	g.Expect(err).To(MatchError(fulmarlink.ErrUnsent))
 	g.Expect(p.Idle(s.Addr().String())).To(Equal(3))
 }
+
+// Guards against a connection that forgets some of its tokens, so that a copy of an old answer passes for a new one, or that
+// remembers any number of them.
+func TestTokensAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	s := startTarget(t, okAnswer)
+	p := fulmarlink.New(fulmarlink.Settings{
+		DialTimeout: time.Second, AckTimeout: time.Second, IdleTimeout: time.Minute, BodyLimit: 1024, RequestIDHeader: "Id", UniqueIDs: true,
+	})
+	t.Cleanup(p.Close)
+	const requests = 3000
+	for i := range requests {
+		r := request(strconv.Itoa(i), "")
+		r.TokenHeader = "Id"
+		a, err := p.Do(t.Context(), s.Addr().String(), r)
+		expectBody(g, a, err, "ok")
+	}
+	g.Expect(s.connections()).To(And(BeNumerically(">", 1), BeNumerically("<=", 4)))
+}
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -33,8 +33,8 @@
 	chunkSize         = 4 << 10     // buffer for a body of unknown length, in bytes
 	keepAliveMargin   = time.Second // close this much before the timeout of a Keep-Alive header
 	requestBuffer     = 1 << 10
-	// maxRequests is the number of requests after which a connection is not kept, as it remembers the id of each. That takes 8 KB
-	// at most, and one in a thousand requests opens a connection more.
+	// maxRequests is the number of requests after which a connection is not kept, as it remembers the id of each, or the token of
+	// its answer. That takes 8 KB at most, and one in a thousand requests opens a connection more.
 	maxRequests = 1 << 10
 
 	// A target that has reached its limit of connections accepts a further one and resets it at once. A request that was
@@ -73,8 +73,8 @@
 	Matches func(status int, header http.Header) bool
 	// CloseAfter reports whether the connection isn't kept after an answer with the status; it may be nil.
 	CloseAfter func(status int) bool
-	// TokenHeader names a header whose value differs in each answer, empty for none. An answer that repeats the last
-	// value of its connection is a copy of an earlier one.
+	// TokenHeader names a header whose value differs in each answer, empty for none. An answer that repeats a value of its
+	// connection is a copy of an earlier one.
 	TokenHeader string
 }
 
@@ -239,7 +239,7 @@
 func (p *Pool) putIdle(address string, c *conn, now time.Time, maxIdle int) {
 	c.usedAt = now
 	p.mu.Lock()
-	keep := !c.carried.Full() && (maxIdle <= 0 || len(p.idle[address]) < maxIdle)
+	keep := !c.carried.Full() && !c.tokens.Full() && (maxIdle <= 0 || len(p.idle[address]) < maxIdle)
 	if keep {
 		p.idle[address] = append(p.idle[address], c)
 	}
@@ -383,8 +383,8 @@
 	if token == "" {
 		return false
 	}
-	repeated := token == c.lastToken
-	c.lastToken = token
+	repeated := c.tokens.Contains(token)
+	c.tokens.Add(token)
 	return repeated
 }
 
