Add failing tests of targets of fulmarbend serve that send an answer twice

What callers see: a target refuses an order, 503 or 412 with the outcome not-run, gets the same or another order on the same connection, runs it, and sends the refusal once more before its answer. The caller gets not-run for a request that has run.

Cause: answers name no order, and net/http takes the bytes that follow a request on a kept connection for its answer. It closes a connection that gets bytes while it is idle, so the tests write the copy after the next request has arrived. It also closes a connection whose answer is closed with a part of its body unread, so that only refusals without a body keep their connection.

--- /dev/null
+++ b/internal/fulmardispatch/extra_test.go
@@ -0,0 +1,126 @@
+package fulmardispatch_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmardispatch"
+	"github.com/fulmarbend/fulmarbend/internal/fulmartarget"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarconfig"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarcost"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmardedup"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarguard"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmaroutcome"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
+)
+
+// startCopying returns the address of a target that refuses the first order on a connection, and runs the second one but
+// writes the refusal once more before its answer. It passes the ids of the orders that it ran to ran.
+func startCopying(t *testing.T, status int, ran chan<- string) string {
+	t.Helper()
+	g := NewWithT(t)
+	refusal := "HTTP/1.1 " + strconv.Itoa(status) + " Refused\r\nFulmarbend-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, refusal)
+		order, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		ran <- order.Header.Get(fulmaroutcome.HeaderRequestID)
+		_, _ = io.WriteString(conn, refusal+"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		_, _ = http.ReadRequest(r)
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-served
+	})
+	return listener.Addr().String()
+}
+
+// newDispatcher returns a dispatcher of the target at address, with one connection to it.
+func newDispatcher(t *testing.T, address string, idempotent bool) *fulmardispatch.Dispatcher {
+	t.Helper()
+	client := fulmartarget.New(1, nil)
+	t.Cleanup(client.Close)
+	table := fulmarslot.New(map[string]int{service: 1})
+	var clockOffset atomic.Int64
+	d := fulmardispatch.New(
+		fulmarslot.Target{ID: "t1", Service: service, Address: address, Fenced: true},
+		fulmardispatch.Deps{
+			Client: client, Metrics: noMetrics{}, Guard: fulmarguard.New(time.Hour, 16), Cost: fulmarcost.New(8),
+			Dedup: fulmardedup.Settings{Retention: 10 * time.Minute, MaxSkew: 100 * time.Millisecond, MaxBody: maxKeptBody},
+			Limits: func(string, string) (fulmarconfig.Limits, bool) {
+				return fulmarconfig.Limits{Weight: 1, MaxQueue: 1000}, true
+			},
+			Idempotent: func(string) bool { return idempotent },
+			Table:      func() fulmarslot.Table { return table },
+			Now:        func() time.Time { return time.Now().Add(time.Duration(clockOffset.Load())) },
+		})
+	t.Cleanup(func() { d.Close(fulmaroutcome.NotHolder) })
+	clockOffset.Store(int64(-time.Minute)) // so that the deduplication records are complete for the ids of the test
+	d.Open(1, 3, []int{0})
+	clockOffset.Store(0)
+	return d
+}
+
+// Guards against an order that has run but is answered with not-run, because its target sends the refusal of an earlier
+// order twice.
+func TestExtraRefusal(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		status             int
+		idempotent, sameID bool
+	}{
+		{"503, the same request, at most once", http.StatusServiceUnavailable, false, true},
+		{"503, the same request, idempotent", http.StatusServiceUnavailable, true, true},
+		{"412, the same request, at most once", http.StatusPreconditionFailed, false, true},
+		{"503, another request, at most once", http.StatusServiceUnavailable, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			ran := make(chan string, 1)
+			d := newDispatcher(t, startCopying(t, c.status, ran), c.idempotent)
+			send := func(id string) string {
+				r := httptest.NewRequest(http.MethodPost, "/"+service+"/", http.NoBody)
+				r.Header.Set(fulmaroutcome.HeaderKey, key)
+				r.Header.Set(fulmaroutcome.HeaderGroup, "g1")
+				r.Header.Set(fulmaroutcome.HeaderSlot, "0")
+				r.Header.Set(fulmaroutcome.HeaderDeadline, "2000")
+				r.Header.Set(fulmaroutcome.HeaderRequestID, id)
+				w := httptest.NewRecorder()
+				d.ServeHTTP(w, r)
+				return w.Header().Get(fulmaroutcome.HeaderOutcome)
+			}
+			first, second := newID(), newID()
+			if c.sameID {
+				second = first
+			}
+			g.Expect(send(first)).To(Equal("not-run"))
+			got := send(second)
+			g.Expect(ran).To(Receive(Equal(second)))
+			g.Expect(got).To(Equal("unknown"))
+		})
+	}
+}
