Give each order and each grant call of fulmarbend serve an id of its own

Cause: answers of targets named no order, and net/http takes the bytes that follow a request on a kept connection for its answer.

Change: the client of the targets sends a new UUID in Fulmarbend-Exchange with each order and each grant call, also when a request is sent again, and targets repeat it in every answer. An answer with another id or none states nothing: an order ends as unknown (target-lost), a grant call counts as not answered, and the connection is closed. The stand-in target repeats the header, and so do the targets of the tests; the tests are otherwise unchanged.

A target that doesn't repeat the header gets no work: its state can't be read, so its slots stay without an owner and callers get not-run. Targets are updated before daemons: daemons that don't send the header ignore it.

Ruled out: closing the connection at each refusal, since refusals come in thousands under load, and since a copy of an answer that was served would still reach another request. Requests between entry and dispatcher get no id: both ends are daemons, whose net/http server writes one answer to each request.

--- a/internal/fulmardispatch/extra_test.go
+++ b/internal/fulmardispatch/extra_test.go
@@ -28,7 +28,10 @@
 func startCopying(t *testing.T, status int, ran chan<- string) string {
 	t.Helper()
 	g := NewWithT(t)
-	refusal := "HTTP/1.1 " + strconv.Itoa(status) + " Refused\r\nFulmarbend-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+	answer := func(status string, order *http.Request) string {
+		return "HTTP/1.1 " + status + "\r\n" + fulmaroutcome.HeaderExchange + ": " +
+			order.Header.Get(fulmaroutcome.HeaderExchange) + "\r\nContent-Length: 0\r\n\r\n"
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	served := make(chan struct{})
@@ -40,16 +43,17 @@
 		}
 		defer conn.Close()
 		r := bufio.NewReader(conn)
-		if _, err := http.ReadRequest(r); err != nil {
+		order, err := http.ReadRequest(r)
+		if err != nil {
 			return
 		}
+		refusal := answer(strconv.Itoa(status)+" Refused\r\nFulmarbend-Outcome: not-run", order)
 		_, _ = io.WriteString(conn, refusal)
-		order, err := http.ReadRequest(r)
-		if err != nil {
+		if order, err = http.ReadRequest(r); err != nil {
 			return
 		}
 		ran <- order.Header.Get(fulmaroutcome.HeaderRequestID)
-		_, _ = io.WriteString(conn, refusal+"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(conn, refusal+answer("200 OK", order))
 		_, _ = http.ReadRequest(r)
 	}()
 	t.Cleanup(func() {
--- a/internal/fulmardispatch/harness_test.go
+++ b/internal/fulmardispatch/harness_test.go
@@ -64,6 +64,7 @@
 		f.mu.Lock()
 		f.executionCounts[r.Header.Get(fulmaroutcome.HeaderRequestID)]++
 		f.mu.Unlock()
+		w.Header().Set(fulmaroutcome.HeaderExchange, r.Header.Get(fulmaroutcome.HeaderExchange))
 		(*f.targetHandler.Load())(w, r)
 	}))
 	f.target.Config.ErrorLog = discardLogger()
--- a/internal/fulmarentry/doc.go
+++ b/internal/fulmarentry/doc.go
@@ -9,6 +9,10 @@
 // request and only if no earlier attempt may have run. Otherwise the outcome is
 // unknown.
 //
+// Requests to peers need no id for each attempt, unlike orders to targets: peers are
+// other daemons, whose net/http server writes exactly one answer to each request,
+// in the order of the requests.
+//
 // Peers prove knowledge of the shared key by an HMAC-SHA256 over the method, the
 // path, the sender, the date and the headers that route the request. A request
 // whose date differs from the local clock by more than 30 s is refused.
--- a/internal/fulmarserver/server.go
+++ b/internal/fulmarserver/server.go
@@ -90,8 +90,13 @@
 	return s, s.appendEvent(fulmarhistory.Event{Kind: fulmarhistory.KindUp})
 }
 
-// ServeHTTP serves one call.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+// ServeHTTP serves one call. Each answer repeats the id of its exchange.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(fulmaroutcome.HeaderExchange); id != "" {
+		w.Header().Set(fulmaroutcome.HeaderExchange, id)
+	}
+	s.mux.ServeHTTP(w, r)
+}
 
 // clock returns the target's monotonic time. It begins at the wall-clock time of
 // the start, so that stamps of a former process of the target are neither ahead of
--- a/internal/fulmartarget/client.go
+++ b/internal/fulmartarget/client.go
@@ -91,7 +91,7 @@
 	if text != nil {
 		r.Header.Set("Content-Type", "application/json")
 	}
-	resp, err := c.transport.RoundTrip(r)
+	resp, err := c.transport.RoundTripWithID(r, fulmaroutcome.HeaderExchange)
 	if err != nil {
 		return answer.State, wrapTransportError(err)
 	}
@@ -162,7 +162,7 @@
 	r.Header.Set(fulmaroutcome.HeaderSlot, strconv.Itoa(o.Slot))
 	r.Header.Set(fulmaroutcome.HeaderDeadline, strconv.FormatInt(left, 10))
 	r.Header.Set(fulmaroutcome.HeaderDeadlineAt, o.Deadline.UTC().Format(time.RFC3339Nano))
-	resp, err := c.transport.RoundTrip(r)
+	resp, err := c.transport.RoundTripWithID(r, fulmaroutcome.HeaderExchange)
 	if err != nil {
 		return nil, wrapTransportError(err)
 	}
@@ -190,5 +190,5 @@
 	if errors.Is(err, fulmartransport.ErrUnsent) {
 		return errors.Wrap(ErrNotSent, err.Error())
 	}
-	return errors.Wrap(err, "fulmartarget: connection broke before the answer")
+	return errors.Wrap(err, "fulmartarget: no answer to the request")
 }
--- a/internal/fulmartarget/client_test.go
+++ b/internal/fulmartarget/client_test.go
@@ -22,7 +22,10 @@
 // start returns a client and the address of a fake target.
 func start(h http.HandlerFunc) (*fulmartarget.Client, string, *httptest.Server) {
 	before := goleak.IgnoreCurrent()
-	s := httptest.NewServer(h)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(fulmaroutcome.HeaderExchange, r.Header.Get(fulmaroutcome.HeaderExchange))
+		h(w, r)
+	}))
 	c := fulmartarget.New(4, nil)
 	DeferCleanup(func() {
 		c.Close()
--- a/internal/fulmartarget/extra_test.go
+++ b/internal/fulmartarget/extra_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmartarget"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmargrant"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmaroutcome"
 )
 
 const (
@@ -25,7 +27,7 @@
 )
 
 // startCopying returns the address of a target that answers the first request with first, and the second one, on the
-// same connection, with a copy of first in front of second.
+// same connection, with a copy of first in front of second. Each answer repeats the id of its exchange.
 func startCopying(t *testing.T, first, second string) string {
 	t.Helper()
 	g := NewWithT(t)
@@ -40,16 +42,18 @@
 		}
 		defer conn.Close()
 		r := bufio.NewReader(conn)
-		if !readRequest(r) {
+		id, err := readRequest(r)
+		if err != nil {
 			return
 		}
+		first := withID(first, id)
 		_, _ = io.WriteString(conn, first)
-		if !readRequest(r) {
+		if id, err = readRequest(r); err != nil {
 			return
 		}
 		// The copy is not written before the second request has arrived, as net/http closes an idle connection on input.
-		_, _ = io.WriteString(conn, first+second)
-		readRequest(r)
+		_, _ = io.WriteString(conn, first+withID(second, id))
+		_, _ = readRequest(r)
 	}()
 	t.Cleanup(func() {
 		_ = listener.Close()
@@ -58,14 +62,19 @@
 	return listener.Addr().String()
 }
 
-// readRequest reads a request with its body and reports whether it was complete.
-func readRequest(r *bufio.Reader) bool {
+// readRequest reads a request with its body and returns the id of its exchange.
+func readRequest(r *bufio.Reader) (string, error) {
 	req, err := http.ReadRequest(r)
 	if err != nil {
-		return false
+		return "", err
 	}
 	_, err = io.Copy(io.Discard, req.Body)
-	return err == nil
+	return req.Header.Get(fulmaroutcome.HeaderExchange), err
+}
+
+// withID returns the answer with the id of an exchange.
+func withID(answer, id string) string {
+	return strings.Replace(answer, "\r\n", "\r\n"+fulmaroutcome.HeaderExchange+": "+id+"\r\n", 1)
 }
 
 // newClient returns a client with one connection to each target.
--- a/internal/fulmartransport/doc.go
+++ b/internal/fulmartransport/doc.go
@@ -6,4 +6,9 @@
 // be sent twice, so RoundTrip disables these retries. An error that matches
 // ErrUnsent means that no byte of the request was sent and that none will be;
 // after any other error the request may have run.
+//
+// net/http takes the bytes that follow a request on a kept connection for its
+// answer, also if they are an answer too many to an earlier request.
+// RoundTripWithID gives each request an id and accepts only an answer that repeats
+// it.
 package fulmartransport
--- a/internal/fulmartransport/transport.go
+++ b/internal/fulmartransport/transport.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 )
 
@@ -25,6 +26,9 @@
 // ErrUnsent means that no byte of the request was sent and that none will be.
 var ErrUnsent = errors.New("fulmartransport: request not sent")
 
+// ErrForeign means that the answer on the connection does not bear the id of the request, which may have run.
+var ErrForeign = errors.New("fulmartransport: answer does not bear the id of its request")
+
 // errSealed is the error of a write to a connection after it was sealed.
 var errSealed = errors.New("fulmartransport: connection sealed")
 
@@ -64,7 +68,30 @@
 
 // RoundTrip sends the request at most once. The caller must close the response body.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return t.roundTrip(r, &connTracker{})
+}
+
+// RoundTripWithID is a RoundTrip to a server that may send an answer twice. It sends a new id in the given header, which
+// the server has to repeat in its answer. If the answer bears another id or none, RoundTripWithID closes the connection,
+// on which the answers no longer correspond to the requests, and returns an error that matches ErrForeign.
+func (t *Transport) RoundTripWithID(r *http.Request, header string) (*http.Response, error) {
+	id := uuid.NewString()
+	r.Header.Set(header, id)
 	var u connTracker
+	resp, err := t.roundTrip(r, &u)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Header.Get(header) != id {
+		u.close()
+		_ = resp.Body.Close()
+		return nil, errors.Wrapf(ErrForeign, "status %d", resp.StatusCode)
+	}
+	return resp, nil
+}
+
+// roundTrip sends the request at most once and records its connections in u.
+func (t *Transport) roundTrip(r *http.Request, u *connTracker) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { u.attach(info.Conn) }}
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	disableResend(r)
@@ -135,6 +162,17 @@
 	return !u.maybeSent && (u.conn == nil || u.conn.seal() == u.writtenBefore)
 }
 
+// close closes the connection that was assigned last. A request that net/http assigns to it at the same time counts as
+// not sent unless a byte of it was written.
+func (u *connTracker) close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.conn != nil {
+		u.conn.seal()
+		_ = u.conn.Close()
+	}
+}
+
 // sealableConn counts the bytes written to a connection and can reject further writes.
 type sealableConn struct {
 	net.Conn
--- a/pkg/fulmaroutcome/outcome.go
+++ b/pkg/fulmaroutcome/outcome.go
@@ -64,6 +64,7 @@
 	HeaderDeadline   = "Fulmarbend-Deadline"
 	HeaderDeadlineAt = "Fulmarbend-Deadline-At"
 	HeaderStamp      = "Fulmarbend-Stamp"
+	HeaderExchange   = "Fulmarbend-Exchange" // id of one order or one grant call, which the target's answer repeats
 	HeaderSender     = "Fulmarbend-Sender"
 	HeaderAuth       = "Fulmarbend-Auth"
 	HeaderHolder     = "Fulmarbend-Holder"
