Add a failing test of a request that another daemon has had an answer to

What callers see: a request that does not crash targets is refused by all daemons, with 503 and a true "not executed", for 10 minutes, after two targets have ended under it since it was last answered; three are the rule (docs/PLATFORM.md, 'Requests that crash targets').

Cause: records of one crash stay at the daemon that made them, as the loss of many targets leaves hundreds. A daemon that gets an answer to the same work meanwhile has no record to clear and forgets the answer. So the first crash counts although it was answered since. Silent targets are affected longer: their end is known up to 8 s after the request was sent, and all answers of other daemons in between are forgotten.

Ruled out as a small change: sending records of one crash to all daemons (TestShared guards against that), and remembering all answers, which needs the fingerprint of each request in calm times and memory for 10 minutes of them.

--- a/internal/fulmarfollower/crash_test.go
+++ b/internal/fulmarfollower/crash_test.go
@@ -109,3 +109,37 @@
 		}
 	}
 }
+
+// Guards against a request that is condemned although another daemon had an answer to it after the first crash: of a record of
+// one crash, only the daemon that made it knows.
+func TestAnswerElsewhereAfterFirstCrash(t *testing.T) {
+	for name, known := range map[string]time.Duration{
+		"target that ended":               0,
+		"silent target, whose entry goes": 3 * time.Second, // until its end is known
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulateLargeFleet(t, 27, func(_ context.Context, _ *testing.T, g *WithT, f *largeFleet) {
+				crash := func(daemon, id string, at time.Time) {
+					f.daemon(daemon).crashes.RecordCrash(crashingWork, fulmarcrash.Crash{Target: target(id, false).Incarnation(), At: at})
+				}
+				first := time.Now()
+				if known == 0 {
+					crash("d1", "x1", first)
+				}
+				time.Sleep(time.Second)
+				f.daemon("d13").crashes.RecordAnswer(time.Now(), crashingWork)
+				time.Sleep(crashBound)
+				if known > 0 {
+					time.Sleep(known)
+					crash("d1", "x1", first)
+				}
+				for _, id := range []string{"x2", "x3"} {
+					time.Sleep(2 * time.Second)
+					crash("d5", id, time.Now())
+				}
+				time.Sleep(crashBound)
+				g.Expect(f.missing(condemns)).To(Equal(len(f.daemons)), "condemned by two crashes after an answer")
+			})
+		})
+	}
+}
