Test three mechanisms of fulmarbend serve that no test guarded

No test failed for three others: the check of the lease before an order to a target without a fence, the majority before a takeover, and the epoch of repeated reports of releases.

The three have unit tests now: TestUnfencedTargetNeedsLease in fulmardispatch, and 'takeover of a target whose holder is down' and 'release is reported again with the epoch of a later grant' in fulmarcontrol. Each fails when its mechanism is taken out and passes otherwise.

--- a/internal/fulmarcontrol/renew_test.go
+++ b/internal/fulmarcontrol/renew_test.go
@@ -1,11 +1,15 @@
 package fulmarcontrol
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarwire"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmargrant"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarmember"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarslot"
 )
 
@@ -59,6 +63,46 @@
 	})
 })
 
+var _ = Describe("release", func() {
+	// Guards against a move that never ends: a planner that was elected during the move waits for a report from an epoch in
+	// which it has seen the move, and the first report is older.
+	It("is reported again with the epoch of a later grant", func() {
+		c := newControllerWithMoves()
+		m := &grantManager{c: c, id: "a", releases: []fulmarwire.SlotRelease{{Target: "a", Service: "rota", Slots: []int{0, 2}, Epoch: 3}}}
+		m.releaseSlots(context.Background(), fulmarslot.Target{ID: "a", Service: "rota"}, 5, []int{0})
+		Expect(m.releases).To(Equal([]fulmarwire.SlotRelease{{Target: "a", Service: "rota", Slots: []int{0}, Epoch: 5}}))
+		m.releaseSlots(context.Background(), fulmarslot.Target{ID: "a", Service: "rota"}, 4, []int{0})
+		Expect(m.releases[0].Epoch).To(BeEquivalentTo(5), "an older grant")
+	})
+})
+
+var _ = Describe("takeover", func() {
+	// Guards against a daemon that is cut off from its peers and takes targets from holders that renew their grants, so that
+	// both sides take them from each other.
+	DescribeTable("of a target whose holder is down", func(remaining time.Duration, peerLives, held bool) {
+		c := newControllerWithMoves()
+		c.detector = fulmarmember.New(time.Second)
+		table, err := c.table.With(
+			fulmarslot.PutMember(fulmarslot.Member{ID: "i2", Incarnation: 1}),
+			fulmarslot.PutMember(fulmarslot.Member{ID: "i3", Incarnation: 1}))
+		Expect(err).NotTo(HaveOccurred())
+		c.table = table
+		now := time.Now()
+		seen := now.Add(-time.Minute)
+		c.detector.Observe(seen, fulmarmember.Peer{ID: "i2", Incarnation: 1})
+		if peerLives {
+			seen = now
+		}
+		c.detector.Observe(seen, fulmarmember.Peer{ID: "i3", Incarnation: 1})
+		m := &grantManager{c: c, id: "a"}
+		Expect(m.heldByOther(fulmargrant.State{Holder: formatHolder("i2", 1), Remaining: remaining}, now)).To(Equal(held))
+	},
+		Entry("is refused in a minority while the grant lasts", time.Second, false, true),
+		Entry("starts in a minority after the grant", time.Duration(0), false, false),
+		Entry("starts in a majority", time.Second, true, false),
+	)
+})
+
 var _ = Describe("status", func() {
 	// Guards against an acknowledgement without grant expiries. A planner
 	// whose election this daemon has not learned of yet would conclude that no grant is
--- a/internal/fulmardispatch/extra_test.go
+++ b/internal/fulmardispatch/extra_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -63,17 +64,17 @@
 	return listener.Addr().String()
 }
 
-// newDispatcher returns a dispatcher of the target at address, with one connection to it.
-func newDispatcher(t *testing.T, address string, idempotent bool) *fulmardispatch.Dispatcher {
+// newDispatcher returns a dispatcher of the target, with one connection to it. hasLease may be nil.
+func newDispatcher(t *testing.T, target fulmarslot.Target, idempotent bool, hasLease func() bool) *fulmardispatch.Dispatcher {
 	t.Helper()
 	client := fulmartarget.New(1, nil)
 	t.Cleanup(client.Close)
 	table := fulmarslot.New(map[string]int{service: 1})
 	var clockOffset atomic.Int64
 	d := fulmardispatch.New(
-		fulmarslot.Target{ID: "t1", Service: service, Address: address, Fenced: true},
+		target,
 		fulmardispatch.Deps{
-			Client: client, Metrics: noMetrics{}, Guard: fulmarguard.New(time.Hour, 16), Cost: fulmarcost.New(8),
+			Client: client, HoldsLease: hasLease, Metrics: noMetrics{}, Guard: fulmarguard.New(time.Hour, 16), Cost: fulmarcost.New(8),
 			Dedup: fulmardedup.Settings{Retention: 10 * time.Minute, MaxSkew: 100 * time.Millisecond, MaxBody: maxKeptBody},
 			Limits: func(string, string) (fulmarconfig.Limits, bool) {
 				return fulmarconfig.Limits{Weight: 1, MaxQueue: 1000}, true
@@ -105,26 +106,59 @@
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			ran := make(chan string, 1)
-			d := newDispatcher(t, startCopying(t, c.status, ran), c.idempotent)
-			send := func(id string) string {
-				r := httptest.NewRequest(http.MethodPost, "/"+service+"/", http.NoBody)
-				r.Header.Set(fulmaroutcome.HeaderKey, key)
-				r.Header.Set(fulmaroutcome.HeaderGroup, "g1")
-				r.Header.Set(fulmaroutcome.HeaderSlot, "0")
-				r.Header.Set(fulmaroutcome.HeaderDeadline, "2000")
-				r.Header.Set(fulmaroutcome.HeaderRequestID, id)
-				w := httptest.NewRecorder()
-				d.ServeHTTP(w, r)
-				return w.Header().Get(fulmaroutcome.HeaderOutcome)
-			}
+			target := fulmarslot.Target{ID: "t1", Service: service, Address: startCopying(t, c.status, ran), Fenced: true}
+			d := newDispatcher(t, target, c.idempotent, nil)
 			first, second := newID(), newID()
 			if c.sameID {
 				second = first
 			}
-			g.Expect(send(first)).To(Equal("not-run"))
-			got := send(second)
+			g.Expect(send(d, first)).To(HavePrefix("not-run "))
+			got := send(d, second)
 			g.Expect(ran).To(Receive(Equal(second)))
-			g.Expect(got).To(Equal("unknown"))
+			g.Expect(got).To(Equal("unknown target-lost"))
+		})
+	}
+}
+
+// send sends a request with the id to the dispatcher and returns the outcome with its reason.
+func send(d *fulmardispatch.Dispatcher, id string) string {
+	r := httptest.NewRequest(http.MethodPost, "/"+service+"/", http.NoBody)
+	r.Header.Set(fulmaroutcome.HeaderKey, key)
+	r.Header.Set(fulmaroutcome.HeaderGroup, "g1")
+	r.Header.Set(fulmaroutcome.HeaderSlot, "0")
+	r.Header.Set(fulmaroutcome.HeaderDeadline, "2000")
+	r.Header.Set(fulmaroutcome.HeaderRequestID, id)
+	w := httptest.NewRecorder()
+	d.ServeHTTP(w, r)
+	return w.Header().Get(fulmaroutcome.HeaderOutcome) + " " + w.Header().Get(fulmaroutcome.HeaderReason)
+}
+
+// Guards against orders to a target without a fence from a dispatcher that has lost its lease: nothing else keeps them from
+// running beside those of its successor.
+func TestUnfencedTargetNeedsLease(t *testing.T) {
+	var orders atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		orders.Add(1)
+		w.Header().Set(fulmaroutcome.HeaderExchange, r.Header.Get(fulmaroutcome.HeaderExchange))
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	for _, c := range []struct {
+		name          string
+		fenced, lease bool
+		want          string
+		orders        int32
+	}{
+		{"no fence and no lease", false, false, "not-run stale", 0},
+		{"no fence", false, true, "served ", 1},
+		{"fence, which checks the term", true, false, "served ", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			orders.Store(0)
+			target := fulmarslot.Target{ID: "t1", Service: service, Address: address, Fenced: c.fenced}
+			g.Expect(send(newDispatcher(t, target, false, func() bool { return c.lease }), newID())).To(Equal(c.want))
+			g.Expect(orders.Load()).To(Equal(c.orders))
 		})
 	}
 }
