Bound the connections that one repeated id leaves idle

A caller that repeats one id for ever adds a connection with each repeat, up to the target's limit or, for services that state none, until the idle timeout.

Above four idle connections that have carried the id, a repeat closes the least recently used one. Repeats still get a connection of their own.

--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -36,6 +36,9 @@
 	// maxRequests is the number of requests after which a connection is not kept, as it remembers the id of each. That takes 8 KB
 	// at most, and one in a thousand requests opens a connection more.
 	maxRequests = 1 << 10
+	// maxAvoided is the number of idle connections that have carried an id, above which its next repeat closes one of them. A
+	// caller that repeats its id for ever would otherwise leave an idle connection behind with each repeat.
+	maxAvoided = 4
 
 	// A target that has reached its limit of connections accepts a further one and resets it at once. A request that was
 	// written by then may have run, for all that the daemon knows, and must fail. So the daemon waits for the reset before
@@ -202,6 +205,9 @@
 func (p *Pool) takeIdle(address, id string, now time.Time) (c *conn, avoided int) {
 	for {
 		if c, avoided = p.removeIdle(address, id); c == nil {
+			if avoided > maxAvoided {
+				p.closeOldestIdle(address)
+			}
 			return nil, avoided
 		}
 		if now.Sub(c.usedAt) < c.idleTimeout && c.usable() {
@@ -228,6 +234,20 @@
 	return nil, avoided
 }
 
+// closeOldestIdle closes the least recently used idle connection to the address, if there is one.
+func (p *Pool) closeOldestIdle(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		p.mu.Unlock()
+		return
+	}
+	oldest := list[0]
+	p.idle[address] = slices.Delete(list, 0, 1)
+	p.mu.Unlock()
+	p.closeConn(address, oldest)
+}
+
 // putIdle keeps a connection for later requests, or closes it if maxIdle connections are idle already or it has carried its
 // last request.
 func (p *Pool) putIdle(address string, c *conn, now time.Time, maxIdle int) {
--- a/internal/fulmarlink/repeated_id_test.go
+++ b/internal/fulmarlink/repeated_id_test.go
@@ -59,6 +59,16 @@
 		g.Expect(err).To(MatchError(fulmarlink.ErrUnsent))
 		send(g, p, s, "two", fulmarlink.Place{Connection: 1, Exchange: 2})
 	})
+	t.Run("for ever", func(t *testing.T) {
+		g := NewWithT(t)
+		s, p := startTarget(t, okAnswer), newPool(t)
+		for range 100 {
+			a, err := p.Do(t.Context(), s.Addr().String(), request("one", ""))
+			expectBody(g, a, err, "ok")
+			g.Expect(a.Place.Exchange).To(Equal(1))
+			g.Expect(p.Open(s.Addr().String())).To(BeNumerically("<=", 5), "idle connections that repeats leave behind")
+		}
+	})
 	t.Run("after more requests than a connection remembers", func(t *testing.T) {
 		g := NewWithT(t)
 		s, p := startTarget(t, okAnswer), newPool(t)
