--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -33,8 +33,8 @@
 	chunkSize         = 4 << 10     // buffer for a body of unknown length, in bytes
 	keepAliveMargin   = time.Second // close this much before the timeout of a Keep-Alive header
 	requestBuffer     = 1 << 10
-	// maxRequests is the number of requests after which a connection is not kept, as it remembers the id of each. That takes 8 KB
-	// at most, and one in a thousand requests opens a connection more.
+	// maxRequests is the number of requests after which a connection is not kept, as it remembers the id of each, or the token of
+	// its answer. That takes 8 KB at most, and one in a thousand requests opens a connection more.
 	maxRequests = 1 << 10
 	// maxAvoided is the number of idle connections that have carried an id, above which its next repeat closes one of them. A
 	// caller that repeats its id for ever would otherwise leave an idle connection behind with each repeat.
@@ -66,6 +66,7 @@
 	Host      string
 	Header    http.Header // without connection headers, Host and Content-Length
 	ID        string      // request id; empty if the answer carries none
+	Lane      string      // requests of different lanes share no connection
 	Body      io.Reader   // nil for none
 	Length    int64       // of the body, -1 if unknown
 	ReuseOnly bool        // fail with ErrUnsent if there is no idle connection
@@ -73,8 +74,10 @@
 	// Matches reports whether an answer can be the one to this request; others are late ones to earlier requests. It is
 	// for requests without an ID, and may be nil.
 	Matches func(status int, header http.Header) bool
-	// TokenHeader names a header whose value differs in each answer, empty for none. An answer that repeats the last
-	// value of its connection is a copy of an earlier one.
+	// CloseAfter reports whether the connection isn't kept after an answer with the status; it may be nil.
+	CloseAfter func(status int) bool
+	// TokenHeader names a header whose value differs in each answer, empty for none. An answer that repeats a value of its
+	// connection is a copy of an earlier one.
 	TokenHeader string
 }
 
@@ -200,11 +203,11 @@
 	}
 }
 
-// takeIdle removes and returns an idle connection that is still open and has not carried a request with the id, or returns nil.
-// avoided is the number of connections that have carried one.
-func (p *Pool) takeIdle(address, id string, now time.Time) (c *conn, avoided int) {
+// takeIdle removes and returns an idle connection of the request's lane that is still open and has not carried a request with
+// its id, or returns nil. avoided is the number of connections that have carried one.
+func (p *Pool) takeIdle(address string, r *Request, now time.Time) (c *conn, avoided int) {
 	for {
-		if c, avoided = p.removeIdle(address, id); c == nil {
+		if c, avoided = p.removeIdle(address, r); c == nil {
 			if avoided > maxAvoided {
 				p.closeOldestIdle(address)
 			}
@@ -217,14 +220,17 @@
 	}
 }
 
-// removeIdle removes and returns the most recently used idle connection that has not carried a request with the id, or returns
-// nil.
-func (p *Pool) removeIdle(address, id string) (c *conn, avoided int) {
+// removeIdle removes and returns the most recently used idle connection of the request's lane that has not carried a request
+// with its id, or returns nil.
+func (p *Pool) removeIdle(address string, r *Request) (c *conn, avoided int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	for i, c := range slices.Backward(list) {
-		if c.carried.Contains(id) {
+		if c.lane != r.Lane {
+			continue
+		}
+		if c.carried.Contains(r.ID) {
 			avoided++
 			continue
 		}
@@ -253,7 +259,7 @@
 func (p *Pool) putIdle(address string, c *conn, now time.Time, maxIdle int) {
 	c.usedAt = now
 	p.mu.Lock()
-	keep := !c.carried.Full() && (maxIdle <= 0 || len(p.idle[address]) < maxIdle)
+	keep := !c.carried.Full() && !c.tokens.Full() && (maxIdle <= 0 || len(p.idle[address]) < maxIdle)
 	if keep {
 		p.idle[address] = append(p.idle[address], c)
 	}
@@ -266,7 +272,7 @@
 // connect returns an idle connection that has not carried the id of the request or, unless it requires one, a new connection.
 // avoided is the number of idle connections that have carried the id.
 func (p *Pool) connect(ctx context.Context, address string, r *Request) (c *conn, avoided int, err error) {
-	c, avoided = p.takeIdle(address, r.ID, time.Now())
+	c, avoided = p.takeIdle(address, r, time.Now())
 	if c != nil {
 		return c, avoided, nil
 	}
@@ -287,6 +293,7 @@
 		p.closeConn(address, c)
 		return nil, avoided, ErrNoRoom
 	}
+	c.lane = r.Lane
 	return c, avoided, nil
 }
 
@@ -396,8 +403,8 @@
 	if token == "" {
 		return false
 	}
-	repeated := token == c.lastToken
-	c.lastToken = token
+	repeated := c.tokens.Contains(token)
+	c.tokens.Add(token)
 	return repeated
 }
 
@@ -430,7 +437,8 @@
 		a.Place = Place{Connection: c.number, Exchange: c.exchanges, Late: late}
 		// A target that has not received the whole request still expects the rest of it. A copy of an answer without an id could
 		// not be told from the answer to the next request.
-		return a, keep && complete && a.Identified, nil
+		keep = keep && complete && a.Identified && (r.CloseAfter == nil || !r.CloseAfter(a.Status))
+		return a, keep, nil
 	}
 	return nil, false, errors.New("too many answers to other requests")
 }
--- a/pkg/fulmarorder/order.go
+++ b/pkg/fulmarorder/order.go
@@ -20,6 +20,9 @@
 	ErrMisdirected = errors.New("fulmarorder: address belongs to another target")
 	// ErrUnanswered means that no answer was received; the target may apply the order now or later.
 	ErrUnanswered = errors.New("fulmarorder: order not answered")
+	// ErrUncertain means that an answer was received that may be the copy of an earlier one, and does not say that the order was
+	// applied. It is a case of ErrUnanswered.
+	ErrUncertain = errors.Wrap(ErrUnanswered, "answer may be that of another order")
 )
 
 // Kind is the type of an order.
@@ -39,6 +42,15 @@
 	return "release"
 }
 
+// Reply is the answer of a target that has carried out an order.
+type Reply struct {
+	Handover   string // data of a release for the next owner
+	Connection int64  // number of the connection on which it came
+	// Certain reports whether the answer is that of this grant. Otherwise it may be the copy of an earlier answer, and the target
+	// may apply the grant later or refuse it. An answer to a release is always certain.
+	Certain bool
+}
+
 // Order is a request to one target to take or give up a range of keys.
 type Order struct {
 	Kind        Kind
@@ -50,4 +62,7 @@
 	// RequireKnownConnection restricts the order to a connection on which this incarnation has answered before, so that
 	// another incarnation with the same id cannot receive its fence.
 	RequireKnownConnection bool
+	// AfterGrants sends a release on the connection of the grants in place of one of its own. The target handles the orders of a
+	// connection one after the other, so the answer proves that it has handled all grants that were sent on it before.
+	AfterGrants bool
 }
