Let a repeated id have the place of an idle connection that it cannot use

A request whose id all idle connections to its target have carried opened another one beside them.

The least recently used idle connection is closed before the new one is opened, and the new one waits for a reset, as the target may not have seen the close yet. So a repeat leaves no connection behind either, which the bound of four did before; it goes.

--- a/internal/fulmarlink/idle.go
+++ b/internal/fulmarlink/idle.go
@@ -76,9 +76,6 @@
 func (p *Pool) takeIdle(address string, r *Request, now time.Time) (c *conn, avoided int) {
 	for {
 		if c, avoided = p.removeIdle(address, r); c == nil {
-			if avoided > maxAvoided {
-				p.closeOldestIdle(address)
-			}
 			return nil, avoided
 		}
 		if now.Sub(c.usedAt) < c.idleTimeout && c.usable() {
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -35,9 +35,6 @@
 	// maxRequests is the number of requests after which a connection is not kept, as it remembers the id of each, or the token of
 	// its answer. That takes 8 KB at most, and one in a thousand requests opens a connection more.
 	maxRequests = 1 << 10
-	// maxAvoided is the number of idle connections that have carried an id, above which its next repeat closes one of them. A
-	// caller that repeats its id for ever would otherwise leave an idle connection behind with each repeat.
-	maxAvoided = 4
 
 	// A target that has reached its limit of connections accepts a further one and resets it at once. A request that was
 	// written by then may have run, for all that the daemon knows, and must fail. So the daemon waits for the reset before
@@ -144,7 +141,11 @@
 		return c, avoided, nil
 	}
 	if r.ReuseOnly {
-		return nil, avoided, errors.Wrap(ErrUnsent, "no idle connection to the target")
+		return nil, avoided, errors.Wrap(ErrUnsent, "no idle connection to the target that has not carried the id")
+	}
+	if avoided > 0 {
+		// The target may have no room for one more connection, and a caller that repeats its id must not leave one behind each time.
+		p.closeOldestIdle(address)
 	}
 	started := time.Now()
 	c, nearLimit, err := p.dialCounted(ctx, address, started)
@@ -155,7 +156,7 @@
 		}
 		return nil, avoided, errors.Wrap(ErrUnsent, err.Error())
 	}
-	if nearLimit && !c.accepted(min(time.Since(started), p.settings.AcceptMargin)+p.settings.AcceptMargin) {
+	if (nearLimit || avoided > 0) && !c.accepted(min(time.Since(started), p.settings.AcceptMargin)+p.settings.AcceptMargin) {
 		p.recordReset(address)
 		p.closeConn(address, c)
 		return nil, avoided, ErrNoRoom
