Fail a HEAD request if a late answer comes before its own

Found by review. An answer to a HEAD request has no body, and the pool read late answers before it by the same rule. The body of a late answer to another method was then parsed as further answers: one that contains the text of an answer with the request's id was returned as the answer.

TestLateAnswerBeforeHead failed before: the text "503" of a body was accepted.

--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -288,6 +288,9 @@
 		}
 		id := resp.Header.Get(p.settings.RequestIDHeader)
 		if !c.answers(id, r.ID) || c.isLate(resp, r) {
+			if r.Method == http.MethodHead {
+				return nil, false, errors.New("late answer before that to a HEAD request, whose body cannot be told from answers")
+			}
 			if err := p.discardAnswer(resp); err != nil {
 				return nil, false, err
 			}
--- a/internal/fulmarlink/pool_test.go
+++ b/internal/fulmarlink/pool_test.go
@@ -210,6 +210,18 @@
 	}
 }
 
+// Guards against the body of a late answer being read as the answer to a HEAD request, which has none.
+func TestLateAnswerBeforeHead(t *testing.T) {
+	g := NewWithT(t)
+	inner := "HTTP/1.1 503 x\r\nId: one\r\nContent-Length: 0\r\n\r\n"
+	late := fmt.Sprintf("HTTP/1.1 200 x\r\nId: old\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner)
+	s, p := startTarget(t, late+"HTTP/1.1 200 x\r\nId: one\r\nContent-Length: 2\r\n\r\n"), newPool(t)
+	r := request("one", "")
+	r.Method, r.Body = http.MethodHead, nil
+	_, err := p.Do(t.Context(), s.Addr().String(), r)
+	g.Expect(err).To(MatchError(fulmarlink.ErrBroken))
+}
+
 // Guards against the late answer to another request being taken for the answer to a request without an id.
 func TestLateAnswerWithoutOwnID(t *testing.T) {
 	g := NewWithT(t)
