Send the id of a request to its target whatever the caller's headers say

Found by review. A caller that names the id's header in Connection, as a header of one hop, had it removed on the way, and one that sends two ids had both passed on.

The id by which answers are matched is set as the deadline is. TestIDForwarded fails in both cases without that.

--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -301,6 +301,8 @@
 		return nil, unsent
 	}
 	header := fulmarlink.EndToEnd(x.request.Header)
+	// Answers are matched by the id, which a Connection header may have removed.
+	header[http.CanonicalHeaderKey(d.HeaderNames.RequestID)] = []string{x.id}
 	header[http.CanonicalHeaderKey(d.HeaderNames.Deadline)] = []string{strconv.FormatInt(left, 10)}
 	header[http.CanonicalHeaderKey(d.HeaderNames.ExpectedTarget)] = []string{t.ID}
 	a, err := d.Pool.Do(ctx, t.Address, &fulmarlink.Request{
--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -548,6 +548,24 @@
 	g.Expect(x.requests()).To(BeEmpty())
 }
 
+// Guards against a request that reaches its target without its id, or with several ones, so that its answer is not recognised.
+func TestIDForwarded(t *testing.T) {
+	for name, change := range map[string]func(http.Header){
+		"the id is named in Connection": func(h http.Header) { h.Set("Connection", names.RequestID) },
+		"a second id":                   func(h http.Header) { h.Add(names.RequestID, "two") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			x := newTarget(t, "x")
+			f := start(t, false, x)
+			r := request(t, "/f/1", "body")
+			change(r.Header)
+			expectStatus(g, f.forwarder.Serve(t.Context(), r), http.StatusOK)
+			g.Expect(x.requests()[0].Header.Values(names.RequestID)).To(Equal([]string{"one"}))
+		})
+	}
+}
+
 // Guards against a request that waits until its deadline for a key without an owner.
 func TestNoOwner(t *testing.T) {
 	g := NewWithT(t)
