Do not count an answer to another order as a crash of its target

Found by review of the ids of orders of fulmarbend serve. An order that got the answer to another one counted as one whose connection broke: if the target was lost within five seconds, the work became a suspect, and an isolated job delayed the renewals, although the target had answered.

fulmartarget tells such an answer apart (ErrForeign), and the dispatcher doesn't record it. TestExtraRefusal checks the count and fails without that.

--- a/internal/fulmardispatch/execute.go
+++ b/internal/fulmardispatch/execute.go
@@ -158,7 +158,9 @@
 	if expired {
 		return unknownAnswer(fulmaroutcome.Late)
 	}
-	d.recordBroken(ctx, j)
+	if !errors.Is(err, fulmartarget.ErrForeign) { // a target that answers has not crashed
+		d.recordBroken(ctx, j)
+	}
 	return unknownAnswer(fulmaroutcome.TargetLost)
 }
 
--- a/internal/fulmardispatch/extra_test.go
+++ b/internal/fulmardispatch/extra_test.go
@@ -64,8 +64,17 @@
 	return listener.Addr().String()
 }
 
+// brokenCounter counts the connections that broke while an order ran.
+type brokenCounter struct{ atomic.Int64 }
+
+func (c *brokenCounter) Count(name string) {
+	if name == fulmardispatch.CountConnectionBroken {
+		c.Add(1)
+	}
+}
+
 // newDispatcher returns a dispatcher of the target, with one connection to it. hasLease may be nil.
-func newDispatcher(t *testing.T, target fulmarslot.Target, idempotent bool, hasLease func() bool) *fulmardispatch.Dispatcher {
+func newDispatcher(t *testing.T, target fulmarslot.Target, idempotent bool, hasLease func() bool, metrics fulmardispatch.Metrics) *fulmardispatch.Dispatcher {
 	t.Helper()
 	client := fulmartarget.New(1, nil)
 	t.Cleanup(client.Close)
@@ -74,7 +83,7 @@
 	d := fulmardispatch.New(
 		target,
 		fulmardispatch.Deps{
-			Client: client, HoldsLease: hasLease, Metrics: noMetrics{}, Guard: fulmarguard.New(time.Hour, 16), Cost: fulmarcost.New(8),
+			Client: client, HoldsLease: hasLease, Metrics: metrics, Guard: fulmarguard.New(time.Hour, 16), Cost: fulmarcost.New(8),
 			Dedup: fulmardedup.Settings{Retention: 10 * time.Minute, MaxSkew: 100 * time.Millisecond, MaxBody: maxKeptBody},
 			Limits: func(string, string) (fulmarconfig.Limits, bool) {
 				return fulmarconfig.Limits{Weight: 1, MaxQueue: 1000}, true
@@ -107,7 +116,8 @@
 			g := NewWithT(t)
 			ran := make(chan string, 1)
 			target := fulmarslot.Target{ID: "t1", Service: service, Address: startCopying(t, c.status, ran), Fenced: true}
-			d := newDispatcher(t, target, c.idempotent, nil)
+			var broken brokenCounter
+			d := newDispatcher(t, target, c.idempotent, nil, &broken)
 			first, second := newID(), newID()
 			if c.sameID {
 				second = first
@@ -116,6 +126,7 @@
 			got := send(d, second)
 			g.Expect(ran).To(Receive(Equal(second)))
 			g.Expect(got).To(Equal("unknown target-lost"))
+			g.Expect(broken.Load()).To(BeZero(), "a target that answers has not crashed under the order")
 		})
 	}
 }
@@ -157,7 +168,7 @@
 			g := NewWithT(t)
 			orders.Store(0)
 			target := fulmarslot.Target{ID: "t1", Service: service, Address: address, Fenced: c.fenced}
-			g.Expect(send(newDispatcher(t, target, false, func() bool { return c.lease }), newID())).To(Equal(c.want))
+			g.Expect(send(newDispatcher(t, target, false, func() bool { return c.lease }, noMetrics{}), newID())).To(Equal(c.want))
 			g.Expect(orders.Load()).To(Equal(c.orders))
 		})
 	}
--- a/internal/fulmartarget/client.go
+++ b/internal/fulmartarget/client.go
@@ -27,6 +27,9 @@
 // ErrNotSent states that no byte of an order was sent.
 var ErrNotSent = errors.New("fulmartarget: order not sent")
 
+// ErrForeign states that the answer on the connection was not the one to this request, which may have run.
+var ErrForeign = errors.New("fulmartarget: answer to another request")
+
 // StatusError is an answer to a grant call with an unexpected status.
 type StatusError struct{ Status int }
 
@@ -190,5 +193,8 @@
 	if errors.Is(err, fulmartransport.ErrUnsent) {
 		return errors.Wrap(ErrNotSent, err.Error())
 	}
+	if errors.Is(err, fulmartransport.ErrForeign) {
+		return errors.Wrap(ErrForeign, err.Error())
+	}
 	return errors.Wrap(err, "fulmartarget: no answer to the request")
 }
