--- a/internal/fulmarlink/pool_test.go
+++ b/internal/fulmarlink/pool_test.go
@@ -324,7 +324,7 @@
 	t.Run("reuse only, without an idle connection", func(t *testing.T) {
 		g := NewWithT(t)
 		s, p := startTarget(t, okAnswer), newPool(t)
-		r := request("one", "")
+		r := request("two", "") // the id of the request between would rule its connection out
 		r.ReuseOnly = true
 		_, err := p.Do(t.Context(), s.Addr().String(), r)
 		g.Expect(err).To(MatchError(fulmarlink.ErrUnsent))
@@ -498,3 +498,23 @@
 		}
 	})
 }
+
+// Guards against answers of which the log cannot tell that they came on one connection, or behind answers to other requests.
+func TestPlace(t *testing.T) {
+	g := NewWithT(t)
+	const lateAnswer = "HTTP/1.1 503 x\r\nId: old\r\nContent-Length: 0\r\n\r\n"
+	s, other, p := startTarget(t, okAnswer, lateAnswer+lateAnswer+okAnswer), startTarget(t, okAnswer), newPool(t)
+	for _, c := range []struct {
+		id     string
+		target *scriptedTarget
+		place  fulmarlink.Place
+	}{
+		{"one", s, fulmarlink.Place{Connection: 1, Exchange: 1}},
+		{"two", s, fulmarlink.Place{Connection: 1, Exchange: 2, Late: 2}},
+		{"three", other, fulmarlink.Place{Connection: 2, Exchange: 1}},
+	} {
+		a, err := p.Do(t.Context(), c.target.Addr().String(), request(c.id, ""))
+		expectBody(g, a, err, "ok")
+		g.Expect(a.Place).To(Equal(c.place))
+	}
+}
