--- a/internal/fulmarlink/lane_test.go
+++ b/internal/fulmarlink/lane_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"strconv"
+	"strings"
 	"testing"
-	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -38,15 +38,11 @@
 // remembers any number of them.
 func TestTokensAreBounded(t *testing.T) {
 	g := NewWithT(t)
-	s := startTarget(t, okAnswer)
-	p := fulmarlink.New(fulmarlink.Settings{
-		DialTimeout: time.Second, AckTimeout: time.Second, IdleTimeout: time.Minute, BodyLimit: 1024, RequestIDHeader: "Id", UniqueIDs: true,
-	})
-	t.Cleanup(p.Close)
+	s, p := startTarget(t, strings.Replace(okAnswer, "Id:", "Token:", 1)), newPool(t)
 	const requests = 3000
 	for i := range requests {
 		r := request(strconv.Itoa(i), "")
-		r.TokenHeader = "Id"
+		r.ID, r.TokenHeader = "", "Token" // a connection remembers ids as well, but the answers to orders bear none
 		a, err := p.Do(t.Context(), s.Addr().String(), r)
 		expectBody(g, a, err, "ok")
 	}
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -52,7 +52,6 @@
 	IdleTimeout     time.Duration // longest time that a connection stays idle
 	BodyLimit       int64         // longest body that is read into memory, in bytes; the rest of a longer one is streamed
 	RequestIDHeader string        // name of the header with the request id
-	UniqueIDs       bool          // no two requests have the same id, so that connections need not remember them
 }
 
 // Request is one request to a target.
@@ -216,7 +215,7 @@
 	}
 	c.written = false
 	c.exchanges++
-	if r.ID != "" && !p.settings.UniqueIDs {
+	if r.ID != "" {
 		c.carried.Add(r.ID)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) }) // fails only on a closed connection
