Accept the connections of scripted targets in one place

Three test targets of fulmarlink had the same loop. startTarget and the two targets for repeated ids share it now; what they check is the same.

--- a/internal/fulmarlink/pool_test.go
+++ b/internal/fulmarlink/pool_test.go
@@ -27,13 +27,13 @@
 	bodies  []string // bodies of the received requests
 }
 
-func startTarget(t *testing.T, answers ...string) *scriptedTarget {
+// accept hands each connection to serve in a goroutine of its own until the test ends.
+func accept(t *testing.T, serve func(net.Conn)) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &scriptedTarget{Listener: l, answers: answers}
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -41,12 +41,21 @@
 			if err != nil {
 				return
 			}
-			s.mu.Lock()
-			s.conns++
-			s.mu.Unlock()
-			go s.serve(c)
+			go serve(c)
 		}
 	}()
+	return l
+}
+
+func startTarget(t *testing.T, answers ...string) *scriptedTarget {
+	t.Helper()
+	s := &scriptedTarget{answers: answers}
+	s.Listener = accept(t, func(c net.Conn) {
+		s.mu.Lock()
+		s.conns++
+		s.mu.Unlock()
+		s.serve(c)
+	})
 	return s
 }
 
--- a/internal/fulmarlink/repeated_id_test.go
+++ b/internal/fulmarlink/repeated_id_test.go
@@ -97,32 +97,17 @@
 // crowdedTarget starts a target that resets new connections while one is open, and returns its address.
 func crowdedTarget(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		s := &scriptedTarget{answers: []string{okAnswer}}
-		room := make(chan struct{}, 1)
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			select {
-			case room <- struct{}{}:
-				go func() {
-					s.serve(c)
-					<-room
-				}()
-			case <-time.After(10 * time.Millisecond): // the time to see that the former connection was closed
-				_ = c.(*net.TCPConn).SetLinger(0) // fails only on a closed connection
-				c.Close()
-			}
+	s, room := &scriptedTarget{answers: []string{okAnswer}}, make(chan struct{}, 1)
+	return accept(t, func(c net.Conn) {
+		select {
+		case room <- struct{}{}:
+			s.serve(c)
+			<-room
+		case <-time.After(10 * time.Millisecond): // the time to see that the former connection was closed
+			_ = c.(*net.TCPConn).SetLinger(0) // fails only on a closed connection
+			c.Close()
 		}
-	}()
-	return l.Addr().String()
+	}).Addr().String()
 }
 
 // recordingTarget answers all requests and records the ids of each connection.
@@ -131,25 +116,6 @@
 	conns [][]string
 }
 
-func (r *recordingTarget) serve(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go r.serveConn(c)
-		}
-	}()
-	return l.Addr().String()
-}
-
 func (r *recordingTarget) serveConn(c net.Conn) {
 	defer c.Close()
 	r.mu.Lock()
@@ -175,7 +141,7 @@
 func TestRepeatedIDsConcurrently(t *testing.T) {
 	g := NewWithT(t)
 	target := &recordingTarget{}
-	address, p := target.serve(t), newPool(t)
+	address, p := accept(t, target.serveConn).Addr().String(), newPool(t)
 	var group sync.WaitGroup
 	for worker := range uint64(8) {
 		random := rand.New(rand.NewPCG(1, worker))
