--- a/pkg/fulmarorder/scheduler_test.go
+++ b/pkg/fulmarorder/scheduler_test.go
@@ -93,7 +93,6 @@
 		h.g.Expect(o.Handover).To(Equal("later"), "the data of the last release hold")
 	})
 
-	// The target has handled all grants of the connection, but may have applied one to keys that it had released before.
 	// Guards against keys of leaving targets that nobody serves for two seconds: such targets close each connection behind its answer,
 	// so that no release can follow the grants.
 	t.Run("waits for no renewal on a connection that the target has closed", func(t *testing.T) {
@@ -107,6 +106,8 @@
 		h.expectOrder(incarnationA, fulmarorder.Release, 100, 200, "token", nil)
 		h.expectOrder(incarnationB, fulmarorder.Grant, 100, 200, "", nil)
 	})
+
+	// The target has handled all grants of the connection, but may have applied one to keys that it had released before.
 	t.Run("repeats the release of each range", func(t *testing.T) {
 		h := newHarness(t, fulmarrange.New())
 		h.Commit(owned)
