Keep unanswered grants behind an announced close of their successors' connection

Found by reading. An answer that announces the close of its connection may be that of an earlier grant: the target then handles no later one. The ledger took all answered grants of the connection for applied, and dropped unanswered grants with lower fences that those were to make the target refuse. Such a grant can be applied after the keys were released and granted to another target: two owners.

ConnectionEnded records only what the close proves, that no grant of the connection is applied later. TestScheduler, 'keeps unanswered grants behind an announced close', failed before.

--- a/pkg/fulmarledger/ledger.go
+++ b/pkg/fulmarledger/ledger.go
@@ -24,8 +24,8 @@
 	answered  bool
 	inherited bool // sent by a previous sender
 	expires   time.Time
-	// certain means that the answer is that of this grant. Otherwise it may be the copy of an earlier answer of its connection,
-	// and the grant may be applied later or be refused.
+	// certain means that the target does not apply the grant later. Otherwise the answer may be the copy of an earlier one of its
+	// connection, and the grant may still be under way.
 	certain    bool
 	connection int64 // on which the answer was received
 	// supersededBy is a connection on which a grant of all these keys with a greater fence was answered, but not for certain, or
@@ -122,6 +122,16 @@
 	l.setEntries(target, out)
 }
 
+// ConnectionEnded records that the target handles no further grant of the connection: it has applied the answered ones, or never
+// will.
+func (l *Ledger) ConnectionEnded(target string, connection int64) {
+	for i, e := range l.entries[target] {
+		if e.answered && e.connection == connection {
+			l.entries[target][i].certain = true
+		}
+	}
+}
+
 // Released records that the target answered a release of the keys. Grants that it may apply later are kept.
 func (l *Ledger) Released(target string, from, to int) {
 	var out []entry
--- a/pkg/fulmarorder/safety_test.go
+++ b/pkg/fulmarorder/safety_test.go
@@ -172,6 +172,22 @@
 	m.late = others
 }
 
+// handleFirst makes a target handle the first delayed grant of a connection, and none of the others.
+func (m *model) handleFirst(c *modelConnection) {
+	var others []delayedGrant
+	handled := false
+	for _, l := range m.late {
+		switch {
+		case l.connection != c:
+			others = append(others, l)
+		case !handled:
+			handled = true
+			m.handle(l)
+		}
+	}
+	m.late = others
+}
+
 // observe makes the leader read the targets' entries.
 func (m *model) observe() {
 	for _, t := range m.targets {
@@ -200,7 +216,7 @@
 	}
 	c.orders++
 	reply := fulmarorder.Reply{Handover: "x", Connection: c.number, Certain: c.orders == 1 || o.Kind == fulmarorder.Release}
-	closing := outcome == 9 && m.pendingOn(c) <= 1 // the answer that comes first is the last one of the connection
+	closing := outcome == 9 && (o.Kind == fulmarorder.Grant || m.pendingOn(c) == 0)
 	err := m.send(t, c, o, outcome, closing)
 	reply.Closing = closing
 	if err != nil {
@@ -271,15 +287,15 @@
 		}
 		return fulmarorder.ErrUncertain
 	}
-	pending := m.pendingOn(c)
-	m.handleAll(c)
-	if closing && pending > 0 && o.Kind == fulmarorder.Grant {
-		// The last answer is that of the grant before, so the target does not handle this one.
+	if closing && m.pendingOn(c) > 0 {
+		// The answer is that of the first grant that is under way, so the target handles neither the others nor this one.
+		m.handleFirst(c)
 		if c.refused {
 			return fulmarorder.ErrUncertain
 		}
 		return nil
 	}
+	m.handleAll(c)
 	if c.refused { // the answer to an earlier grant comes first; the target handles the order all the same
 		if o.Kind == fulmarorder.Grant {
 			m.deliver(t, o)
--- a/pkg/fulmarorder/scheduler_test.go
+++ b/pkg/fulmarorder/scheduler_test.go
@@ -107,6 +107,20 @@
 		h.expectOrder(incarnationB, fulmarorder.Grant, 100, 200, "", nil)
 	})
 
+	// Guards against a second owner of the keys: the answer that announces the close may be that of an earlier grant, and then the
+	// target has not handled this one, which would have made it refuse the unanswered one.
+	t.Run("keeps unanswered grants behind an announced close", func(t *testing.T) {
+		h := newHarness(t, owned)
+		renewed := owned.WithRenewedFence(0, fulmarrange.MaxKey)
+		h.Commit(renewed)
+		o, _, ok := h.Next(h.now, incarnationA)
+		h.g.Expect(ok).To(BeTrue())
+		h.EndSend(h.now, o, h.BeginSend(o), fulmarorder.Reply{Connection: 1, Closing: true}, nil)
+		h.Commit(renewed.WithOwner(0, fulmarrange.MaxKey, incarnationB))
+		h.expectOrder(incarnationA, fulmarorder.Release, 0, fulmarrange.MaxKey, "", nil)
+		h.expectNoOrder(incarnationB)
+	})
+
 	// The target has handled all grants of the connection, but may have applied one to keys that it had released before.
 	t.Run("repeats the release of each range", func(t *testing.T) {
 		h := newHarness(t, fulmarrange.New())
--- a/pkg/fulmarorder/sending.go
+++ b/pkg/fulmarorder/sending.go
@@ -193,8 +193,8 @@
 		return
 	}
 	if err == nil && reply.Closing {
-		// No earlier answer announced the close, so this is no copy: the target has answered all grants that it will handle.
-		b.ledger.AllHandled(id, reply.Connection)
+		// No earlier answer announced the close, so this is no copy. It may be that of an earlier grant, though.
+		b.ledger.ConnectionEnded(id, reply.Connection)
 	}
 	if err != nil || reply.Closing {
 		delete(b.connections, o.Incarnation)
