--- /dev/null
+++ b/internal/fulmarentry/body_test.go
@@ -0,0 +1,86 @@
+package fulmarentry_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarbody"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarreply"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmaroutcome"
+)
+
+// readPrefix reads as much of a request's body as a dispatcher holds in memory, and so nothing of the rest.
+func readPrefix(r *http.Request) {
+	GinkgoHelper()
+	_, err := io.CopyN(io.Discard, r.Body, fulmarbody.PrefixLimit+1)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// expectWhole checks that a target doesn't take a part of the caller's body for the whole one.
+func expectWhole(got []byte, err error, sent string) {
+	GinkgoHelper()
+	if err == nil {
+		Expect(len(got)).To(Equal(len(sent)), "bytes of a body that looks complete")
+		Expect(string(got) == sent).To(BeTrue())
+	}
+}
+
+var _ = Describe("body of a request", func() {
+	// Guards against a send that reads on beside the entry, which discards the rest of the body behind an early answer: what
+	// remained of a chunked body ended as if it were whole.
+	DescribeTable("has no reader but the entry behind an early answer", func(pair bool) {
+		const (
+			piece = 4 << 10
+			pause = 200 * time.Microsecond // lets both readers take their turns
+		)
+		body := strings.Repeat("0123456789", 60_000)
+		type result struct {
+			body []byte
+			err  error
+		}
+		results := make(chan result, 1)
+		early := func(w http.ResponseWriter, r *http.Request) {
+			defer GinkgoRecover()
+			readPrefix(r)
+			fulmarreply.Refuse(w, unknown, fulmaroutcome.Late, "")
+			go func() {
+				b, err := io.ReadAll(r.Body)
+				results <- result{b, err}
+			}()
+		}
+		var n *instance
+		if pair {
+			n, _ = newInstancePair(early)
+		} else {
+			n = newSingleInstance(early)
+		}
+		r := n.request("board", nil)
+		c, err := net.Dial("tcp", r.URL.Host)
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		var head bytes.Buffer
+		head.WriteString("POST " + r.URL.RequestURI() + " HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n")
+		Expect(r.Header.Write(&head)).To(Succeed())
+		_, err = io.WriteString(c, head.String()+"\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		chunks := httputil.NewChunkedWriter(c)
+		for rest := body; rest != "" && err == nil; rest = rest[min(len(rest), piece):] {
+			_, err = io.WriteString(chunks, rest[:min(len(rest), piece)]) // fails if the entry closes the connection
+			time.Sleep(pause)
+		}
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+		var late result
+		Eventually(results).WithTimeout(5 * time.Second).Should(Receive(&late))
+		expectWhole(late.body, late.err, body[fulmarbody.PrefixLimit+1:])
+	},
+		Entry("at the dispatcher of this instance", false), Entry("at a peer", true),
+	)
+})
