Revoke the reader of a request body with the end of its send

What callers and targets saw: in `serve`, a request with a chunked body over 64 KiB could reach its target with bytes missing, without an error.

Cause: a body whose rest comes from the caller's connection was to have one reader at a time, and nothing enforced it. net/http may return an answer while its write loop still reads the request. shouldRetry then found the body replayable, as its rest was not touched yet, and the next attempt read the rest beside the former one.

Change: Body.Open hands out a reader for one send and revokes the former one; its check and the record that the rest is being read are one step under one lock. A revoked reader fails, so that a former send can't end as if its body were whole. All paths use it: fulmarentry for its own dispatcher and for peers, fulmardispatch for targets, fulmarforwarder for the front daemon, and fulmarhttpserver, which discards what is unread through the body (Discard) rather than beside it. fulmarlink takes a body in memory by what it can do and its length, as the type is no longer bytes.Reader.

Ruled out: the check of Replayable before each send is not enough, as it is only as good as the promise that nobody reads any more.

--- a/internal/fulmarbody/body.go
+++ b/internal/fulmarbody/body.go
@@ -3,7 +3,8 @@
 import (
 	"bytes"
 	"io"
-	"sync/atomic"
+	"net/http"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -11,14 +12,26 @@
 // PrefixLimit is the number of bytes of a body that are held in memory and that a fingerprint covers.
 const PrefixLimit = 64 << 10
 
-// Body is a request body; one Reader is used at a time.
+// ErrConsumed means that bytes after the prefix may have been read, so that the body can't be read from its start again.
+var ErrConsumed = errors.New("fulmarbody: bytes after the prefix have been read")
+
+// ErrRevoked is the error of a read by a reader that has been closed or replaced.
+var ErrRevoked = errors.New("fulmarbody: reader has been revoked")
+
+// Body is a request body whose bytes after a prefix come from the caller's connection, once. It is safe for concurrent use;
+// only the reader that was opened last gets bytes.
 type Body struct {
 	prefix   []byte
 	rest     io.Reader // nil if the prefix is the whole body
 	length   int64
-	restRead atomic.Bool
-	ended    bool          // rest has returned its end
 	consumed chan struct{} // closed once rest has returned its end; nil if the prefix is the whole body
+
+	reading sync.Mutex // held while rest is read; guards ended; locked before mu
+	ended   bool       // rest has returned its end
+
+	mu     sync.Mutex
+	reader *reader // the one that may read rest, nil for none
+	taken  bool    // a reader has begun to read rest
 }
 
 // Read reads the prefix of a body from r. length is the announced length, or -1 if it is not known. Read returns the
@@ -67,29 +80,118 @@
 // Length returns the length of the body, or -1 if it is not known.
 func (b *Body) Length() int64 { return b.length }
 
-// Replayable reports whether Reader can still return the body from its start.
-func (b *Body) Replayable() bool { return b.rest == nil || !b.restRead.Load() }
+// Replayable reports whether Open would return a reader. While a reader is open, the result may change at any moment.
+func (b *Body) Replayable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.taken
+}
 
-// Reader returns a reader of the body from its start, or nil for an empty body.
-func (b *Body) Reader() io.Reader {
+// Open returns a reader of the body from its start, for one send; an empty body has http.NoBody. The reader is revoked when it
+// is closed and when another one is opened. From then on its reads fail with ErrRevoked, so that a send that has ended can't take
+// bytes of a later one. A read that has begun before may still return. A body in memory has any number of readers. Open
+// returns ErrConsumed if a reader has begun to read the part after the prefix.
+func (b *Body) Open() (io.ReadCloser, error) {
 	if b.rest == nil {
 		if len(b.prefix) == 0 {
-			return nil
+			return http.NoBody, nil
 		}
-		return bytes.NewReader(b.prefix)
+		return memoryReader{bytes.NewReader(b.prefix)}, nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.taken {
+		return nil, ErrConsumed
+	}
+	b.reader = &reader{body: b, prefix: b.prefix}
+	return b.reader, nil
+}
+
+// Discard revokes the reader and reads at most limit bytes of the body after the prefix. It returns nil if it has read them or
+// the end was reached, and otherwise the error of reading. ended reports whether the end was reached.
+func (b *Body) Discard(limit int64) (ended bool, err error) {
+	if b.rest == nil {
+		return true, nil
+	}
+	r := &reader{body: b}
+	b.mu.Lock()
+	b.reader, b.taken = r, true
+	b.mu.Unlock()
+	_, err = io.CopyN(io.Discard, r, limit)
+	if errors.Is(err, io.EOF) {
+		return true, nil
 	}
-	return io.MultiReader(bytes.NewReader(b.prefix), restReader{b})
+	return false, err
+}
+
+// memoryReader is a reader of a body that is held in memory.
+type memoryReader struct{ *bytes.Reader }
+
+// Close does nothing.
+func (memoryReader) Close() error { return nil }
+
+// reader is a reader of a body that is not complete in memory. Its reads are not concurrent, but Close may be.
+type reader struct {
+	body   *Body
+	prefix []byte // not read yet
 }
 
-// restReader reads the part after the prefix and records that it was read.
-type restReader struct{ body *Body }
+// Read returns bytes of the prefix, then of the rest.
+func (r *reader) Read(p []byte) (int, error) {
+	if len(r.prefix) == 0 {
+		return r.readRest(p)
+	}
+	if !r.isCurrent() {
+		return 0, ErrRevoked
+	}
+	n := copy(p, r.prefix)
+	r.prefix = r.prefix[n:]
+	return n, nil
+}
 
-func (r restReader) Read(p []byte) (int, error) {
-	r.body.restRead.Store(true)
-	n, err := r.body.rest.Read(p)
-	if errors.Is(err, io.EOF) && !r.body.ended {
-		r.body.ended = true
-		close(r.body.consumed)
+// readRest reads the part after the prefix. The check and the record of the read are one step, so that no other reader can be
+// opened in between.
+func (r *reader) readRest(p []byte) (int, error) {
+	b := r.body
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	if !r.take() {
+		return 0, ErrRevoked
+	}
+	if b.ended {
+		return 0, io.EOF
+	}
+	n, err := b.rest.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.ended = true
+		close(b.consumed)
 	}
 	return n, err
 }
+
+// take records that the reader begins to read the rest, and reports whether it may.
+func (r *reader) take() bool {
+	r.body.mu.Lock()
+	defer r.body.mu.Unlock()
+	if r.body.reader != r {
+		return false
+	}
+	r.body.taken = true
+	return true
+}
+
+func (r *reader) isCurrent() bool {
+	r.body.mu.Lock()
+	defer r.body.mu.Unlock()
+	return r.body.reader == r
+}
+
+// Close revokes the reader; it doesn't wait for a read that has begun.
+func (r *reader) Close() error {
+	r.body.mu.Lock()
+	defer r.body.mu.Unlock()
+	if r.body.reader == r {
+		r.body.reader = nil
+	}
+	return nil
+}
--- a/internal/fulmardispatch/execute.go
+++ b/internal/fulmardispatch/execute.go
@@ -124,7 +124,7 @@
 		}
 	}
 	return fulmartarget.Order{
-		Method: j.method, Path: j.path, Header: j.header, Body: j.body.Reader(), BodyLength: j.body.Length(),
+		Method: j.method, Path: j.path, Header: j.header, Body: j.reader, BodyLength: j.body.Length(),
 		Sender: d.deps.Self, Term: d.term, Slot: j.slot, Deadline: deadline,
 	}
 }
@@ -185,6 +185,7 @@
 // runIdempotent sends the request to the target and relays the response. It returns
 // an error if the response was truncated after a part was relayed.
 func (d *Dispatcher) runIdempotent(w http.ResponseWriter, j *job) error {
+	defer j.reader.Close()
 	req := d.targetRequest(j)
 	ctx, cancel := context.WithDeadline(j.ctx, req.Deadline)
 	defer cancel()
@@ -219,6 +220,7 @@
 // runAtMostOnce sends a request of an at-most-once service to the target and records
 // the response.
 func (d *Dispatcher) runAtMostOnce(j *job) {
+	defer j.reader.Close()
 	req := d.targetRequest(j)
 	grace := responseGrace
 	if !d.target.Fenced {
--- a/internal/fulmardispatch/request.go
+++ b/internal/fulmardispatch/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -39,9 +40,10 @@
 	path        string
 	header      http.Header
 	body        *fulmarbody.Body
-	fingerprint uint64 // identifies the request in the guard
-	slotCurrent bool   // the latest table maps the key to the slot
-	groupKnown  bool   // the group exists in the configuration
+	reader      io.ReadCloser // of the body, for the request to the target
+	fingerprint uint64        // identifies the request in the guard
+	slotCurrent bool          // the latest table maps the key to the slot
+	groupKnown  bool          // the group exists in the configuration
 	limits      fulmarqueue.Limits
 	ctx         context.Context //nolint:containedctx // ends with the request to the target, which may outlive the handler
 	cancel      context.CancelCauseFunc
--- a/internal/fulmardispatch/serve.go
+++ b/internal/fulmardispatch/serve.go
@@ -65,6 +65,9 @@
 		_ = control.SetReadDeadline(j.deadline) // if unsupported, the calling handler limits the time
 	}
 	body, err := fulmarbody.Read(r.Body, r.ContentLength)
+	if err == nil {
+		j.reader, err = body.Open()
+	}
 	if err != nil {
 		fulmarreply.Refuse(w, fulmaroutcome.NotRun, fulmaroutcome.Malformed, "body broke off")
 		return false
--- a/internal/fulmarentry/body_test.go
+++ b/internal/fulmarentry/body_test.go
@@ -17,6 +17,9 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmaroutcome"
 )
 
+// readInPieces hides the WriterTo of a body, which the caller's connection would use.
+type readInPieces struct{ io.Reader }
+
 // readPrefix reads as much of a request's body as a dispatcher holds in memory, and so nothing of the rest.
 func readPrefix(r *http.Request) {
 	GinkgoHelper()
@@ -34,6 +37,34 @@
 }
 
 var _ = Describe("body of a request", func() {
+	long := strings.Repeat("0123456789", 21_000)
+
+	// Guards against a send that has ended and still reads the body that the next send reads: net/http returns an answer
+	// while its write loop may be about to read on. Targets got bodies with a hole that looked complete.
+	DescribeTable("has one reader when a request is sent again", func(length int64) {
+		var former io.Reader
+		var body []byte
+		var err, formerErr error
+		n := newSingleInstance(answerInTurn(func(w http.ResponseWriter, r *http.Request) {
+			defer GinkgoRecover()
+			former = r.Body
+			readPrefix(r)
+			fulmarreply.Refuse(w, notRun, fulmaroutcome.Moving, "")
+		}, func(w http.ResponseWriter, r *http.Request) {
+			_, formerErr = former.Read(make([]byte, 1000))
+			body, err = io.ReadAll(r.Body)
+			servedHandler(w, r)
+		}))
+		got := do(n.request("board", readInPieces{strings.NewReader(long)}, func(r *http.Request) { r.ContentLength = length }))
+		Expect(err).NotTo(HaveOccurred())
+		expectWhole(body, err, long)
+		Expect(formerErr).To(HaveOccurred())
+		expectServed(got)
+		Expect(n.retries(fulmaroutcome.Moving)).To(Equal(1))
+	},
+		Entry("with a length", int64(len(long))), Entry("in chunks", int64(-1)),
+	)
+
 	// Guards against a send that reads on beside the entry, which discards the rest of the body behind an early answer: what
 	// remained of a chunked body ended as if it were whole.
 	DescribeTable("has no reader but the entry behind an early answer", func(pair bool) {
--- a/internal/fulmarentry/route.go
+++ b/internal/fulmarentry/route.go
@@ -43,8 +43,14 @@
 	e.deps.RetryBudget.Earn(q.receivedAt, q.group)
 	ctx, cancel := context.WithTimeout(r.Context(), q.deadline.Sub(e.deps.Now()))
 	defer cancel()
+	var res attemptResult
 	for {
-		res := e.attempt(ctx, w, r, q)
+		body, err := q.body.Open()
+		if err != nil {
+			e.refuseFinal(w, q, res) // the last send has taken a part of the body
+			return
+		}
+		res = e.attempt(ctx, w, r, q, body)
 		switch {
 		case res.truncated:
 			panic(http.ErrAbortHandler)
@@ -141,8 +147,10 @@
 	e.refuse(w, q, o, reason, detail)
 }
 
-// attempt sends the request to the dispatcher of its target once.
-func (e *Entry) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, q *callerRequest) attemptResult {
+// attempt sends the request to the dispatcher of its target once. It closes the body, so that a send that has been answered
+// reads nothing of it any more.
+func (e *Entry) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, q *callerRequest, body io.ReadCloser) attemptResult {
+	defer body.Close()
 	table := e.deps.Router.Table()
 	slot, ok := table.Slot(q.service, q.key)
 	if !ok {
@@ -154,13 +162,13 @@
 	}
 	p := destination{target: owner, slot: slot, epoch: table.Epoch()}
 	if d, ok := e.deps.Router.Dispatcher(owner); ok {
-		return e.serveLocally(ctx, w, r, q, p, d)
+		return e.serveLocally(ctx, w, r, q, p, d, body)
 	}
 	member, ok := e.deps.Router.Holder(owner)
 	if !ok || member.ID == e.deps.Self {
 		return attemptResult{outcome: fulmaroutcome.NotRun, reason: fulmaroutcome.NoDispatcher}
 	}
-	res := e.sendToPeer(ctx, w, r, q, p, member)
+	res := e.sendToPeer(ctx, w, r, q, p, member, body)
 	if res.holder != "" {
 		e.deps.Router.Learn(owner, res.holder)
 	}
@@ -189,29 +197,24 @@
 }
 
 // serveLocally sends the request to the dispatcher d of this instance.
-func (e *Entry) serveLocally(ctx context.Context, w http.ResponseWriter, r *http.Request, q *callerRequest, p destination, d http.Handler) attemptResult {
+func (e *Entry) serveLocally(ctx context.Context, w http.ResponseWriter, r *http.Request, q *callerRequest, p destination, d http.Handler, body io.ReadCloser) attemptResult {
 	in := r.WithContext(ctx)
 	in.Header = e.dispatchHeader(r, q, p)
-	in.Body, in.ContentLength = http.NoBody, q.body.Length()
-	if b := q.body.Reader(); b != nil {
-		in.Body = io.NopCloser(b)
-	}
+	in.Body, in.ContentLength = body, q.body.Length()
 	out := &servedWriter{dst: w, header: make(http.Header)}
 	d.ServeHTTP(out, in)
 	return out.result()
 }
 
 // sendToPeer sends the request to the dispatcher of the peer m.
-func (e *Entry) sendToPeer(ctx context.Context, w http.ResponseWriter, r *http.Request, q *callerRequest, p destination, m fulmarslot.Member) attemptResult {
+func (e *Entry) sendToPeer(ctx context.Context, w http.ResponseWriter, r *http.Request, q *callerRequest, p destination, m fulmarslot.Member, body io.ReadCloser) attemptResult {
 	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+m.DataAddress+r.URL.RequestURI(), nil)
 	if err != nil {
 		return attemptResult{outcome: fulmaroutcome.NotRun, reason: fulmaroutcome.NoDispatcher}
 	}
 	out.Header = e.dispatchHeader(r, q, p)
 	out.Header.Del("Content-Length")
-	if b := q.body.Reader(); b != nil {
-		out.Body, out.ContentLength = io.NopCloser(b), q.body.Length()
-	}
+	out.Body, out.ContentLength = body, q.body.Length()
 	if !q.body.Complete() {
 		// If the peer refuses before the body is sent, the body can be sent in another
 		// attempt.
--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"iter"
 	"net/http"
 	"strconv"
@@ -48,7 +49,8 @@
 		return x.refuseOrFail(cancelReason(ctx)) // a send would count as one that may have run
 	}
 	for {
-		if !x.request.Payload.Replayable() {
+		body, err := x.request.Payload.Open()
+		if err != nil {
 			return x.refuseOrFail(last) // a send without the part of the body that is gone would be another request
 		}
 		if x.isCondemned() {
@@ -69,7 +71,7 @@
 		if x.sends > 0 || x.dials > 0 {
 			x.forwarder.deps.Metrics.Count("relay.retry_" + metricLabel(last))
 		}
-		answer, res := x.send(ctx, target)
+		answer, res := x.send(ctx, target, body)
 		if res == delivered {
 			return answer
 		}
@@ -278,8 +280,9 @@
 	return reason, true
 }
 
-// send sends the request to a target at which choose has counted it.
-func (x *exchange) send(ctx context.Context, t fulmarcatalog.Target) (*fulmarhttpserver.Answer, result) {
+// send sends the request to a target at which choose has counted it. It closes the body.
+func (x *exchange) send(ctx context.Context, t fulmarcatalog.Target, body io.ReadCloser) (*fulmarhttpserver.Answer, result) {
+	defer body.Close()
 	d := &x.forwarder.deps
 	streaming, answered := false, false
 	defer func() {
@@ -307,7 +310,7 @@
 	header[http.CanonicalHeaderKey(d.HeaderNames.ExpectedTarget)] = []string{t.ID}
 	a, err := d.Pool.Do(ctx, t.Address, &fulmarlink.Request{
 		Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header,
-		ID: x.id, Body: x.request.Payload.Reader(), Length: x.request.Payload.Length(), MaxIdle: x.maxIdleConnections(),
+		ID: x.id, Body: body, Length: x.request.Payload.Length(), MaxIdle: x.maxIdleConnections(),
 	})
 	x.lastError = err
 	if errors.Is(err, fulmarlink.ErrNoRoom) {
--- a/internal/fulmarhttpserver/conn.go
+++ b/internal/fulmarhttpserver/conn.go
@@ -151,7 +151,7 @@
 		select {
 		case <-done:
 			// The rest of the body must be read first, or no other request follows.
-			return done, c.discardBody(r.Body)
+			return done, c.discardBody(req.Payload)
 		case <-req.Payload.Consumed():
 		}
 	}
@@ -223,15 +223,12 @@
 }
 
 // discardBody reads the rest of a body that the handler did not read, so that the connection can be reused.
-func (c *conn) discardBody(body io.Reader) error {
+func (c *conn) discardBody(body *fulmarbody.Body) error {
 	if c.isEnded() {
 		return net.ErrClosed
 	}
-	n, err := io.CopyN(io.Discard, body, maxDiscard)
-	if errors.Is(err, io.EOF) {
-		return nil
-	}
-	if err == nil && n == maxDiscard {
+	ended, err := body.Discard(maxDiscard)
+	if err == nil && !ended {
 		err = errors.New("fulmarhttpserver: unread rest of the body is too large to discard")
 	}
 	return err
--- a/internal/fulmarhttpserver/end_test.go
+++ b/internal/fulmarhttpserver/end_test.go
@@ -54,10 +54,8 @@
 
 // readBodyAndAnswer reads the whole request and returns a large answer.
 func readBodyAndAnswer(r *fulmarhttpserver.Request) *fulmarhttpserver.Answer {
-	if reader := r.Payload.Reader(); reader != nil {
-		if _, err := io.Copy(io.Discard, reader); err != nil {
-			return nil
-		}
+	if _, err := readPayload(r); err != nil {
+		return nil
 	}
 	return &fulmarhttpserver.Answer{Status: 200, Header: http.Header{}, Body: bytes.Repeat([]byte("a"), largeAnswer)}
 }
--- a/internal/fulmarhttpserver/server_test.go
+++ b/internal/fulmarhttpserver/server_test.go
@@ -55,8 +55,9 @@
 		h.ended.Add(1)
 	}
 	h.started <- r.RequestURI
-	if reader := r.Payload.Reader(); reader != nil && strings.HasPrefix(r.RequestURI, "/waitread") {
-		if _, err := io.Copy(io.Discard, reader); err != nil {
+	readFirst := strings.HasPrefix(r.RequestURI, "/waitread")
+	if readFirst {
+		if _, err := readPayload(r); err != nil {
 			return nil
 		}
 	}
@@ -75,8 +76,8 @@
 		return h.answer(r)
 	}
 	body := r.RequestURI
-	if reader := r.Payload.Reader(); reader != nil {
-		b, err := io.ReadAll(reader)
+	if r.Payload.Length() != 0 && !readFirst {
+		b, err := readPayload(r)
 		if err != nil {
 			return nil
 		}
@@ -85,6 +86,16 @@
 	return &fulmarhttpserver.Answer{Status: http.StatusOK, Header: http.Header{}, Body: []byte(body)}
 }
 
+// readPayload reads the whole body of a request.
+func readPayload(r *fulmarhttpserver.Request) ([]byte, error) {
+	body, err := r.Payload.Open()
+	if err != nil {
+		return nil, err
+	}
+	defer body.Close()
+	return io.ReadAll(body)
+}
+
 type fixture struct {
 	*handler
 	server  *fulmarhttpserver.Server
@@ -267,7 +278,7 @@
 	It("serves nothing behind a long body that did not arrive in time", func() {
 		f := start(fulmarhttpserver.Limits{HeaderBytes: 1024, BodyBytes: 100 << 10, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: time.Second})
 		f.answer = func(r *fulmarhttpserver.Request) *fulmarhttpserver.Answer {
-			_, err := io.Copy(io.Discard, r.Payload.Reader())
+			_, err := readPayload(r)
 			return &fulmarhttpserver.Answer{Status: 200, Header: http.Header{}, Body: []byte(fmt.Sprint(err != nil))}
 		}
 		c := f.dial()
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -62,7 +62,7 @@
 	Header    http.Header // without connection headers, Host and Content-Length
 	ID        string      // request id; empty if the answer carries none
 	Lane      string      // requests of different lanes share no connection
-	Body      io.Reader   // nil for none
+	Body      io.Reader   // nil or http.NoBody for none
 	Length    int64       // of the body, -1 if unknown
 	ReuseOnly bool        // fail with ErrUnsent if there is no idle connection
 	MaxIdle   int         // limit on the idle connections to the address after this request, 0 for none
--- a/internal/fulmarlink/send.go
+++ b/internal/fulmarlink/send.go
@@ -9,6 +9,12 @@
 	"github.com/pkg/errors"
 )
 
+// inMemory is a body that is in memory as a whole, such as *bytes.Reader.
+type inMemory interface {
+	io.WriterTo
+	Len() int
+}
+
 // sendHead writes the head of the request to the connection. A body that is already in memory goes out in one write with it;
 // otherwise, sendBody writes the body, and is nil if there is none.
 func sendHead(c *conn, r *Request) (sendBody func() error, err error) {
@@ -23,8 +29,9 @@
 	if err := r.Header.Write(&head); err != nil {
 		return nil, err
 	}
+	hasBody := r.Body != nil && r.Body != http.NoBody
 	switch {
-	case r.Body == nil:
+	case !hasBody:
 		if r.Method != http.MethodGet && r.Method != http.MethodHead {
 			head.WriteString("Content-Length: 0\r\n")
 		}
@@ -36,14 +43,14 @@
 		head.WriteString("Transfer-Encoding: chunked\r\n")
 	}
 	head.WriteString("\r\n")
-	if b, ok := r.Body.(*bytes.Reader); ok && r.Length >= 0 {
+	if b, ok := r.Body.(inMemory); ok && int64(b.Len()) == r.Length {
 		if _, err := b.WriteTo(&head); err != nil {
 			return nil, err
 		}
 		_, err := c.Write(head.Bytes())
 		return nil, err
 	}
-	if _, err := c.Write(head.Bytes()); err != nil || r.Body == nil {
+	if _, err := c.Write(head.Bytes()); err != nil || !hasBody {
 		return nil, err
 	}
 	if r.Length >= 0 {
--- a/internal/fulmartarget/client.go
+++ b/internal/fulmartarget/client.go
@@ -44,9 +44,9 @@
 	Method     string
 	Path       string // path and query as the caller sent them
 	Header     http.Header
-	Body       io.Reader // nil for none
-	BodyLength int64     // -1 if not known
-	Sender     string    // id of the dispatching instance
+	Body       io.ReadCloser // nil for none
+	BodyLength int64         // -1 if not known
+	Sender     string        // id of the dispatching instance
 	Term       uint64
 	Slot       int
 	Deadline   time.Time
@@ -134,17 +134,12 @@
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	u.Scheme, u.Host = "http", address
-	var body io.Reader
-	if o.Body != nil {
-		body = io.NopCloser(o.Body) // hides the type, from which net/http could replay the body
-	}
-	r, err := http.NewRequestWithContext(ctx, o.Method, u.String(), body)
+	r, err := http.NewRequestWithContext(ctx, o.Method, u.String(), nil)
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	r.ContentLength = 0
 	if o.Body != nil {
-		r.ContentLength = o.BodyLength
+		r.Body, r.ContentLength = o.Body, o.BodyLength
 	}
 	fulmarreply.CopyHeader(r.Header, o.Header)
 	r.Header.Del("Expect")
--- a/internal/fulmartarget/client_test.go
+++ b/internal/fulmartarget/client_test.go
@@ -75,7 +75,7 @@
 var _ = Describe("orders", func() {
 	order := func() fulmartarget.Order {
 		return fulmartarget.Order{
-			Method: http.MethodPost, Path: "/desk/a%2Fb?c=d", Body: strings.NewReader("body"), BodyLength: 4,
+			Method: http.MethodPost, Path: "/desk/a%2Fb?c=d", Body: io.NopCloser(strings.NewReader("body")), BodyLength: 4,
 			Term: 7, Slot: 5, Sender: "a", Deadline: time.Now().Add(2 * time.Second),
 			Header: http.Header{
 				"Colour": {"red"}, "Connection": {"X-Hop"}, "X-Hop": {"1"},
