Read nothing of a request after fulmartransport has returned its answer

What callers and targets saw: a target of `serve` that answered before it had read a long request got the rest, a part of it, or the end of the connection, by what net/http's goroutines did within the next 50 ms. Meanwhile the daemon answered the caller, for which net/http's server reads the same body.

Cause: http.Transport.RoundTrip returns when the head of the answer is there. Its write loop reads the request on, and nothing ends that.

Change: as fulmarlink does for the front daemon, a request is sent to its end before an answer below 400 is returned, at most until the request's context ends; behind another answer or an error its body gives an error to whoever still reads, so that the target sees an incomplete request.

Weighed: letting the answer pass at once and waiting behind it. net/http waits 50 ms for the request at the end of an answer and then closes the connection, which can't be set, and its server discards up to 256 KiB of the caller's body before it writes a head.

--- a/internal/fulmartransport/doc.go
+++ b/internal/fulmartransport/doc.go
@@ -7,6 +7,10 @@
 // ErrUnsent means that no byte of the request was sent and that none will be;
 // after any other error the request may have run.
 //
+// net/http may return an answer while another goroutine still reads the body of the
+// request. RoundTrip sends the request to its end before it returns an answer
+// below 400, and reads nothing of the body after it has returned.
+//
 // net/http takes the bytes that follow a request on a kept connection for its
 // answer, also if they are an answer too many to an earlier request.
 // RoundTripWithID gives each request an id and accepts only an answer that repeats
--- a/internal/fulmartransport/transport.go
+++ b/internal/fulmartransport/transport.go
@@ -66,7 +66,8 @@
 // Close closes idle connections.
 func (t *Transport) Close() { t.http.CloseIdleConnections() }
 
-// RoundTrip sends the request at most once. The caller must close the response body.
+// RoundTrip sends the request at most once. The caller must close the response body. The body of the request isn't read after
+// RoundTrip has returned: it is sent to its end before an answer below 400 is returned, and not further behind another one.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	return t.roundTrip(r, &connTracker{})
 }
@@ -95,7 +96,18 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { u.attach(info.Conn) }}
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	disableResend(r)
+	var body *sentBody
+	if r.Body != nil && r.Body != http.NoBody {
+		body = newSentBody(r.Body)
+		defer body.end()
+		r.Body = body
+	}
 	resp, err := t.http.RoundTrip(r)
+	if err == nil && body != nil && resp.StatusCode < http.StatusBadRequest {
+		if err = body.awaitSent(r.Context()); err != nil {
+			_ = resp.Body.Close()
+		}
+	}
 	if err == nil {
 		return resp, nil
 	}
