Remember answers to work that no crash has been recorded for

Cause: of a record of one crash only its daemon knows, and of the end of a silent target nobody for up to 8 s. Another daemon that got an answer had nothing to clear, and forgot it.

A record with a crash that such an answer has cleared counts as a change, so that the others learn of the answer; what the other side of a report knows no longer includes answers that were not sent to it.

Ruled out: sending records of one crash to all daemons, as the loss of many targets leaves hundreds of them.

--- a/internal/fulmarfollower/crash.go
+++ b/internal/fulmarfollower/crash.go
@@ -17,22 +17,20 @@
 // note records that the other side knows the given records.
 func (k *knownCrashes) note(now time.Time, crashes []fulmarcrash.Aged) {
 	for _, a := range crashes {
-		k.add(a.Record(now))
+		r := a.Record(now)
+		k.set(r.Merge(k.records[r.Work]))
 	}
 }
 
-// add adds a record and reports whether the other side did not know all of its crashes.
-func (k *knownCrashes) add(r fulmarcrash.Record) (isNew bool) {
+func (k *knownCrashes) set(r fulmarcrash.Record) {
 	if k.records == nil {
 		k.records = make(map[uint64]fulmarcrash.Record)
 	}
-	old := k.records[r.Work]
-	next := r.Merge(old)
-	k.records[r.Work] = next
-	return !next.SameCrashes(old)
+	k.records[r.Work] = r
 }
 
-// unknown returns the records of the board that the other side does not know, and notes that it will.
+// unknown returns the records of the board that tell the other side of crashes or clear some of which it knows, and notes that
+// it will know them. An answer that isn't sent isn't noted, as it may clear a crash of which the other side learns later.
 func (k *knownCrashes) unknown(now time.Time, board *fulmarcrash.Board) []fulmarcrash.Aged {
 	generation := board.Generation()
 	if generation == k.generation {
@@ -41,7 +39,9 @@
 	k.generation = generation
 	var out []fulmarcrash.Record
 	for _, r := range board.Records() {
-		if k.add(r) {
+		old := k.records[r.Work]
+		if next := r.Merge(old); !next.SameCrashes(old) {
+			k.set(next)
 			out = append(out, r)
 		}
 	}
--- a/internal/fulmarfollower/crash_test.go
+++ b/internal/fulmarfollower/crash_test.go
@@ -113,17 +113,23 @@
 // Guards against a request that is condemned although another daemon had an answer to it after the first crash: of a record of
 // one crash, only the daemon that made it knows.
 func TestAnswerElsewhereAfterFirstCrash(t *testing.T) {
-	for name, known := range map[string]time.Duration{
-		"target that ended":               0,
-		"silent target, whose entry goes": 3 * time.Second, // until its end is known
+	for _, c := range []struct {
+		name  string
+		known time.Duration // until the end of the first target is known, after the answer
+		late  bool          // the end of the first target is known after those of the others
+	}{
+		{name: "target that ended"},
+		{name: "silent target, whose entry goes", known: 3 * time.Second},
+		{name: "silent target, whose entry goes after two more crashes", late: true},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(c.name, func(t *testing.T) {
+			known := c.known
 			simulateLargeFleet(t, 27, func(_ context.Context, _ *testing.T, g *WithT, f *largeFleet) {
 				crash := func(daemon, id string, at time.Time) {
 					f.daemon(daemon).crashes.RecordCrash(crashingWork, fulmarcrash.Crash{Target: target(id, false).Incarnation(), At: at})
 				}
 				first := time.Now()
-				if known == 0 {
+				if known == 0 && !c.late {
 					crash("d1", "x1", first)
 				}
 				time.Sleep(time.Second)
@@ -137,6 +143,10 @@
 					time.Sleep(2 * time.Second)
 					crash("d5", id, time.Now())
 				}
+				if c.late {
+					time.Sleep(time.Second) // all daemons know of the others
+					crash("d1", "x1", first)
+				}
 				time.Sleep(crashBound)
 				g.Expect(f.missing(condemns)).To(Equal(len(f.daemons)), "condemned by two crashes after an answer")
 			})
--- a/internal/fulmarforwarder/crash.go
+++ b/internal/fulmarforwarder/crash.go
@@ -80,7 +80,7 @@
 func (x *exchange) work() uint64 {
 	if x.fingerprint == 0 {
 		r := x.request
-		fields := []string{r.Method, strings.ToLower(r.Host), r.RequestURI, r.Header.Get(x.forwarder.deps.HeaderNames.Key)}
+		fields := append(make([]string, 0, 4+len(credentials)), r.Method, strings.ToLower(r.Host), r.RequestURI, r.Header.Get(x.forwarder.deps.HeaderNames.Key))
 		for _, name := range credentials {
 			fields = append(fields, strings.Join(r.Header.Values(name), "\n"))
 		}
@@ -139,13 +139,13 @@
 }
 
 // clearSuspicion records that a target has answered the request, so that it is not one that crashes targets. That includes those
-// that have not answered it and whose end is not known yet.
+// that have not answered it and whose end is not known yet, here or at another daemon.
 func (x *exchange) clearSuspicion() {
 	d := &x.forwarder.deps
 	if unanswered := &x.forwarder.unanswered; !unanswered.isEmpty() {
 		unanswered.drop(x.work())
 	}
-	if !d.Crashes.IsEmpty() && d.Crashes.RecordAnswer(d.Clock(), x.work()) {
+	if d.Crashes.RecordAnswer(d.Clock(), x.work()) {
 		d.Log.Info("request answered after a target had ended during the same one", "id", x.id, "work", x.work())
 	}
 }
--- a/pkg/fulmarcrash/board.go
+++ b/pkg/fulmarcrash/board.go
@@ -22,6 +22,7 @@
 type Board struct {
 	mu         sync.Mutex
 	entries    map[uint64]entry
+	answers    answers
 	version    int64
 	generation atomic.Int64
 	size       atomic.Int64
@@ -51,10 +52,12 @@
 	return b.entries[work].Record
 }
 
-// RecordAnswer records that a target has answered the work, and reports whether that ends a suspicion.
+// RecordAnswer records that a target has answered the work, and reports whether that ends a suspicion. Answers to other work are
+// remembered for a while, for crashes before them of which the board learns later.
 func (b *Board) RecordAnswer(now time.Time, work uint64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.answers.add(now, work)
 	if e, ok := b.entries[work]; !ok || len(e.Crashes) == 0 {
 		return false
 	}
@@ -75,12 +78,13 @@
 // merge adds what a record knows, and reports whether all daemons are to learn of the change. The caller holds mu.
 func (b *Board) merge(r Record) (changed bool) {
 	e := b.entries[r.Work]
-	next := r.Merge(e.Record)
-	same := next.SameCrashes(e.Record)
+	next := r.Merge(e.Record).WithAnswer(b.answers.find(r.Work))
+	// Whoever sent a crash that an answer has cleared here does not know of the answer.
+	same := next.SameCrashes(e.Record) && !r.hasCrashUpTo(next.AnsweredAt)
 	e.Record = next
 	if !same {
 		b.generation.Add(1)
-		if changed = len(next.Crashes) >= sharedFrom || e.version > 0; changed {
+		if changed = len(next.Crashes) >= sharedFrom || len(r.Crashes) >= sharedFrom || e.version > 0; changed {
 			b.version++
 			e.version = b.version
 			select {
--- a/pkg/fulmarcrash/board_test.go
+++ b/pkg/fulmarcrash/board_test.go
@@ -47,6 +47,28 @@
 		}
 		expectCondemned(g, b, at(5), false)
 	})
+	t.Run("an answer before the first crash is known", func(t *testing.T) {
+		g := NewWithT(t)
+		b := fulmarcrash.New()
+		g.Expect(b.RecordAnswer(at(3), work)).To(BeFalse())
+		b.RecordAnswer(at(3), work+1)
+		before := b.Version()
+		b.Merge([]fulmarcrash.Record{{Work: work, Crashes: []fulmarcrash.Crash{crash(1, 1), crash(2, 2), crash(3, 4)}}})
+		expectCondemned(g, b, at(5), false)
+		g.Expect(b.Changes(before, b.Version())).To(HaveLen(1), "that the suspicion ended")
+		b.Merge([]fulmarcrash.Record{{Work: work, Crashes: []fulmarcrash.Crash{crash(4, 5), crash(5, 6)}}})
+		expectCondemned(g, b, at(7), true)
+	})
+	t.Run("crashes before an answer that others do not know", func(t *testing.T) {
+		g := NewWithT(t)
+		b := fulmarcrash.New()
+		b.RecordAnswer(at(3), work)
+		b.Merge([]fulmarcrash.Record{{Work: work, Crashes: []fulmarcrash.Crash{crash(2, 4), crash(3, 5)}}})
+		before := b.Version()
+		g.Expect(b.Merge([]fulmarcrash.Record{{Work: work, Crashes: []fulmarcrash.Crash{crash(1, 1), crash(2, 4), crash(3, 5)}}})).To(BeTrue())
+		g.Expect(b.Changes(before, b.Version())).To(HaveLen(1), "that the suspicion ended")
+		expectCondemned(g, b, at(6), false)
+	})
 	t.Run("an answer in between", func(t *testing.T) {
 		g := NewWithT(t)
 		b := fulmarcrash.New()
--- a/pkg/fulmarcrash/record.go
+++ b/pkg/fulmarcrash/record.go
@@ -60,6 +60,11 @@
 	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Target == target })
 }
 
+// hasCrashUpTo reports whether one of the crashes was not after t.
+func (r Record) hasCrashUpTo(t time.Time) bool {
+	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return !c.At.After(t) })
+}
+
 // SameCrashes reports whether both records have crashes of the same targets.
 func (r Record) SameCrashes(o Record) bool {
 	return len(r.Crashes) == len(o.Crashes) && !slices.ContainsFunc(r.Crashes, func(c Crash) bool { return !o.has(c.Target) })
