--- a/internal/fulmarbody/body_test.go
+++ b/internal/fulmarbody/body_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing/iotest"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -193,4 +194,29 @@
 			Expect(partial.Load()).To(BeZero())
 		}
 	})
+
+	// Guards against two reads of the caller's connection at the same time, which mix its bytes.
+	It("waits for a read that has begun before it discards", func() {
+		rest := &gatedReader{gate: make(chan struct{}), began: make(chan struct{}, 2)}
+		b, _ := long(rest)
+		r := open(b)
+		readPrefix(r)
+		var group sync.WaitGroup
+		group.Go(func() { _, _ = r.Read(make([]byte, 10)) })
+		Eventually(rest.began).Should(Receive())
+		group.Go(func() { _, _ = b.Discard(10) })
+		Consistently(rest.began, 50*time.Millisecond).ShouldNot(Receive())
+		close(rest.gate)
+		group.Wait()
+		expectRevoked(r)
+	})
 })
+
+// gatedReader reports when a read begins, and lets it wait until the gate opens.
+type gatedReader struct{ gate, began chan struct{} }
+
+func (r *gatedReader) Read(p []byte) (int, error) {
+	r.began <- struct{}{}
+	<-r.gate
+	return min(len(p), 10), nil
+}
--- a/internal/fulmarentry/body_test.go
+++ b/internal/fulmarentry/body_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarbody"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarentry"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarreply"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmaroutcome"
 )
@@ -67,7 +68,7 @@
 
 	// Guards against a send that reads on beside the entry, which discards the rest of the body behind an early answer: what
 	// remained of a chunked body ended as if it were whole.
-	DescribeTable("has no reader but the entry behind an early answer", func(pair bool) {
+	DescribeTable("has no reader but the entry behind an early answer", func(fromPeer bool) {
 		const (
 			piece = 4 << 10
 			pause = 200 * time.Microsecond // lets both readers take their turns
@@ -87,13 +88,13 @@
 				results <- result{b, err}
 			}()
 		}
-		var n *instance
-		if pair {
-			n, _ = newInstancePair(early)
-		} else {
-			n = newSingleInstance(early)
-		}
+		n := newSingleInstance(early)
 		r := n.request("board", nil)
+		if fromPeer {
+			r.URL.Host = n.member.DataAddress
+			r.Header.Set(fulmaroutcome.HeaderDeadline, "5000")
+			fulmarentry.Sign(r, []byte("secret"), time.Now())
+		}
 		c, err := net.Dial("tcp", r.URL.Host)
 		Expect(err).NotTo(HaveOccurred())
 		defer c.Close()
@@ -112,6 +113,6 @@
 		Eventually(results).WithTimeout(5 * time.Second).Should(Receive(&late))
 		expectWhole(late.body, late.err, body[fulmarbody.PrefixLimit+1:])
 	},
-		Entry("at the dispatcher of this instance", false), Entry("at a peer", true),
+		Entry("from a caller", false), Entry("from a peer", true),
 	)
 })
