Test three duties of a dispatcher that no test held

Of 27 mechanisms of `serve` that were taken out one by one, seven had no test of their packages that failed. Three are duties of a dispatcher: it refuses a request that an older table has routed, starts nothing after its deadline, and withdraws a queued request whose caller has left. Each has a test now, which fails without its mechanism.

--- a/internal/fulmardispatch/dispatcher_test.go
+++ b/internal/fulmardispatch/dispatcher_test.go
@@ -362,6 +362,50 @@
 		expectServed(<-good, "done")
 	})
 
+	// Guards against a request that was routed by an older table, and so is looked up among other records than its duplicate.
+	DescribeTable("refuses a request for another slot than that of its key", func(idempotent bool) {
+		f := newFixture(idempotent, 1)
+		slot, _ := f.table.Load().Slot(service, key)
+		other := 1 + slot%3 // a slot of the target that is not 0, which stands for the key's own
+		id := newID()
+		expectRefused(f.do(background, call{id: id, slot: -other}), notRun, fulmaroutcome.Moving)
+		Expect(f.executions(id)).To(BeZero())
+	}, Entry("idempotent", true), Entry("at most once", false))
+
+	// Guards against a queued request that is started although its deadline has passed.
+	DescribeTable("starts no request after its deadline", func(idempotent bool) {
+		f, g := newFixture(idempotent, 1), newGate()
+		f.setTargetHandler(g.serve)
+		running := f.start(background, call{id: newID(), timeout: time.Minute})
+		Eventually(g.blocked.Load).Should(BeEquivalentTo(1))
+		id := newID()
+		queued := f.start(background, call{id: id})
+		Eventually(f.d.Waiting).Should(Equal(1))
+		f.clockOffset.Store(int64(11 * time.Second)) // past the deadline, for which no timer of the system clock has fired
+		close(g.open)
+		expectServed(<-running, "done")
+		expectRefused(<-queued, notRun, fulmaroutcome.Deadline)
+		Expect(f.executions(id)).To(BeZero())
+	}, Entry("idempotent", true), Entry("at most once", false))
+
+	// Guards against a queued request that takes a place in the queue, and then of the target, after its caller has disconnected.
+	It("withdraws a queued idempotent request when its caller disconnects", func() {
+		f, g := newFixture(true, 1), newGate()
+		f.setTargetHandler(g.serve)
+		running := f.start(background, call{})
+		Eventually(g.blocked.Load).Should(BeEquivalentTo(1))
+		ctx, cancel := context.WithCancel(background)
+		id := newID()
+		queued := f.start(ctx, call{id: id})
+		Eventually(f.d.Waiting).Should(Equal(1))
+		cancel()
+		Expect((<-queued).err).To(HaveOccurred())
+		Eventually(f.d.Waiting).Should(BeZero())
+		close(g.open)
+		expectServed(<-running, "done")
+		Expect(f.executions(id)).To(BeZero())
+	})
+
 	// Guards against running a request whose caller has disconnected.
 	It("cancels an idempotent request when its caller disconnects", func() {
 		f, g := newFixture(true, 3), newGate()
