Bound the requests for a hot key by permits of the leader

Cause: nothing but the four requests of each daemon in flight bounds what a fleet of 145 daemons sends to the one target of such a key. Its queue and its connections are full, and what does not fit hangs there.

Change: the plan compares the rate of a key that has a target of its own with what the target can do. Requests without a permit are refused at once, with a Retry-After of at least the time until the next permit, spread over as much again. Without a leader nothing is bounded.

The mark travels with the owners of keys in place of a board of its own, so that it ends with the owner and the term.

--- a/cmd/fulmarlab/replay.go
+++ b/cmd/fulmarlab/replay.go
@@ -28,7 +28,7 @@
 	}
 }
 
-// runReplay prints the mean worth of each load, over the seeds, for the router's policy, two alternatives
+// runReplay prints the mean worth of each load, over the seeds, for the router's policy, three alternatives
 // and an upper bound.
 func runReplay(seed uint64, seeds int) {
 	noMoves := fulmarassign.DefaultPolicy
@@ -40,6 +40,7 @@
 	}{
 		{"choice", fulmarassign.DefaultPolicy, func() fulmarreplay.Admission { return fulmarreplay.NewDaemonLimit(maxRequestsPerDaemon) }},
 		{"no moves", noMoves, func() fulmarreplay.Admission { return fulmarreplay.NewDaemonLimit(maxRequestsPerDaemon) }},
+		{"permits", fulmarassign.DefaultPolicy, func() fulmarreplay.Admission { return fulmarreplay.NewFleetPermits(maxRequestsPerDaemon) }},
 		{"dispatcher", fulmarassign.DefaultPolicy, func() fulmarreplay.Admission { return fulmarreplay.NewDispatcher(3, 1.5, "goal") }},
 		{"bound", fulmarassign.DefaultPolicy, func() fulmarreplay.Admission { return fulmarreplay.NewIdeal() }},
 	}
--- a/internal/fulmaradmission/gate.go
+++ b/internal/fulmaradmission/gate.go
@@ -88,7 +88,7 @@
 // request's MaxWait. Otherwise, retryAfter is the time in which no permit becomes available, zero if that is not known.
 func (g *Gate) Admit(ctx context.Context, r fulmarpermit.Request) (retryAfter time.Duration, ok bool) {
 	rate, limited := g.deps.Limits.Rate(r.Target)
-	if !limited {
+	if !limited && !r.Bounded {
 		return 0, true
 	}
 	now := g.deps.Now()
@@ -126,7 +126,7 @@
 	return left, now.Before(g.retryAfter)
 }
 
-// takeTurn reports whether the daemon may send a request to target without a leader.
+// takeTurn reports whether the daemon may send a request to target without a leader. What only the leader bounds is sent.
 func (g *Gate) takeTurn(now time.Time, target string) bool {
 	rate, limited := g.deps.Limits.Rate(target)
 	if !limited {
--- a/internal/fulmarfollower/follower_test.go
+++ b/internal/fulmarfollower/follower_test.go
@@ -101,7 +101,8 @@
 	limits  atomic.Int64                     // number of limits that leaders have sent
 	orders  fulmarleader.OrderSender         // used by all daemons; nil acknowledges every order
 
-	minLease time.Duration // shortest lease that the store grants, zero for none
+	minLease time.Duration                // shortest lease that the store grants, zero for none
+	loads    fulmarfollower.LoadCollector // of all daemons; nil for no load
 }
 
 // inProcessLeader passes the reports of a daemon to a Follower in the same process.
@@ -165,6 +166,10 @@
 	if orders == nil {
 		orders = acknowledgingSender{}
 	}
+	loads := f.loads
+	if loads == nil {
+		loads = noLoad{}
+	}
 	forwarded := func() bool { return false }
 	if d, ok := store.(*fulmarkvforwarder.Store); ok {
 		forwarded = d.Forwarding
@@ -172,7 +177,7 @@
 	d := fulmarfollower.New(fulmarleader.Deps{
 		ID: id, Address: id, Store: store, Registry: registry, Orders: orders, Views: views,
 		MaxGrantDuration: 10 * time.Second, MinLease: f.minLease, CPUShare: cpuShare, Metrics: noMetrics{}, Notices: fulmarnotice.New(), Crashes: fulmarcrash.New(), Log: slog.New(slog.DiscardHandler), Now: time.Now, Limits: limits, StoreForwarded: forwarded,
-	}, noLoad{}, f.dial)
+	}, loads, f.dial)
 	f.setLeader(id, inProcessLeader{d, &f.configs, &f.limits})
 	go d.Run(ctx)
 	return views, limits
--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -238,8 +238,7 @@
 		view, changed := d.Views.Watch()
 		x.view = view
 		span, ok := view.Owners[x.service.Name].Find(x.key)
-		// A key that loads a target nearly alone has a span of its own. All daemons connect to its target.
-		x.hotKey = ok && span.From == span.To
+		x.span = span
 		if ok && span.Ready {
 			if t, known := view.Catalog.Target(span.Target); known {
 				if reason, decided := x.tryOwner(ctx, t); decided {
@@ -312,7 +311,7 @@
 	header[http.CanonicalHeaderKey(d.HeaderNames.ExpectedTarget)] = []string{t.ID}
 	a, err := d.Pool.Do(ctx, t.Address, &fulmarlink.Request{
 		Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header,
-		ID: x.id, Body: body, Length: x.request.Payload.Length(), MaxIdle: x.maxIdleConnections(), Crowded: x.hotKey,
+		ID: x.id, Body: body, Length: x.request.Payload.Length(), MaxIdle: x.maxIdleConnections(), Crowded: x.isHotKey(),
 	})
 	x.lastError = err
 	if errors.Is(err, fulmarlink.ErrNoRoom) {
@@ -367,6 +366,9 @@
 	}, delivered
 }
 
+// isHotKey reports whether the key loads its target nearly alone, and so has a span of its own. All daemons connect to its target.
+func (x *exchange) isHotKey() bool { return x.key >= 0 && x.span.From == x.span.To }
+
 // maxIdleConnections returns this daemon's part of the idle connections to a target of the service, 0 for no limit.
 func (x *exchange) maxIdleConnections() int {
 	if x.service.Connections <= 0 {
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -108,8 +108,8 @@
 	route       fulmarroute.Route
 	service     fulmarroute.Service
 	id          string
-	key         int  // -1 if the service is not keyed
-	hotKey      bool // the key has an owner of its own
+	key         int             // -1 if the service is not keyed
+	span        fulmarview.Span // of the key, as it was looked up last
 	deadline    time.Time
 	cancel      context.CancelFunc // ends the sends of the request
 	sends       int                // number of times the request was sent, at least in part
--- a/internal/fulmarforwarder/limit.go
+++ b/internal/fulmarforwarder/limit.go
@@ -60,8 +60,11 @@
 // wants no pause. If not, the request is no longer counted there, and the reason is returned.
 func (x *exchange) admit(ctx context.Context, t fulmarcatalog.Target, maxWait time.Duration) Reason {
 	d := &x.forwarder.deps
-	after, ok := d.Gate.Admit(ctx, fulmarpermit.Request{Target: t.ID, MaxWait: maxWait, Priority: x.route.Priority})
+	after, ok := d.Gate.Admit(ctx, fulmarpermit.Request{Target: t.ID, MaxWait: maxWait, Priority: x.route.Priority, Bounded: x.span.Bounded})
 	reason := OverLimit
+	if _, limited := d.Limits.Rate(t.ID); x.span.Bounded && !limited {
+		reason = NoCapacity
+	}
 	if ok {
 		// The target may have asked for a pause while the request waited for a permit.
 		if after, ok = d.Notices.Admit(t.Incarnation(), d.Clock()); ok {
--- a/internal/fulmarforwarder/limit_test.go
+++ b/internal/fulmarforwarder/limit_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarforwarder"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 )
 
@@ -69,6 +70,40 @@
 	return 0, false
 }
 
+// Guards against requests for a hot key that its target can't do, and that wait there until their deadline: they are refused at
+// once, with a time to come back.
+func TestBoundedKey(t *testing.T) {
+	g := NewWithT(t)
+	x := newTarget(t, "x")
+	f := start(t, false, x)
+	f.views.Update(func(v *fulmarview.View) {
+		v.Owners = map[string]fulmarview.Spans{"keyed": {
+			{From: 0, To: 6, Target: "owner", Ready: true},
+			{From: 7, To: 7, Target: "owner", Ready: true, Bounded: true},
+		}}
+	})
+	deps := f.deps
+	deps.Gate = boundedGate(300 * time.Millisecond)
+	forwarder := fulmarforwarder.New(deps)
+	for range 6 {
+		a := forwarder.Serve(t.Context(), request(t, "/k/1", "", "Key", "7"))
+		expectStatus(g, a, http.StatusServiceUnavailable)
+		g.Expect(string(a.Body)).To(Equal("full"))
+		after, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(after).To(BeNumerically("~", 0.45, 0.15))
+	}
+	g.Expect(sends(x)).To(BeZero())
+	expectStatus(g, forwarder.Serve(t.Context(), request(t, "/k/1", "", "Key", "6")), http.StatusOK)
+}
+
+// boundedGate admits no request whose key is bounded for some time.
+type boundedGate time.Duration
+
+func (b boundedGate) Admit(_ context.Context, r fulmarpermit.Request) (time.Duration, bool) {
+	return time.Duration(b), !r.Bounded
+}
+
 // Guards against requests that are held until every target of a large service has been asked for.
 func TestOverLimitOfManyTargets(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/fulmarforwarder/outcome.go
+++ b/internal/fulmarforwarder/outcome.go
@@ -45,7 +45,7 @@
 	a := errorAnswer(http.StatusServiceUnavailable, string(reason))
 	after := retryAfter
 	switch reason {
-	case OverLimit, Paused:
+	case OverLimit, Paused, NoCapacity:
 		after = x.retryAfterAdmission()
 	case Crashes:
 		after = x.retryAfter
--- a/internal/fulmarleader/permit.go
+++ b/internal/fulmarleader/permit.go
@@ -6,6 +6,7 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarassign"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
 )
 
 // Permits dispenses permits for requests to targets with a limit. A term gives none after its lease, so that no other
@@ -19,7 +20,11 @@
 	out := &fulmarleaderrpc.PermitAnswer{Permits: make([]fulmarleaderrpc.Permit, 0, len(r.Permits))}
 	for _, ask := range r.Permits {
 		p := fulmarleaderrpc.Permit{Granted: true}
-		if rate, limited := t.deps.Limits.Rate(ask.Target); limited {
+		rate, bounded := t.deps.Limits.Rate(ask.Target)
+		if !bounded {
+			rate, bounded = (*t.hotKeyRates.Load())[ask.Target]
+		}
+		if bounded {
 			p.Wait, p.Granted = t.permits.Take(now, rate, fulmarpermit.Request(ask))
 		}
 		out.Permits = append(out.Permits, p)
@@ -27,6 +32,32 @@
 	return out, nil
 }
 
+// updateHotKeyRates takes over which targets of single keys are asked for more than they can do, and reports whether others are
+// than before. The caller holds mu.
+func (t *Term) updateHotKeyRates(name string, s *keyedService, rates map[fulmarrange.Incarnation]float64) (changed bool) {
+	for target, rate := range rates {
+		if _, known := s.hotKeyRates[target]; !known {
+			changed = true
+			t.deps.Log.Info("requests for a hot key are bounded", "service", name, "target", target.ID, "rate", rate)
+		}
+	}
+	for target := range s.hotKeyRates {
+		if _, bounded := rates[target]; !bounded {
+			changed = true
+			t.deps.Log.Info("requests for a hot key are no longer bounded", "service", name, "target", target.ID)
+		}
+	}
+	s.hotKeyRates = rates
+	all := make(map[string]float64)
+	for _, s := range t.services {
+		for target, rate := range s.hotKeyRates {
+			all[target.ID] = rate
+		}
+	}
+	t.hotKeyRates.Store(&all)
+	return changed
+}
+
 // needMemory is the time after the latest statement of a target's limit in which the target gets no keys that others can
 // have. A target whose load has become low may end its limit and state it again once the load is back. One that has lost
 // all of its keys gets no requests, so that nobody would learn of the end of its limit.
--- a/internal/fulmarleader/plan.go
+++ b/internal/fulmarleader/plan.go
@@ -67,7 +67,11 @@
 		s.rates.Advance(now)
 		s.orders.Expire(now)
 		table, pruned := t.pruneTable(now, s)
-		next := fulmarassign.Plan(table, t.eligibleTargets(now, name, s), s.rates, fulmarassign.DefaultPolicy)
+		targets := t.eligibleTargets(now, name, s)
+		next := fulmarassign.Plan(table, targets, s.rates, fulmarassign.DefaultPolicy)
+		if t.updateHotKeyRates(name, s, fulmarassign.HotKeyRates(next, targets, s.rates, s.hotKeyRates)) {
+			t.requestPublish()
+		}
 		if pruned || next.MaxFence() != table.MaxFence() {
 			changed = true
 		}
--- a/internal/fulmarleader/publish.go
+++ b/internal/fulmarleader/publish.go
@@ -97,7 +97,11 @@
 	for name, s := range t.services {
 		var spans fulmarview.Spans
 		for _, segment := range s.orders.Table().Segments() {
-			spans = spans.Append(fulmarview.Span{From: segment.From, To: segment.To, Target: segment.Owner.Incarnation.ID, Ready: s.orders.OwnerHolds(now, segment)})
+			_, bounded := s.hotKeyRates[segment.Owner.Incarnation]
+			spans = spans.Append(fulmarview.Span{
+				From: segment.From, To: segment.To, Target: segment.Owner.Incarnation.ID, Ready: s.orders.OwnerHolds(now, segment),
+				Bounded: bounded && segment.From == segment.To,
+			})
 		}
 		out[name] = spans
 	}
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -90,6 +90,7 @@
 	responseTimes *fulmarassign.ServiceTimes
 	obsoleteSince time.Time // when prior owners became removable; zero if there are none
 	reachable     map[fulmarrange.Incarnation]bool
+	hotKeyRates   map[fulmarrange.Incarnation]float64 // requests a second that the targets of single keys can do, if they are asked for more
 }
 
 // Term is the period in which this daemon holds one leader lease.
@@ -119,10 +120,11 @@
 	nextRelayChoice  time.Time            // relays are not chosen anew before then
 	publishRequested chan struct{}        // holds a value while there are changes to publish
 	permits          *fulmarpermit.Dispenser
-	permitsUntil     atomic.Pointer[time.Time] // validUntil; it is read without mu, which a publication may hold for long
-	crashesWritten   int64                     // version of the crashes that this term has stored; planLoop uses it
-	load             answerCounts              // of the answers to reports since the last line in the log
-	duties           dutyCounts                // since the last line in the log
+	hotKeyRates      atomic.Pointer[map[string]float64] // by target: the permits a second for its only key; read without mu
+	permitsUntil     atomic.Pointer[time.Time]          // validUntil; it is read without mu, which a publication may hold for long
+	crashesWritten   int64                              // version of the crashes that this term has stored; planLoop uses it
+	load             answerCounts                       // of the answers to reports since the last line in the log
+	duties           dutyCounts                         // since the last line in the log
 	group            sync.WaitGroup
 }
 
@@ -141,6 +143,7 @@
 	}
 	t.keepRelays(d.Views.Get().Relays)
 	t.permitsUntil.Store(&acquired.validUntil)
+	t.hotKeyRates.Store(&map[string]float64{})
 	return t, nil
 }
 
--- a/internal/fulmarreplay/sim_test.go
+++ b/internal/fulmarreplay/sim_test.go
@@ -53,6 +53,22 @@
 	g.Expect(worth(p, fulmarassign.DefaultPolicy, fulmarreplay.NewDaemonLimit(4))).To(BeNumerically(">", worth(p, shared, fulmarreplay.NewDaemonLimit(4))))
 }
 
+// Guards against a hot key whose requests wait at a target that can't do them until their deadline, where all daemons of a large
+// fleet send there. With permits they are refused at once, and no fewer are answered within the goal.
+func TestPermits(t *testing.T) {
+	for _, name := range []string{"catalogue-crest-key", "tagging-quiet-key"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := pattern(t, name)
+			p.Daemons = 145
+			without := fulmarreplay.New(p, fulmarassign.DefaultPolicy, fulmarreplay.NewDaemonLimit(4), seed).Run()
+			with := fulmarreplay.New(p, fulmarassign.DefaultPolicy, fulmarreplay.NewFleetPermits(4), seed).Run()
+			g.Expect(with.Failed).To(BeNumerically("<", without.Failed/2))
+			g.Expect(with.Good).To(BeNumerically(">", without.Good*98/100))
+		})
+	}
+}
+
 // Guards against a policy that beats Ideal, which would show that the model is wrong and comparisons are void.
 func TestBound(t *testing.T) {
 	for _, p := range fulmarreplay.Patterns()[:3] {
--- a/internal/fulmarview/spans.go
+++ b/internal/fulmarview/spans.go
@@ -11,10 +11,20 @@
 	To     int    `cbor:"to"` // inclusive
 	Target string `cbor:"target,omitempty"`
 	Ready  bool   `cbor:"ready,omitempty"` // the target holds the keys; otherwise they are being moved
+	// Bounded states that the leader gives permits for the requests, as the target is asked for more than it can do.
+	Bounded bool `cbor:"bounded,omitempty"`
 }
 
 // sameRouting reports whether both spans route their keys in the same way.
-func (s Span) sameRouting(o Span) bool { return s.Target == o.Target && s.Ready == o.Ready }
+func (s Span) sameRouting(o Span) bool {
+	return s.Target == o.Target && s.Ready == o.Ready && s.Bounded == o.Bounded
+}
+
+// between returns the part of the span from one key to another.
+func (s Span) between(from, to int) Span {
+	s.From, s.To = from, to
+	return s
+}
 
 // Spans is a list of spans in the order of their keys, without overlaps.
 type Spans []Span
@@ -48,9 +58,7 @@
 			if next.sameRouting(old[i]) {
 				continue
 			}
-			part := next
-			part.From, part.To = max(next.From, old[i].From), min(next.To, old[i].To)
-			out = out.Append(part)
+			out = out.Append(next.between(max(next.From, old[i].From), min(next.To, old[i].To)))
 		}
 	}
 	if len(old) == 0 {
@@ -71,7 +79,7 @@
 		for len(rest) > 0 && rest[0].From <= old.To {
 			c := rest[0]
 			if c.From > from {
-				out = out.Append(Span{From: from, To: c.From - 1, Target: old.Target, Ready: old.Ready})
+				out = out.Append(old.between(from, c.From-1))
 			}
 			if c.From >= old.From {
 				out = out.Append(c)
@@ -83,7 +91,7 @@
 			rest = rest[1:]
 		}
 		if from <= old.To {
-			out = out.Append(Span{From: from, To: old.To, Target: old.Target, Ready: old.Ready})
+			out = out.Append(old.between(from, old.To))
 		}
 	}
 	return out
--- a/internal/fulmarview/spans_test.go
+++ b/internal/fulmarview/spans_test.go
@@ -16,7 +16,7 @@
 	for from := 0; from <= lastKey; {
 		to := min(lastKey, from+rapid.IntRange(0, 20).Draw(t, name+" length"))
 		target := fmt.Sprintf("t%d", rapid.IntRange(0, 3).Draw(t, name+" target"))
-		out = out.Append(fulmarview.Span{From: from, To: to, Target: target, Ready: rapid.Bool().Draw(t, name+" ready")})
+		out = out.Append(fulmarview.Span{From: from, To: to, Target: target, Ready: rapid.Bool().Draw(t, name+" ready"), Bounded: rapid.Bool().Draw(t, name+" bounded")})
 		from = to + 1
 	}
 	return out
@@ -31,7 +31,7 @@
 		for key := range lastKey + 1 {
 			want, _ := next.Find(key)
 			have, ok := got.Find(key)
-			if !ok || have.Target != want.Target || have.Ready != want.Ready {
+			if !ok || have.Target != want.Target || have.Ready != want.Ready || have.Bounded != want.Bounded {
 				t.Fatalf("key %d: got %+v, want %+v", key, have, want)
 			}
 		}
--- a/pkg/fulmarassign/plan.go
+++ b/pkg/fulmarassign/plan.go
@@ -98,10 +98,11 @@
 	}
 }
 
+// capacity returns the request rate at which the target uses all of its slots.
+func (t Target) capacity() float64 { return float64(max(t.Slots, 1)) / t.ServiceTime }
+
 // capacity returns the request rate at which a target uses all of its slots.
-func (p *planner) capacity(i int) float64 {
-	return float64(max(p.targets[i].Slots, 1)) / p.targets[i].ServiceTime
-}
+func (p *planner) capacity(i int) float64 { return p.targets[i].capacity() }
 
 // marginalCostAt returns the marginal cost of a request at target i with the given request rate.
 func (p *planner) marginalCostAt(i int, rate float64) float64 {
--- a/pkg/fulmarpermit/dispenser.go
+++ b/pkg/fulmarpermit/dispenser.go
@@ -21,6 +21,7 @@
 	Target   string
 	MaxWait  time.Duration // longest time until the request may be sent
 	Priority int           // 0 is the most urgent
+	Bounded  bool          // the leader bounds the requests at the target, which need not have stated a limit
 }
 
 // reserve returns the number of permits that must remain for more urgent requests.
