Keep a hot key at its own target unless another one seems twice as fast

Each change broke off the connections of all daemons and left requests without an owner or with 421.

Cause: the plan moved such a key to the fastest target from 15% more capacity on. The time that a request takes is estimated by few requests at most of the 283 targets, so that one of them always seems faster; the rate of permits was then up to twice what it could do.

Change: a key that has a target of its own moves only for twice the capacity. For its first move, away from other keys, 15% stays.

--- a/pkg/fulmarassign/plan.go
+++ b/pkg/fulmarassign/plan.go
@@ -234,6 +234,14 @@
 	p.table = p.table.WithOwner(from, to, p.targets[i].Incarnation)
 }
 
+// The capacity of another target, as a multiple of that of the owner, for which a hot key is moved. A key that has a target of
+// its own needs more: of hundreds of targets the fastest one is often one whose few requests happened to be short, and each
+// move breaks off the connections of all daemons.
+const (
+	minHotKeyGain    = 1.15 // while the owner has other keys as well
+	minOwnTargetGain = 2.0  // the owner has no other key
+)
+
 // isolateHotKeys dedicates targets to single keys that use most of a target's capacity. Such a key cannot be
 // divided, so it is moved to the target with the highest capacity, and all other keys of that target are moved
 // elsewhere.
@@ -249,7 +257,11 @@
 		if _, dedicated := p.hotKeyByTarget[owner]; dedicated {
 			continue
 		}
-		if best := p.fastest(); best >= 0 && p.capacity(best) > p.capacity(owner)*1.15 && moves > 0 {
+		gain := minHotKeyGain
+		if s.From == s.To {
+			gain = minOwnTargetGain
+		}
+		if best := p.fastest(); best >= 0 && p.capacity(best) > p.capacity(owner)*gain && moves > 0 {
 			p.assign(k.Key, k.Key, best)
 			owner = best
 			moves--
