Flush an early answer without waiting for a caller that has stalled

What callers saw: in `serve`, a request whose long body stalled was answered only at its deadline, although its answer was ready before, for example the refusal of a peer or a target.

Cause: the send that was answered still waits for bytes of the body, and net/http flushes no head while a read of the body is under way. drain set the deadline that ends this read behind the flush.

--- a/internal/fulmarbody/body.go
+++ b/internal/fulmarbody/body.go
@@ -107,8 +107,8 @@
 	return b.reader, nil
 }
 
-// Discard revokes the reader and reads at most limit bytes of the body after the prefix. It returns nil if it has read them or
-// the end was reached, and otherwise the error of reading. ended reports whether the end was reached.
+// Discard revokes the reader and reads at most limit bytes of the body after the prefix. ended reports whether that reached its
+// end; err is the error of reading, nil at the end.
 func (b *Body) Discard(limit int64) (ended bool, err error) {
 	if b.rest == nil {
 		return true, nil
--- a/internal/fulmarentry/body_test.go
+++ b/internal/fulmarentry/body_test.go
@@ -1,6 +1,7 @@
 package fulmarentry_test
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net"
@@ -37,6 +38,20 @@
 	}
 }
 
+// sendHead sends the head of a request whose body follows in chunks, on a connection of its own.
+func sendHead(r *http.Request) (c net.Conn, chunks io.Writer) {
+	GinkgoHelper()
+	c, err := net.Dial("tcp", r.URL.Host)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { c.Close() })
+	var head bytes.Buffer
+	head.WriteString("POST " + r.URL.RequestURI() + " HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n")
+	Expect(r.Header.Write(&head)).To(Succeed())
+	_, err = io.WriteString(c, head.String()+"\r\n")
+	Expect(err).NotTo(HaveOccurred())
+	return c, httputil.NewChunkedWriter(c)
+}
+
 var _ = Describe("body of a request", func() {
 	long := strings.Repeat("0123456789", 21_000)
 
@@ -95,15 +110,8 @@
 			r.Header.Set(fulmaroutcome.HeaderDeadline, "5000")
 			fulmarentry.Sign(r, []byte("secret"), time.Now())
 		}
-		c, err := net.Dial("tcp", r.URL.Host)
-		Expect(err).NotTo(HaveOccurred())
-		defer c.Close()
-		var head bytes.Buffer
-		head.WriteString("POST " + r.URL.RequestURI() + " HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n")
-		Expect(r.Header.Write(&head)).To(Succeed())
-		_, err = io.WriteString(c, head.String()+"\r\n")
-		Expect(err).NotTo(HaveOccurred())
-		chunks := httputil.NewChunkedWriter(c)
+		c, chunks := sendHead(r)
+		var err error
 		for rest := body; rest != "" && err == nil; rest = rest[min(len(rest), piece):] {
 			_, err = io.WriteString(chunks, rest[:min(len(rest), piece)]) // fails if the entry closes the connection
 			time.Sleep(pause)
@@ -115,4 +123,29 @@
 	},
 		Entry("from a caller", false), Entry("from a peer", true),
 	)
+
+	// Guards against an answer that waits until the deadline for a caller that has stalled in its body, as the send that was
+	// answered early still waits for bytes.
+	It("does not delay an early answer", func() {
+		n := newSingleInstance(func(w http.ResponseWriter, r *http.Request) {
+			defer GinkgoRecover()
+			readPrefix(r)
+			waiting := make(chan struct{})
+			go func() {
+				close(waiting)
+				_, _ = r.Body.Read(make([]byte, 1))
+			}()
+			<-waiting
+			time.Sleep(10 * time.Millisecond) // until the read has begun
+			fulmarreply.Refuse(w, unknown, fulmaroutcome.Late, "")
+		})
+		c, chunks := sendHead(n.request("board", nil))
+		_, err := io.WriteString(chunks, long[:fulmarbody.PrefixLimit+1])
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.SetReadDeadline(time.Now().Add(2 * time.Second))).To(Succeed())
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		Expect(resp.Header.Get(fulmaroutcome.HeaderReason)).To(Equal(string(fulmaroutcome.Late)))
+	})
 })
--- a/internal/fulmarentry/drain.go
+++ b/internal/fulmarentry/drain.go
@@ -53,7 +53,8 @@
 		return
 	}
 	control := http.NewResponseController(w)
-	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
+	// The deadline comes first: net/http flushes nothing while a read of the body waits for a caller that has stalled.
+	if control.SetReadDeadline(time.Now().Add(drainTimeout)) != nil || control.Flush() != nil {
 		return
 	}
 	b.reading.Lock() // a read that waits ends at the deadline
