Count the time without an answer in the wait for the next read of the configuration

A read that begins just before the store is back, the wait, and the 0.6 s that this daemon's reads take add up to more than the users' 2 s, for a daemon that can't read all keys in time and has no leader.

Change: the time that a read has waited counts in the wait for the next one.

Ruled out: reads that overlap, as renewals do. The bound is kept without.

--- a/internal/fulmarfollower/config.go
+++ b/internal/fulmarfollower/config.go
@@ -31,14 +31,16 @@
 func (f *Follower) followConfig(ctx context.Context) {
 	retry := configCheckInterval
 	for ctx.Err() == nil {
-		age := f.deps.Now().Sub(f.views.Get().ConfigAsOf)
+		began := f.deps.Now()
+		age := began.Sub(f.views.Get().ConfigAsOf)
 		switch left := f.maxConfigAge() - age; {
 		case left > 0:
 			fulmarclock.Sleep(ctx, min(left, configCheckInterval))
 		case f.readConfig(ctx, age):
 			retry = configCheckInterval
 		default:
-			fulmarclock.Sleep(ctx, retry*7/8+rand.N(retry/4))
+			// The time that the read has waited for an answer counts: a store that was silent may have come back meanwhile.
+			fulmarclock.Sleep(ctx, retry*7/8+rand.N(retry/4)-f.deps.Now().Sub(began))
 			retry = min(2*retry, storeRetryInterval)
 		}
 	}
--- a/internal/fulmarfollower/configuration_test.go
+++ b/internal/fulmarfollower/configuration_test.go
@@ -12,6 +12,7 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarmemory"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 )
@@ -39,11 +40,14 @@
 }
 
 // expectConfig waits until the view has a version of the configuration, at most for configBound.
-func expectConfig(g Gomega, v *fulmarview.Holder, version uint64) {
-	for began := time.Now(); time.Since(began) < configBound && configVersion(v) < version; {
+func expectConfig(g Gomega, v *fulmarview.Holder, version uint64) { expectConfigWithin(g, configBound, v, version) }
+
+// expectConfigWithin is expectConfig with another bound.
+func expectConfigWithin(g Gomega, bound time.Duration, v *fulmarview.Holder, version uint64) {
+	for began := time.Now(); time.Since(began) < bound && configVersion(v) < version; {
 		time.Sleep(10 * time.Millisecond)
 	}
-	g.ExpectWithOffset(1, configVersion(v)).To(Equal(version))
+	g.ExpectWithOffset(2, configVersion(v)).To(Equal(version))
 }
 
 // Guards against a configuration that waits for the targets on its way to a daemon: requests were handled by an older one
@@ -82,6 +86,43 @@
 	})
 }
 
+// silentStore is a store that answers no reads while silent is set, and whose answers take some time.
+type silentStore struct {
+	lateScans
+	silent atomic.Bool
+	delay  time.Duration
+}
+
+func (s *silentStore) Scan(ctx context.Context, prefix string) ([]fulmarkv.Item, error) {
+	if s.silent.Load() || !fulmarclock.Sleep(ctx, s.delay) {
+		<-ctx.Done()
+		return nil, fulmarkv.ErrUnavailable
+	}
+	return s.lateScans.Scan(ctx, prefix)
+}
+
+// Guards against a daemon that can't read all keys in time and waits after each read that a silent store has left unanswered, and so
+// learns of a configuration over 2 s after the store is back: requests were handled by an older one.
+func TestConfigurationAfterSilence(t *testing.T) {
+	for silence := 3 * time.Second; silence < 6*time.Second; silence += 100 * time.Millisecond {
+		t.Run(silence.String(), func(t *testing.T) {
+			simulate(t, func(ctx context.Context, t *testing.T, g *WithT, memory *fulmarmemory.Store) {
+				storeLeader(t, memory, "a")
+				f, store := &fleet{}, &silentStore{lateScans: lateScans{Client: fulmarmemory.NewClient(memory)}, delay: 600 * time.Millisecond}
+				b := f.start(ctx, "b", store)
+				time.Sleep(3 * time.Second)
+				g.Expect(configVersion(b)).To(BeEquivalentTo(1))
+				store.silent.Store(true)
+				store.late.Store(true)
+				time.Sleep(silence)
+				memory.Set("config", encode(t, config(2)))
+				store.silent.Store(false)
+				expectConfigWithin(g, 2*time.Second, b, 2) // the time in which the users expect a configuration to be in force
+			})
+		})
+	}
+}
+
 // Guards against limits of targets that are dropped with the old list of targets beside them.
 func TestLimitsOfOldRelay(t *testing.T) {
 	followOldRelay(t, func(g *WithT, _ *fulmarview.Holder, limits *fulmarlimit.Board) { expectLimited(g, limits, "x", true) })
