Keep the mark of bounded requests out of the calls for permits

The leader bounds a target by its own plan and does not read the mark, which had come into the message with the conversion of a struct.

--- a/internal/fulmaradmission/gate.go
+++ b/internal/fulmaradmission/gate.go
@@ -200,7 +200,7 @@
 	r := &fulmarleaderrpc.PermitRequest{Permits: make([]fulmarleaderrpc.PermitAsk, 0, len(list))}
 	asked := make(map[string]bool, len(list))
 	for _, p := range list {
-		r.Permits = append(r.Permits, fulmarleaderrpc.PermitAsk(p.Request))
+		r.Permits = append(r.Permits, fulmarleaderrpc.PermitAsk{Target: p.Target, MaxWait: p.MaxWait, Priority: p.Priority})
 		asked[p.Target] = true
 	}
 	now := g.deps.Now()
--- a/internal/fulmarfollower/hotkey_test.go
+++ b/internal/fulmarfollower/hotkey_test.go
@@ -43,7 +43,7 @@
 	span, _ := v.Get().Owners["board"].Find(hotKey)
 	r := &fulmarleaderrpc.PermitRequest{}
 	for range n {
-		r.Permits = append(r.Permits, fulmarleaderrpc.PermitAsk{Target: span.Target, Bounded: true})
+		r.Permits = append(r.Permits, fulmarleaderrpc.PermitAsk{Target: span.Target})
 	}
 	a, err := d.Permits(ctx, r)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/fulmarleader/permit.go
+++ b/internal/fulmarleader/permit.go
@@ -19,13 +19,13 @@
 	t.deps.RecordLimits(r.Limits, "daemon")
 	out := &fulmarleaderrpc.PermitAnswer{Permits: make([]fulmarleaderrpc.Permit, 0, len(r.Permits))}
 	for _, ask := range r.Permits {
-		p := fulmarleaderrpc.Permit{Granted: true}
+		p, request := fulmarleaderrpc.Permit{Granted: true}, fulmarpermit.Request{Target: ask.Target, MaxWait: ask.MaxWait, Priority: ask.Priority}
 		rate, bounded := t.deps.Limits.Rate(ask.Target)
 		if !bounded {
 			rate, bounded = (*t.hotKeyRates.Load())[ask.Target]
 		}
 		if bounded {
-			p.Wait, p.Granted = t.permits.Take(now, rate, fulmarpermit.Request(ask))
+			p.Wait, p.Granted = t.permits.Take(now, rate, request)
 		}
 		out.Permits = append(out.Permits, p)
 	}
--- a/internal/fulmarleaderrpc/limit.go
+++ b/internal/fulmarleaderrpc/limit.go
@@ -37,7 +37,6 @@
 	Target   string        `cbor:"target"`
 	MaxWait  time.Duration `cbor:"wait"`               // longest time until the request may be sent
 	Priority int           `cbor:"priority,omitempty"` // 0 is the most urgent
-	Bounded  bool          `cbor:"bounded,omitempty"`  // the leader bounds the requests, which need no limit of the target
 }
 
 // PermitAnswer has a permit for each one that was asked for, in the same order.
