--- a/internal/fulmaradmission/fleet_test.go
+++ b/internal/fulmaradmission/fleet_test.go
@@ -93,7 +93,7 @@
 	for _, ask := range r.Permits {
 		p := fulmarleaderrpc.Permit{Granted: true}
 		if rate, limited := l.board.Rate(ask.Target); limited {
-			p.Wait, p.Granted = l.permits.Take(time.Now(), rate, fulmarpermit.Request(ask))
+			p.Wait, p.Granted = l.permits.Take(time.Now(), rate, fulmarpermit.Request{Target: ask.Target, MaxWait: ask.MaxWait, Priority: ask.Priority})
 		}
 		a.Permits = append(a.Permits, p)
 	}
--- a/internal/fulmarfollower/configuration_test.go
+++ b/internal/fulmarfollower/configuration_test.go
@@ -8,11 +8,11 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarmemory"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
-	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 )
@@ -40,7 +40,9 @@
 }
 
 // expectConfig waits until the view has a version of the configuration, at most for configBound.
-func expectConfig(g Gomega, v *fulmarview.Holder, version uint64) { expectConfigWithin(g, configBound, v, version) }
+func expectConfig(g Gomega, v *fulmarview.Holder, version uint64) {
+	expectConfigWithin(g, configBound, v, version)
+}
 
 // expectConfigWithin is expectConfig with another bound.
 func expectConfigWithin(g Gomega, bound time.Duration, v *fulmarview.Holder, version uint64) {
