Keep the connection behind a rejection of a whole request

Cause: after the announced length, net/http reads once more to find the end of a body. If the answer came before that read, it got the error that ends the send, and net/http closed the connection.

Change: a body of known length that has been read whole ends as usual.

The server waits for that read now; the checks are the same.

--- a/internal/fulmartransport/body_test.go
+++ b/internal/fulmartransport/body_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -68,9 +69,11 @@
 			g := NewWithT(t)
 			received := make(chan error, 1)
 			var size atomic.Int64
+			waiting := make(chan struct{})
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				control := http.NewResponseController(w)
 				_ = control.EnableFullDuplex()
+				<-waiting // the answer comes while a read of the body waits
 				w.WriteHeader(c.status)
 				_ = control.Flush()
 				n, err := io.Copy(io.Discard, r.Body)
@@ -81,8 +84,7 @@
 			transport := fulmartransport.New(1, nil)
 			defer transport.Close()
 			var returned atomic.Bool
-			body := &gatedBody{pieces: 50, gate: make(chan struct{}), waiting: make(chan struct{}), after: &returned}
-			waiting := body.waiting
+			body := &gatedBody{pieces: 50, gate: make(chan struct{}), waiting: waiting, after: &returned}
 			r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, body)
 			g.Expect(err).NotTo(HaveOccurred())
 			r.ContentLength = c.length
@@ -101,7 +103,6 @@
 				g.Eventually(received).Should(Receive(BeNil()))
 				g.Expect(size.Load()).To(BeEquivalentTo(50 * pieceSize))
 			} else {
-				g.Eventually(waiting).Should(BeClosed())
 				close(body.gate)
 				g.Eventually(received).Should(Receive(HaveOccurred()), "the target sees that the request is incomplete")
 			}
@@ -110,6 +111,52 @@
 	}
 }
 
+// lateEnd is a request body whose end is returned once the gate has opened.
+type lateEnd struct {
+	io.Reader
+	gate chan struct{}
+}
+
+func (b lateEnd) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil {
+		<-b.gate
+	}
+	return n, err
+}
+
+// Guards against a connection that is closed behind a rejection of a whole request: the server may answer it before net/http has
+// seen the end of its body.
+func TestRejectionBeforeEndOfBody(t *testing.T) {
+	g := NewWithT(t)
+	var mu sync.Mutex
+	connections := make(map[string]bool)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		connections[r.RemoteAddr] = true
+		mu.Unlock()
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.WriteHeader(http.StatusConflict)
+		_, _ = io.WriteString(w, "refused")
+	}))
+	defer server.Close()
+	transport := fulmartransport.New(1, nil)
+	defer transport.Close()
+	for range 20 {
+		body := lateEnd{strings.NewReader("question"), make(chan struct{})}
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, body)
+		g.Expect(err).NotTo(HaveOccurred())
+		r.ContentLength = int64(len("question"))
+		resp, err := transport.RoundTrip(r)
+		g.Expect(err).NotTo(HaveOccurred())
+		close(body.gate)
+		_, err = io.Copy(io.Discard, resp.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(resp.Body.Close()).To(Succeed())
+	}
+	g.Expect(connections).To(HaveLen(1))
+}
+
 // endlessBody is a request body without an end.
 type endlessBody struct{}
 
--- a/internal/fulmartransport/transport.go
+++ b/internal/fulmartransport/transport.go
@@ -98,7 +98,7 @@
 	disableResend(r)
 	var body *sentBody
 	if r.Body != nil && r.Body != http.NoBody {
-		body = newSentBody(r.Body)
+		body = newSentBody(r.Body, r.ContentLength)
 		defer body.end()
 		r.Body = body
 	}
