Let a test of kept connections wait for the end of its request

net/http keeps no connection whose request is still being written 50 ms after its answer has been read, so that TestRejectionBeforeEndOfBody could fail on a busy machine. It reads the answer once the body has been closed.

--- a/internal/fulmartransport/body_test.go
+++ b/internal/fulmartransport/body_test.go
@@ -114,7 +114,7 @@
 // lateEnd is a request body whose end is returned once the gate has opened.
 type lateEnd struct {
 	io.Reader
-	gate chan struct{}
+	gate, closed chan struct{}
 }
 
 func (b lateEnd) Read(p []byte) (int, error) {
@@ -125,6 +125,11 @@
 	return n, err
 }
 
+func (b lateEnd) Close() error {
+	close(b.closed)
+	return nil
+}
+
 // Guards against a connection that is closed behind a rejection of a whole request: the server may answer it before net/http has
 // seen the end of its body.
 func TestRejectionBeforeEndOfBody(t *testing.T) {
@@ -143,13 +148,14 @@
 	transport := fulmartransport.New(1, nil)
 	defer transport.Close()
 	for range 20 {
-		body := lateEnd{strings.NewReader("question"), make(chan struct{})}
+		body := lateEnd{strings.NewReader("question"), make(chan struct{}), make(chan struct{})}
 		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, body)
 		g.Expect(err).NotTo(HaveOccurred())
 		r.ContentLength = int64(len("question"))
 		resp, err := transport.RoundTrip(r)
 		g.Expect(err).NotTo(HaveOccurred())
 		close(body.gate)
+		<-body.closed // net/http keeps no connection whose request is still being written 50 ms after the answer
 		_, err = io.Copy(io.Discard, resp.Body)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(resp.Body.Close()).To(Succeed())
