Ask for permits in the tests of hot keys by the function of the other tests

askBounded had become a copy of askPermits when the mark of bounded requests left the message. The assertions are the same; TestHotKeyIsBounded still fails when the leader ignores the bound.

--- a/internal/fulmarfollower/hotkey_test.go
+++ b/internal/fulmarfollower/hotkey_test.go
@@ -36,23 +36,12 @@
 	return span.Bounded
 }
 
-// askBounded asks a leader for n permits for the hot key's target and returns the number of those that were given.
-func askBounded(ctx context.Context, g Gomega, f *fleet, v *fulmarview.Holder, n int) (given int) {
+// askForHotKey asks the leader of a view for n permits for the hot key's target and returns the number of those that were given.
+func askForHotKey(ctx context.Context, g Gomega, f *fleet, v *fulmarview.Holder, n int) (given int) {
 	d, err := f.dial(ctx, v.Get().Leader)
 	g.Expect(err).NotTo(HaveOccurred())
 	span, _ := v.Get().Owners["board"].Find(hotKey)
-	r := &fulmarleaderrpc.PermitRequest{}
-	for range n {
-		r.Permits = append(r.Permits, fulmarleaderrpc.PermitAsk{Target: span.Target})
-	}
-	a, err := d.Permits(ctx, r)
-	g.Expect(err).NotTo(HaveOccurred())
-	for _, p := range a.Permits {
-		if p.Granted {
-			given++
-		}
-	}
-	return given
+	return askPermits(ctx, g, d.(inProcessLeader).Follower, span.Target, n)
 }
 
 // Guards against a key that asks more than its target can do and is sent there by all daemons: at 145 of them, the queue and the
@@ -69,7 +58,7 @@
 		b := f.start(ctx, "b", fulmarmemory.NewClient(store))
 		time.Sleep(2 * time.Second)
 		g.Expect(isBounded(b, hotKey)).To(BeFalse())
-		g.Expect(askBounded(ctx, g, f, b, 100)).To(Equal(100), "nothing is bounded while the leader knows of no hot key")
+		g.Expect(askForHotKey(ctx, g, f, b, 100)).To(Equal(100), "nothing is bounded while the leader knows of no hot key")
 
 		load.perReport.Store(50)
 		time.Sleep(4 * time.Second)
@@ -77,9 +66,9 @@
 		g.Expect(isBounded(b, hotKey+1)).To(BeFalse())
 		span, _ := b.Get().Owners["board"].Find(hotKey)
 		g.Expect([]int{span.From, span.To}).To(Equal([]int{hotKey, hotKey}))
-		g.Expect(askBounded(ctx, g, f, b, 100)).To(Equal(1), "no permits of before the bound")
+		g.Expect(askForHotKey(ctx, g, f, b, 100)).To(Equal(1), "no permits of before the bound")
 		time.Sleep(time.Second)
-		g.Expect(askBounded(ctx, g, f, b, 100)).To(BeNumerically("~", 9, 2), "those of a quarter of a second, and two more")
+		g.Expect(askForHotKey(ctx, g, f, b, 100)).To(BeNumerically("~", 9, 2), "those of a quarter of a second, and two more")
 
 		load.perReport.Store(0)
 		time.Sleep(15 * time.Second)
