Hold the end of a sent body in an atomic value

sentBody guarded one flag that is only ever set by a mutex and two methods. An atomic value does the same, as in trackedBody of fulmarentry. No behaviour changes; the tests of fulmartransport, fulmartarget and fulmarentry pass three times with the race detector.

--- a/internal/fulmartransport/sentbody.go
+++ b/internal/fulmartransport/sentbody.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -18,9 +19,7 @@
 	read   int64         // bytes returned so far; only reads use it
 	sent   chan struct{} // closed once net/http reads no more
 	once   sync.Once
-
-	mu    sync.Mutex
-	ended bool // reads fail
+	ended  atomic.Bool // reads fail
 }
 
 func newSentBody(b io.ReadCloser, length int64) *sentBody {
@@ -29,11 +28,11 @@
 
 // Read drops what it has read if the request ends meanwhile, as somebody else may have read the bytes after it.
 func (b *sentBody) Read(p []byte) (int, error) {
-	if b.isEnded() {
+	if b.ended.Load() {
 		return 0, b.endError()
 	}
 	n, err := b.ReadCloser.Read(p)
-	if b.isEnded() {
+	if b.ended.Load() {
 		return 0, b.endError()
 	}
 	b.read += int64(n)
@@ -66,14 +65,4 @@
 }
 
 // end makes later reads fail.
-func (b *sentBody) end() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.ended = true
-}
-
-func (b *sentBody) isEnded() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.ended
-}
+func (b *sentBody) end() { b.ended.Store(true) }
