--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -6,7 +6,6 @@
 	"iter"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -341,9 +340,7 @@
 		x.recordNotices(t, a)
 	}
 	now := d.Now()
-	if load, ok := parseLoad(a.Header.Get(d.HeaderNames.Load)); ok {
-		d.Balancer.RecordLoad(now, t.ID, load)
-	}
+	x.recordLoad(now, t.ID, a.Header)
 	if res := said.result(); res != delivered {
 		if a.Remainder != nil {
 			a.Remainder.Close()
@@ -376,20 +373,3 @@
 	}
 	return max(1, int(idleConnectionShare*float64(x.service.Connections))/x.view.Daemons)
 }
-
-// parseLoad parses the load that a target reports: running requests, waiting requests and slots.
-func parseLoad(text string) (fulmarbalancer.Load, bool) {
-	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
-		return fulmarbalancer.Load{}, false
-	}
-	var n [3]int
-	for i, p := range parts {
-		v, err := strconv.Atoi(strings.TrimSpace(p))
-		if err != nil || v < 0 {
-			return fulmarbalancer.Load{}, false
-		}
-		n[i] = v
-	}
-	return fulmarbalancer.Load{Running: n[0], Waiting: n[1], Slots: n[2]}, true
-}
--- a/internal/fulmarforwarder/headernames.go
+++ b/internal/fulmarforwarder/headernames.go
@@ -6,7 +6,7 @@
 	Deadline       string // time that the caller or the sender will wait, in milliseconds
 	Signature      string // proves that the answer comes from the target
 	ExpectedTarget string // id of the target that the request is addressed to
-	Load           string // a target's running requests, waiting requests and slots
+	Load           string // a target's running requests, waiting requests and slots, and the time that work takes there now, in percent
 	Limit          string // requests per second that a target in need accepts from all daemons together
 	Leaving        string // states that the target leaves
 	NotRun         string // states that the target did not execute the request
--- a/pkg/fulmarbalancer/balancer.go
+++ b/pkg/fulmarbalancer/balancer.go
@@ -30,8 +30,12 @@
 	InNeed bool // has stated a limit of requests
 }
 
-// Load holds the running and waiting requests and the slots that a target reports about itself.
-type Load struct{ Running, Waiting, Slots int }
+// Load is what a target reports about itself.
+type Load struct {
+	Running, Waiting, Slots int
+	// Slowdown is the time that work takes now divided by the usual time. Zero means that the target does not report it.
+	Slowdown float64
+}
 
 // target holds what the balancer knows about one target.
 type target struct {
@@ -42,6 +46,7 @@
 	decayingFailures float64   // failure score at failedAt
 	failedAt         time.Time
 	queueRounds      float64 // waiting requests per slot at the last load report
+	slowdown         float64 // at the last load report, 1 if the target does not report it
 	sample           Sample  // since the last call of TakeSamples
 }
 
@@ -65,7 +70,7 @@
 func (b *Balancer) target(id string) *target {
 	t := b.targets[id]
 	if t == nil {
-		t = &target{meanSeconds: initialLatency.Seconds()}
+		t = &target{meanSeconds: initialLatency.Seconds(), slowdown: 1}
 		b.targets[id] = t
 	}
 	return t
@@ -103,13 +108,14 @@
 
 // expectedSeconds returns the expected response time of a new request in seconds, with all penalties.
 func (t *target) expectedSeconds(now time.Time, c Candidate) float64 {
-	others := t.othersLoad * math.Exp(-now.Sub(t.loadAt).Seconds()/loadDecay.Seconds())
+	recency := math.Exp(-now.Sub(t.loadAt).Seconds() / loadDecay.Seconds())
+	others := t.othersLoad * recency
 	pending := float64(t.inFlight) + others
 	slots := float64(max(c.Slots, 1))
 	// A request that finds all slots occupied waits for earlier ones. Occupied slots add up to 0.2 rounds even while one
 	// is free, which favours targets with less load.
 	rounds := 1 + max(0, pending+1-slots)/slots + 0.2*min(pending, slots)/slots
-	cost := t.meanSeconds * rounds
+	cost := t.meanSeconds * rounds * (1 + (t.slowdown-1)*recency)
 	cost *= 1 + failurePenalty*t.failureScore(now)
 	if c.Remote {
 		cost *= 1 + remotePenalty
@@ -192,6 +198,9 @@
 	t.othersLoad = float64(max(l.Running+l.Waiting-t.inFlight, 0))
 	t.loadAt = now
 	t.queueRounds = float64(l.Waiting) / float64(max(l.Slots, 1))
+	if t.slowdown = l.Slowdown; t.slowdown <= 0 {
+		t.slowdown = 1
+	}
 }
 
 // Sample holds the number of served and of abandoned requests, each with the sum of their times.
--- a/pkg/fulmarbalancer/balancer_test.go
+++ b/pkg/fulmarbalancer/balancer_test.go
@@ -64,11 +64,20 @@
 		}
 	})
 
+	// Guards against requests that go to a target whose machine is slow at the moment, as it states itself.
+	t.Run("avoids a target that reports slow work", func(t *testing.T) {
+		g := NewWithT(t)
+		b := newBalancer()
+		b.RecordLoad(now, "0", fulmarbalancer.Load{Slots: 3, Slowdown: 3})
+		b.RecordLoad(now, "1", fulmarbalancer.Load{Slots: 3, Slowdown: 1})
+		g.Expect(chosen(b, candidates(2))[0]).To(BeZero())
+	})
+
 	// Guards against daemons that avoid a target because of an outdated load report.
 	t.Run("lets reported load decay", func(t *testing.T) {
 		g := NewWithT(t)
 		b := newBalancer()
-		b.RecordLoad(now.Add(-2*time.Second), "0", fulmarbalancer.Load{Running: 3, Waiting: 9, Slots: 3})
+		b.RecordLoad(now.Add(-2*time.Second), "0", fulmarbalancer.Load{Running: 3, Waiting: 9, Slots: 3, Slowdown: 3})
 		g.Expect(chosen(b, candidates(2))[0]).To(BeNumerically(">", 50))
 	})
 
