Hedge late requests that may be repeated, within a share that operators set

Cause: callers of a lost answer wait until their deadline, and callers of a target that is slow for a moment wait for it, although another send would be answered at once.

Change: pkg/fulmarhedge decides when a request is late and whether a second send is permitted, pkg/fulmarquantile estimates how long answers take, and the forwarder sends the request again, passes the first answer on and cancels the other send. Only idempotent requests whose body is in memory, and none while targets are short of room. Each hedge counts in the fleet's retry limit. The send of a request moves from attempt.go to send.go, split into the exchange and what its outcome means, so that two exchanges can run at once.

Tests: TestHedge fails without the second send (callers wait 400 ms), TestNoHedge holds the cases that must not be hedged, TestLostAnswers replays a load with lost answers in virtual time, TestShareOfRequests checks the limit on random loads.

--- a/cmd/fulmarbend/front.go
+++ b/cmd/fulmarbend/front.go
@@ -13,6 +13,7 @@
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarfrontdaemon"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarlog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarhedge"
 	"github.com/fulmarbend/fulmarbend/platform/fulmaradapter"
 	"github.com/fulmarbend/fulmarbend/platform/fulmarbootstrap"
 )
@@ -27,6 +28,10 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "boot", Usage: "settings `FILE` of the platform", Sources: cli.EnvVars(fulmarbootstrap.EnvVar)},
 			&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error", Value: "info"},
+			&cli.FloatFlag{
+				Name: "hedge-share", Sources: cli.EnvVars("FULMARBEND_HEDGE_SHARE"),
+				Usage: "largest `SHARE` of the requests that may be repeated which are sent a second time when their answers are late, 0 for none",
+			},
 			&cli.BoolFlag{Name: "check", Usage: "print the faults of the settings file and exit"},
 		},
 		Action: runFront,
@@ -42,7 +47,16 @@
 	// SIGHUP is caught until the process exits. Otherwise it would terminate the process, also during a shutdown.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	settings, err := fulmarbootstrap.Load(path)
+	hedging := fulmarhedge.NewPolicy(cmd.Float("hedge-share"))
+	load := func() (fulmarfrontdaemon.Settings, error) {
+		s, err := fulmarbootstrap.Load(path)
+		if err != nil {
+			return s, err
+		}
+		s.Hedging = hedging
+		return s, s.Check()
+	}
+	settings, err := load()
 	if err != nil {
 		return err
 	}
@@ -63,7 +77,7 @@
 	}
 	stop, cancel := cancelOnSignal(ctx, log)
 	defer cancel()
-	go watchSettings(stop, reload, path, settings, daemon, log)
+	go watchSettings(stop, reload, path, load, settings, daemon, log)
 	return daemon.Run(stop)
 }
 
@@ -72,7 +86,8 @@
 
 // watchSettings reloads the settings on SIGHUP and when the modification time of their file changes.
 func watchSettings(
-	ctx context.Context, signals <-chan os.Signal, path string, current fulmarfrontdaemon.Settings, daemon *fulmarfrontdaemon.Daemon, log *slog.Logger,
+	ctx context.Context, signals <-chan os.Signal, path string, load func() (fulmarfrontdaemon.Settings, error),
+	current fulmarfrontdaemon.Settings, daemon *fulmarfrontdaemon.Daemon, log *slog.Logger,
 ) {
 	ticker := time.NewTicker(filePollInterval)
 	defer ticker.Stop()
@@ -96,7 +111,7 @@
 		if err == nil {
 			modTime = info.ModTime()
 		}
-		s, err := fulmarbootstrap.Load(path)
+		s, err := load()
 		if err != nil {
 			log.Warn("settings not reloaded, the previous ones stay in force", "signal", signalled, "error", err)
 			continue
--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"iter"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarhttpserver"
-	"github.com/fulmarbend/fulmarbend/internal/fulmarlink"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarbalancer"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
@@ -280,89 +277,6 @@
 	return reason, true
 }
 
-// send sends the request to a target at which choose has counted it. It closes the body.
-func (x *exchange) send(ctx context.Context, t fulmarcatalog.Target, body io.ReadCloser) (*fulmarhttpserver.Answer, result) {
-	defer body.Close()
-	d := &x.forwarder.deps
-	streaming, answered := false, false
-	defer func() {
-		if !streaming {
-			d.Balancer.Release(t.ID)
-		}
-		if !answered {
-			d.Notices.RecordFailure(t.Incarnation())
-		}
-	}()
-	x.target = t.ID
-	if x.tried == nil {
-		x.tried = make(map[string]bool, 2)
-	}
-	x.tried[t.ID] = true
-	started, sentAt := d.Now(), d.Clock()
-	left := time.Until(x.deadline).Milliseconds()
-	if left <= 0 {
-		return nil, unsent
-	}
-	header := fulmarlink.EndToEnd(x.request.Header)
-	// Answers are matched by the id, which a Connection header may have removed.
-	header[http.CanonicalHeaderKey(d.HeaderNames.RequestID)] = []string{x.id}
-	header[http.CanonicalHeaderKey(d.HeaderNames.Deadline)] = []string{strconv.FormatInt(left, 10)}
-	header[http.CanonicalHeaderKey(d.HeaderNames.ExpectedTarget)] = []string{t.ID}
-	a, err := d.Pool.Do(ctx, t.Address, &fulmarlink.Request{
-		Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header,
-		ID: x.id, Body: body, Length: x.request.Payload.Length(), MaxIdle: x.maxIdleConnections(), Crowded: x.isHotKey(),
-	})
-	x.lastError = err
-	if errors.Is(err, fulmarlink.ErrNoRoom) {
-		d.Balancer.RecordFailure(d.Now(), t.ID)
-		return nil, noRoom
-	}
-	if errors.Is(err, fulmarlink.ErrUnsent) {
-		d.Balancer.RecordFailure(d.Now(), t.ID)
-		return nil, unsent
-	}
-	x.sends++
-	if err != nil {
-		if ctx.Err() == nil {
-			d.Balancer.RecordFailure(d.Now(), t.ID)
-		} else {
-			d.Balancer.RecordAbandoned(t.ID, d.Now().Sub(started))
-		}
-		x.recordStatement(statement{target: t.ID})
-		x.recordUnanswered(ctx, t)
-		return nil, broken
-	}
-	said := x.newStatement(t.ID, a)
-	x.recordStatement(said)
-	if a.Status != http.StatusMisdirectedRequest { // such an answer may be another target's
-		answered = true
-		x.recordLimit(t.ID, a.Header, sentAt)
-		x.recordNotices(t, a)
-	}
-	now := d.Now()
-	x.recordLoad(now, t.ID, a.Header)
-	if res := said.result(); res != delivered {
-		if a.Remainder != nil {
-			a.Remainder.Close()
-		}
-		d.Balancer.RecordFailure(now, t.ID)
-		x.lastError = errors.New(said.shortfall())
-		return nil, res
-	}
-	if a.Status < http.StatusInternalServerError {
-		d.Balancer.RecordServed(t.ID, now.Sub(started))
-		x.clearSuspicion()
-	} else {
-		d.Balancer.RecordFailure(now, t.ID)
-	}
-	// A streamed answer occupies its target until it has been read; see exchange.stream.
-	streaming = a.Remainder != nil
-	x.bytes = int64(len(a.Body))
-	return &fulmarhttpserver.Answer{
-		Status: a.Status, Header: fulmarlink.EndToEnd(a.Header), Body: a.Body, Remainder: a.Remainder, Length: a.Length,
-	}, delivered
-}
-
 // isHotKey reports whether the key loads its target nearly alone, and so has a span of its own. All daemons connect to its target.
 func (x *exchange) isHotKey() bool { return x.key >= 0 && x.span.From == x.span.To }
 
--- a/internal/fulmarforwarder/choice_test.go
+++ b/internal/fulmarforwarder/choice_test.go
@@ -12,6 +12,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarbalancer"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcrash"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarhedge"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarnotice"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
@@ -40,7 +41,7 @@
 			}
 			d := Deps{
 				ID: "d", DC: "a", Views: fulmarview.New(), Balancer: fulmarbalancer.New(2, rand.NewPCG(1, 2)), Limits: fulmarlimit.New(),
-				Notices: fulmarnotice.New(), Crashes: fulmarcrash.New(), Log: slog.New(slog.DiscardHandler), Now: time.Now, Clock: time.Now,
+				Notices: fulmarnotice.New(), Crashes: fulmarcrash.New(), Hedger: fulmarhedge.New(fulmarhedge.Policy{}), Log: slog.New(slog.DiscardHandler), Now: time.Now, Clock: time.Now,
 				DrainTime: func() time.Duration { return time.Second },
 			}
 			for _, t := range list[:noticed] {
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarallowance"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarbalancer"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcrash"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarhedge"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarnotice"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
@@ -61,6 +62,7 @@
 	Gate        Gate
 	Splitter    *fulmarroute.Splitter
 	RetryBudget *fulmarallowance.RetryBudget
+	Hedger      *fulmarhedge.Hedger
 	Loads       Loads
 	Metrics     Metrics
 	Log         *slog.Logger
@@ -119,6 +121,7 @@
 	statements  []statement        // what the targets answered, for each send
 	first       [1]statement       // memory of statements for the first send
 	tried       map[string]bool
+	hedged      string // hedgeWon or hedgeLost if the request was sent a second time as its answer was late
 	target      string
 	reason      Reason
 	retryAfter  time.Duration     // least time after which a refused request may be admitted, zero if it is not known
@@ -236,6 +239,9 @@
 	if text := x.statementsText(); text != "" {
 		fields = append(fields, "answers", text)
 	}
+	if x.hedged != "" {
+		fields = append(fields, "hedge", x.hedged)
+	}
 	if x.lastError != nil {
 		fields = append(fields, "cause", x.lastError)
 	}
--- a/internal/fulmarforwarder/outcome.go
+++ b/internal/fulmarforwarder/outcome.go
@@ -47,6 +47,7 @@
 	switch reason {
 	case OverLimit, Paused, NoCapacity:
 		after = x.retryAfterAdmission()
+		x.forwarder.deps.Hedger.RecordShortage(x.forwarder.deps.Now(), x.service.Name)
 	case Crashes:
 		after = x.retryAfter
 	}
--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarallowance"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarbalancer"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcrash"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarhedge"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarnotice"
@@ -97,6 +98,7 @@
 	crashExchange   *fulmarcrashexchange.Exchange
 	gate            *fulmaradmission.Gate
 	retryBudget     *fulmarallowance.RetryBudget
+	hedger          *fulmarhedge.Hedger
 	follower        *fulmarfollower.Follower
 	forwarder       *fulmarforwarder.Forwarder
 	server          *fulmarhttpserver.Server
@@ -116,7 +118,7 @@
 	f := &Daemon{
 		settings: s, platform: p, log: log, metrics: metrics, views: fulmarview.New(),
 		requestPool: fulmarlink.New(link), orderPool: fulmarlink.New(link), shutdownStarted: make(chan struct{}), targetLimits: fulmarlimit.New(), notices: fulmarnotice.New(), crashes: fulmarcrash.New(),
-		store: newReplaceableStore(p.NewStore(s.Store, storeClient())), retryBudget: fulmarallowance.New(s.RetryRule),
+		store: newReplaceableStore(p.NewStore(s.Store, storeClient())), retryBudget: fulmarallowance.New(s.RetryRule), hedger: fulmarhedge.New(s.Hedging),
 	}
 	f.currentSettings.Store(&s)
 	f.forwardedStore = fulmarkvforwarder.New(f.store, func(ctx context.Context, address string) (fulmarkvforwarder.Daemon, error) {
@@ -143,7 +145,7 @@
 	})
 	f.forwarder = fulmarforwarder.New(fulmarforwarder.Deps{
 		HeaderNames: p.HeaderNames, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.requestPool, Balancer: f.balancer, Limits: f.targetLimits, Notices: f.notices, Crashes: f.crashes, Gate: f.gate,
-		Splitter: fulmarroute.NewSplitter(), RetryBudget: f.retryBudget, Loads: loads,
+		Splitter: fulmarroute.NewSplitter(), RetryBudget: f.retryBudget, Hedger: f.hedger, Loads: loads,
 		Metrics: metrics, Log: log, Now: time.Now, Clock: fulmarclock.Now, DrainTime: func() time.Duration { return f.currentSettings.Load().DrainTime - drainMargin },
 		LatestEnd: func() time.Time { return f.latestEnd(time.Now()) },
 	})
@@ -283,7 +285,11 @@
 		case now := <-ticker.C:
 			f.requestPool.CloseExpired(now)
 			f.crashes.Expire(fulmarclock.Now())
-			c := f.views.Get().Catalog
+			v := f.views.Get()
+			if v.Routes != nil {
+				f.hedger.Retain(v.Routes.Names())
+			}
+			c := v.Catalog
 			if c != nil {
 				f.forwarder.RecordEndedTargets(c)
 			}
--- a/internal/fulmarfrontdaemon/settings.go
+++ b/internal/fulmarfrontdaemon/settings.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarallowance"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarhedge"
 )
 
 // ListenAddresses holds the addresses that a daemon listens on, host:port.
@@ -27,6 +28,7 @@
 	DrainTime   time.Duration        // time for which a leaving target still accepts requests for its keys
 	GracePeriod time.Duration        // time from SIGTERM to the exit of the process
 	RetryRule   fulmarallowance.Rule // retry limit of the fleet
+	Hedging     fulmarhedge.Policy   // limit of hedged requests; a change takes effect at the next start
 	CPUShare    float64              // share of a CPU core that the daemon may use
 	MemoryBytes int64                // memory of the instance in bytes
 }
@@ -56,5 +58,5 @@
 	if s.MinLease < 0 {
 		return errors.New("fulmarfrontdaemon: shortest lease of the store is negative")
 	}
-	return nil
+	return s.Hedging.Check()
 }
--- a/pkg/fulmarroute/table.go
+++ b/pkg/fulmarroute/table.go
@@ -58,16 +58,18 @@
 	config   Config
 	hosts    map[string][]Route // longest prefix first
 	services map[string]Service
+	names    map[string]bool // of routes and services
 }
 
 // New returns the table of a configuration, or an error that describes the first invalid entry.
 func New(c Config) (*Table, error) {
-	t := &Table{config: c, hosts: make(map[string][]Route), services: make(map[string]Service)}
+	t := &Table{config: c, hosts: make(map[string][]Route), services: make(map[string]Service), names: make(map[string]bool)}
 	for _, s := range c.Services {
 		if s.Name == "" {
 			return nil, errors.New("fulmarroute: service without a name")
 		}
 		t.services[s.Name] = s
+		t.names[s.Name] = true
 	}
 	for _, r := range c.Routes {
 		if err := t.validate(r); err != nil {
@@ -75,6 +77,7 @@
 		}
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
+		t.names[r.Name] = true
 	}
 	for _, routes := range t.hosts {
 		slices.SortFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -126,6 +129,9 @@
 	return s, ok
 }
 
+// Names returns the names of all routes and services; the caller must not modify them.
+func (t *Table) Names() map[string]bool { return t.names }
+
 // UnknownKinds returns the names of the routes whose kind is not known.
 func (t *Table) UnknownKinds() []string {
 	var names []string
