Take no number for a status that is none

Cause: net/http reads any three digits as a status. fulmarlink took all below 200 for interim answers, so that a request behind a 000 waited for its deadline (504), and returned 600 to 999 to the caller as the target's answer. fulmartransport returned 000 and 101 as final answers: serve recorded 000 as the answer of an at-most-once request, and net/http's server panics on it. The client of the store took 000 for a certain failure of a write.

Change: fulmarstatus tells the statuses apart. An answer with a status that is none ends its connection, and the request counts as sent without an answer: 502 without a signature, or another send where it may run twice. A write to the store counts as unanswered.

--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -327,6 +327,28 @@
 	}
 }
 
+// Guards against an answer whose status is none: 999 was returned to the caller, and behind 000 the request waited for its
+// deadline.
+func TestStatusThatIsNone(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		for _, c := range []struct {
+			kind       string
+			idempotent bool
+			sends      int
+		}{{"not idempotent", false, 1}, {"idempotent", true, 2}} {
+			t.Run(status+", "+c.kind, func(t *testing.T) {
+				g := NewWithT(t)
+				answer := "HTTP/1.1 " + status + " x\r\nSign: s\r\nContent-Length: 0\r\nId: one\r\n\r\n"
+				x, y := newTarget(t, "x", answer), newTarget(t, "y", answer)
+				a := start(t, c.idempotent, x, y).forwarder.Serve(t.Context(), request(t, "/f/1", "body"))
+				expectStatus(g, a, http.StatusBadGateway)
+				g.Expect(a.Header).NotTo(HaveKey(names.Signature), "the status is not the target's")
+				g.Expect(sends(x, y)).To(Equal(c.sends))
+			})
+		}
+	}
+}
+
 // Guards against a rejection that does not name the request, as the bytes of a target in trouble may not, and that is taken for
 // the answer to it.
 func TestRejectionWithoutID(t *testing.T) {
--- a/internal/fulmarlink/pool_test.go
+++ b/internal/fulmarlink/pool_test.go
@@ -148,6 +148,11 @@
 		{"chunked", "HTTP/1.1 200 x\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "ok", false, 1},
 		{"no answer", "", "", true, 2},
 		{"not in the protocol", "hello\r\n\r\n", "", true, 2},
+		// Guards against a number that is no status: 000 counted as an interim answer, 600 and 999 were returned.
+		{"status 000", "HTTP/1.1 000 x\r\nId: ID\r\nContent-Length: 0\r\n\r\n" + okAnswer, "", true, 2},
+		{"status 099", "HTTP/1.1 099 x\r\nId: ID\r\nContent-Length: 0\r\n\r\n" + okAnswer, "", true, 2},
+		{"status 600", "HTTP/1.1 600 x\r\nId: ID\r\nContent-Length: 2\r\n\r\nno", "", true, 2},
+		{"status 999", "HTTP/1.1 999 x\r\nId: ID\r\nContent-Length: 2\r\n\r\nno", "", true, 2},
 		{"only answers to other requests", strings.Repeat("HTTP/1.1 200 x\r\nId: old\r\nContent-Length: 0\r\n\r\n", 20), "", true, 2},
 		{"chunk cut off", "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok", "", true, 2},
 	} {
--- a/internal/fulmarlink/receive.go
+++ b/internal/fulmarlink/receive.go
@@ -8,6 +8,8 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarstatus"
 )
 
 // errHeadTooLarge is returned for the head of an answer over maxAnswerHead.
@@ -40,9 +42,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		code := fulmarstatus.Code(resp.StatusCode)
+		if code.IsFinal() {
 			return resp, nil
 		}
+		if !code.IsInterim() {
+			return nil, errors.Errorf("fulmarlink: status %d is none", resp.StatusCode)
+		}
 	}
 	return nil, errors.New("too many interim answers")
 }
--- a/internal/fulmarstore/client.go
+++ b/internal/fulmarstore/client.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarstatus"
 )
 
 // Errors of the client; test for them with errors.Is.
@@ -163,7 +165,7 @@
 		return response{false, nil, index}, nil
 	case resp.StatusCode == http.StatusTooManyRequests:
 		return response{}, newCallError(ErrUnavailable, status)
-	case resp.StatusCode >= 500:
+	case resp.StatusCode >= 500, !fulmarstatus.Code(resp.StatusCode).IsFinal():
 		// A server that has lost its leader may have forwarded the write to it before.
 		return response{}, newCallError(unansweredError(mutates), status)
 	}
--- a/internal/fulmartransport/transport.go
+++ b/internal/fulmartransport/transport.go
@@ -11,6 +11,8 @@
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarstatus"
 )
 
 // Limits of connections; sizes are in bytes.
@@ -103,6 +105,12 @@
 		r.Body = body
 	}
 	resp, err := t.http.RoundTrip(r)
+	if err == nil && !fulmarstatus.Code(resp.StatusCode).IsFinal() {
+		// Bytes of a server in trouble: what follows on the connection may be no answer either.
+		u.close()
+		_ = resp.Body.Close()
+		err = errors.Errorf("status %d is none", resp.StatusCode)
+	}
 	if err == nil && body != nil && resp.StatusCode < http.StatusBadRequest {
 		if err = body.awaitSent(r.Context()); err != nil {
 			_ = resp.Body.Close()
