Bound the requests to cold targets by permits

Cause: a target that comes back cold is idle, so it attracted the keys and the requests of the whole fleet; nothing knew what a cold target takes. The remaining warm-up of an entry only made a choice less likely, and a change of it within an incarnation was not published.

Change: services state what a cold target takes, and the settings the bound. What bounds a target's rate is a source (fulmarrate); coldness is one beside stated limits and hot keys, and the leader's permits and the turns without a leader keep the least of them. The plan gives a cold target the keys that it can carry, and the full share as soon as it is warm. Requests without a key ask for permits of at most three cold targets before they go to warm ones.

--- a/internal/fulmaradmission/fleet_test.go
+++ b/internal/fulmaradmission/fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarlimitaudit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrate"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrotation"
 )
 
@@ -41,8 +42,10 @@
 
 // fleet is a simulated fleet in front of one target.
 type fleet struct {
-	random *rand.Rand
-	audit  *fulmarlimitaudit.Audit
+	random   *rand.Rand
+	audit    *fulmarlimitaudit.Audit
+	arrivals []time.Time // of admitted requests, in order
+	cold     coldPeriod
 
 	mu       sync.Mutex
 	leader   *leader        // nil while nobody leads
@@ -92,7 +95,11 @@
 	}
 	for _, ask := range r.Permits {
 		p := fulmarleaderrpc.Permit{Granted: true}
-		if rate, limited := l.board.Rate(ask.Target); limited {
+		sources := fulmarrate.Least{l.board, d.coldness()}
+		if ask.ColdRate > 0 {
+			sources = append(sources, fulmarrate.Table{ask.Target: ask.ColdRate})
+		}
+		if rate, limited := sources.Rate(ask.Target); limited {
 			p.Wait, p.Granted = l.permits.Take(time.Now(), rate, fulmarpermit.Request{Target: ask.Target, MaxWait: ask.MaxWait, Priority: ask.Priority})
 		}
 		a.Permits = append(a.Permits, p)
@@ -129,7 +136,7 @@
 	f.daemons = append(f.daemons, d)
 	f.mu.Unlock()
 	d.gate = fulmaradmission.New(fulmaradmission.Deps{
-		Limits: d.board, Leader: d, Rotation: fulmarrotation.New(id), Daemons: func() int { return len(f.weights) }, Metrics: d,
+		Limits: d.board, Rates: fulmarrate.Least{d.board, d.coldness()}, ColdRates: d.coldness(), TurnRates: fulmarrate.Least{d.board, d.coldTurns()}, Leader: d, Rotation: fulmarrotation.New(id), Daemons: func() int { return len(f.weights) }, Metrics: d,
 		Log: slog.New(slog.DiscardHandler), Now: time.Now,
 	})
 	f.group.Go(func() { d.gate.Run(ctx) })
@@ -155,6 +162,9 @@
 // send sends a request if the gate admits it.
 func (d *daemon) send(ctx context.Context) {
 	f := d.fleet
+	if !d.lists(time.Now()) {
+		return
+	}
 	f.mu.Lock()
 	f.asked[time.Now().Unix()]++
 	f.mu.Unlock()
@@ -164,6 +174,7 @@
 	sent := time.Now()
 	f.mu.Lock()
 	f.audit.Arrive(sent)
+	f.arrivals = append(f.arrivals, sent)
 	f.served[sent.Unix()]++
 	f.mu.Unlock()
 	fulmarclock.Sleep(ctx, answerTime/2)
--- a/internal/fulmaradmission/gate.go
+++ b/internal/fulmaradmission/gate.go
@@ -12,6 +12,7 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrate"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrotation"
 )
 
@@ -42,13 +43,16 @@
 
 // Deps holds the dependencies of a Gate.
 type Deps struct {
-	Limits   *fulmarlimit.Board
-	Leader   Leader
-	Rotation *fulmarrotation.Rotation
-	Daemons  func() int // number of daemons of the fleet
-	Metrics  Metrics
-	Log      *slog.Logger
-	Now      func() time.Time // the clock of the board
+	Limits    *fulmarlimit.Board // limits that targets have stated, which the leader is told
+	Rates     fulmarrate.Source  // of permits
+	ColdRates fulmarrate.Source  // those of Rates that are due to coldness, which the leader is told
+	TurnRates fulmarrate.Source  // those that daemons without a leader divide into turns
+	Leader    Leader
+	Rotation  *fulmarrotation.Rotation
+	Daemons   func() int // number of daemons of the fleet
+	Metrics   Metrics
+	Log       *slog.Logger
+	Now       func() time.Time // the clock of the board
 }
 
 // pending is a request that waits for a permit.
@@ -87,7 +91,7 @@
 // Admit waits for a permit to send a request and reports whether it may be sent now. It waits little longer than the
 // request's MaxWait. Otherwise, retryAfter is the time in which no permit becomes available, zero if that is not known.
 func (g *Gate) Admit(ctx context.Context, r fulmarpermit.Request) (retryAfter time.Duration, ok bool) {
-	rate, limited := g.deps.Limits.Rate(r.Target)
+	rate, limited := g.deps.Rates.Rate(r.Target)
 	if !limited && !r.Bounded {
 		return 0, true
 	}
@@ -128,7 +132,7 @@
 
 // takeTurn reports whether the daemon may send a request to target without a leader. What only the leader bounds is sent.
 func (g *Gate) takeTurn(now time.Time, target string) bool {
-	rate, limited := g.deps.Limits.Rate(target)
+	rate, limited := g.deps.TurnRates.Rate(target)
 	if !limited {
 		return true
 	}
@@ -200,7 +204,11 @@
 	r := &fulmarleaderrpc.PermitRequest{Permits: make([]fulmarleaderrpc.PermitAsk, 0, len(list))}
 	asked := make(map[string]bool, len(list))
 	for _, p := range list {
-		r.Permits = append(r.Permits, fulmarleaderrpc.PermitAsk{Target: p.Target, MaxWait: p.MaxWait, Priority: p.Priority})
+		ask := fulmarleaderrpc.PermitAsk{Target: p.Target, MaxWait: p.MaxWait, Priority: p.Priority}
+		if rate, cold := g.deps.ColdRates.Rate(p.Target); cold {
+			ask.ColdRate = rate
+		}
+		r.Permits = append(r.Permits, ask)
 		asked[p.Target] = true
 	}
 	now := g.deps.Now()
@@ -214,7 +222,7 @@
 
 // recordRefusal records that no permit for such a request becomes available before wait has passed.
 func (g *Gate) recordRefusal(now time.Time, request fulmarpermit.Request, wait time.Duration) {
-	rate, _ := g.deps.Limits.Rate(request.Target)
+	rate, _ := g.deps.Rates.Rate(request.Target)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.refusals[refusalKey{request.Target, request.Priority}] = refusal{rate, now.Add(wait)}
--- a/internal/fulmaradmission/gate_test.go
+++ b/internal/fulmaradmission/gate_test.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrate"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrotation"
 )
 
@@ -61,7 +62,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer func() { cancel(); synctest.Wait() }()
 				gate := fulmaradmission.New(fulmaradmission.Deps{
-					Limits: fulmarlimit.New(), Leader: &c.leader, Rotation: fulmarrotation.New("d"), Daemons: func() int { return 100 },
+					Limits: fulmarlimit.New(), Rates: fulmarrate.Table{}, ColdRates: fulmarrate.Table{}, TurnRates: fulmarrate.Table{}, Leader: &c.leader, Rotation: fulmarrotation.New("d"), Daemons: func() int { return 100 },
 					Metrics: &c.leader, Log: slog.New(slog.DiscardHandler), Now: time.Now,
 				})
 				go gate.Run(ctx)
--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -196,7 +196,7 @@
 				continue
 			}
 			isLeaving := t.Leaving || notice.IsLeaving()
-			if x.tried[t.ID] || x.notAdmitted[t.ID] != "" || isLeaving != leaving || leaving && !x.acceptsLeaving(t, notice) {
+			if x.tried[t.ID] || x.notAdmitted[t.ID] != "" || x.coldRefusals >= maxColdRefusals && x.isCold(t, clock) || isLeaving != leaving || leaving && !x.acceptsLeaving(t, notice) {
 				continue
 			}
 			if !yield(t) {
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarcoldness"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarhttpserver"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarlink"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
@@ -56,9 +57,10 @@
 	Views       *fulmarview.Holder
 	Pool        *fulmarlink.Pool
 	Balancer    *fulmarbalancer.Balancer
-	Limits      *fulmarlimit.Board  // limits that targets have stated
-	Notices     *fulmarnotice.Board // what targets say of themselves
-	Crashes     *fulmarcrash.Board  // requests under which targets have ended
+	Limits      *fulmarlimit.Board       // limits that targets have stated
+	Coldness    *fulmarcoldness.Coldness // of targets; may be nil
+	Notices     *fulmarnotice.Board      // what targets say of themselves
+	Crashes     *fulmarcrash.Board       // requests under which targets have ended
 	Gate        Gate
 	Splitter    *fulmarroute.Splitter
 	RetryBudget *fulmarallowance.RetryBudget
@@ -104,30 +106,31 @@
 
 // exchange is the handling of one request.
 type exchange struct {
-	forwarder   *Forwarder
-	request     *fulmarhttpserver.Request
-	view        *fulmarview.View
-	route       fulmarroute.Route
-	service     fulmarroute.Service
-	id          string
-	key         int             // -1 if the service is not keyed
-	span        fulmarview.Span // of the key, as it was looked up last
-	deadline    time.Time
-	cancel      context.CancelFunc // ends the sends of the request
-	sends       int                // number of times the request was sent, at least in part
-	dials       int                // number of targets to which no byte could be sent
-	mayHaveRun  bool               // a target may have executed the request
-	lastError   error              // error of the last send
-	statements  []statement        // what the targets answered, for each send
-	first       [1]statement       // memory of statements for the first send
-	tried       map[string]bool
-	hedged      string // hedgeWon or hedgeLost if the request was sent a second time as its answer was late
-	target      string
-	reason      Reason
-	retryAfter  time.Duration     // least time after which a refused request may be admitted, zero if it is not known
-	notAdmitted map[string]Reason // by target: why it did not admit the request
-	bytes       int64             // of the answer's body; for a streamed answer those read from the target
-	fingerprint uint64            // of the request's content; see exchange.work
+	forwarder    *Forwarder
+	request      *fulmarhttpserver.Request
+	view         *fulmarview.View
+	route        fulmarroute.Route
+	service      fulmarroute.Service
+	id           string
+	key          int             // -1 if the service is not keyed
+	span         fulmarview.Span // of the key, as it was looked up last
+	deadline     time.Time
+	cancel       context.CancelFunc // ends the sends of the request
+	sends        int                // number of times the request was sent, at least in part
+	dials        int                // number of targets to which no byte could be sent
+	mayHaveRun   bool               // a target may have executed the request
+	lastError    error              // error of the last send
+	statements   []statement        // what the targets answered, for each send
+	first        [1]statement       // memory of statements for the first send
+	tried        map[string]bool
+	hedged       string // hedgeWon or hedgeLost if the request was sent a second time as its answer was late
+	target       string
+	reason       Reason
+	retryAfter   time.Duration     // least time after which a refused request may be admitted, zero if it is not known
+	coldRefusals int               // number of cold targets that had no room for the request
+	notAdmitted  map[string]Reason // by target: why it did not admit the request
+	bytes        int64             // of the answer's body; for a streamed answer those read from the target
+	fingerprint  uint64            // of the request's content; see exchange.work
 }
 
 // Serve implements fulmarhttpserver.Handler.
--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -37,7 +37,7 @@
 
 var names = fulmarforwarder.HeaderNames{
 	RequestID: "Id", Deadline: "Left", Signature: "Sign", ExpectedTarget: "Target", Load: "Load", NotRun: "Not-Run", Key: "Key",
-	RetryAfter: "Retry-After", Limit: "Limit", Leaving: "Leaving",
+	RetryAfter: "Retry-After", Limit: "Limit", Cold: "Cold", Leaving: "Leaving",
 }
 
 // Answers of a test target; ordinary stands for a complete answer to the request.
--- a/internal/fulmarforwarder/headernames.go
+++ b/internal/fulmarforwarder/headernames.go
@@ -8,6 +8,7 @@
 	ExpectedTarget string // id of the target that the request is addressed to
 	Load           string // a target's running requests, waiting requests and slots, and the time that work takes there now, in percent
 	Limit          string // requests per second that a target in need accepts from all daemons together
+	Cold           string // time for which the target stays cold, in milliseconds
 	Leaving        string // states that the target leaves
 	NotRun         string // states that the target did not execute the request
 	Key            string // key of a request to a keyed service
--- a/internal/fulmarforwarder/limit.go
+++ b/internal/fulmarforwarder/limit.go
@@ -10,6 +10,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarwarmup"
 )
 
 const (
@@ -19,6 +20,9 @@
 	urgentWaitDivisor = 3
 	waitDivisor       = 8
 	maxWait           = 50 * time.Millisecond
+	// maxColdRefusals is the number of cold targets that a request without a key asks for, each by a call of the leader. Then
+	// it goes to warm ones, which have more room.
+	maxColdRefusals = 3
 	// maxRetrySpread bounds the random part of the time after which refused callers may return.
 	maxRetrySpread = 2 * time.Second
 )
@@ -56,13 +60,39 @@
 	}
 }
 
+// recordColdness records how much longer a target stays cold by its own answer.
+func (x *exchange) recordColdness(t fulmarcatalog.Target, answer http.Header) {
+	d := &x.forwarder.deps
+	text := answer.Get(d.HeaderNames.Cold)
+	if text == "" {
+		return
+	}
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(ms >= 0) || ms > float64(fulmarwarmup.MaxLeft.Milliseconds()) { // also true for NaN
+		d.Metrics.Count("relay.cold_malformed")
+		d.Log.Warn("target states a malformed remaining coldness", "target", t.ID, "value", text)
+		return
+	}
+	if left := time.Duration(ms * float64(time.Millisecond)); d.Coldness.Record(t.Incarnation(), d.Clock(), left) {
+		d.Metrics.Count("relay.cold_stated")
+		d.Log.Info("target is cold", "target", t.ID, "id", x.id, "left", left, "source", "answer")
+	}
+}
+
 // admit reports whether the request may be sent to a target, at which choose has counted it, now: its limit admits it, and it
 // wants no pause. If not, the request is no longer counted there, and the reason is returned.
 func (x *exchange) admit(ctx context.Context, t fulmarcatalog.Target, maxWait time.Duration) Reason {
 	d := &x.forwarder.deps
 	after, ok := d.Gate.Admit(ctx, fulmarpermit.Request{Target: t.ID, MaxWait: maxWait, Priority: x.route.Priority, Bounded: x.span.Bounded})
 	reason := OverLimit
-	if _, limited := d.Limits.Rate(t.ID); x.span.Bounded && !limited {
+	_, limited := d.Limits.Rate(t.ID)
+	switch cold := x.isCold(t, d.Clock()); {
+	case cold && ok:
+		d.Metrics.Count("relay.cold_admitted")
+	case cold:
+		d.Metrics.Count("relay.cold_withheld")
+		x.coldRefusals++
+	case x.span.Bounded && !limited:
 		reason = NoCapacity
 	}
 	if ok {
@@ -77,6 +107,11 @@
 	return reason
 }
 
+// isCold reports whether the target is cold and takes only some requests a second.
+func (x *exchange) isCold(t fulmarcatalog.Target, clock time.Time) bool {
+	return x.service.ColdRate > 0 && x.forwarder.deps.Coldness.Left(t, clock) > 0
+}
+
 // recordRefusal records that a target does not admit the request, and after which time it may admit others.
 func (x *exchange) recordRefusal(target string, reason Reason, after time.Duration) {
 	if x.notAdmitted == nil {
--- a/internal/fulmarforwarder/notice.go
+++ b/internal/fulmarforwarder/notice.go
@@ -18,6 +18,7 @@
 func (x *exchange) recordNotices(t fulmarcatalog.Target, a *fulmarlink.Answer) {
 	d := &x.forwarder.deps
 	now := d.Clock()
+	x.recordColdness(t, a.Header)
 	if a.Header.Get(d.HeaderNames.Leaving) == statesLeaving && d.Notices.RecordLeaving(t.Incarnation(), now) {
 		d.Metrics.Count("relay.leaving_stated")
 		d.Log.Info("target leaves", "target", t.ID, "id", x.id, "source", "answer")
--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmaradmission"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarcoldness"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarcrashexchange"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarfollower"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarforwarder"
@@ -35,6 +36,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarnotice"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrate"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrotation"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
@@ -93,6 +95,7 @@
 	forwardedStore  *fulmarkvforwarder.Store
 	balancer        *fulmarbalancer.Balancer
 	targetLimits    *fulmarlimit.Board // limits that targets have stated
+	coldness        *fulmarcoldness.Coldness
 	notices         *fulmarnotice.Board
 	crashes         *fulmarcrash.Board // requests under which targets have ended
 	crashExchange   *fulmarcrashexchange.Exchange
@@ -120,6 +123,7 @@
 		requestPool: fulmarlink.New(link), orderPool: fulmarlink.New(link), shutdownStarted: make(chan struct{}), targetLimits: fulmarlimit.New(), notices: fulmarnotice.New(), crashes: fulmarcrash.New(),
 		store: newReplaceableStore(p.NewStore(s.Store, storeClient())), retryBudget: fulmarallowance.New(s.RetryRule), hedger: fulmarhedge.New(s.Hedging),
 	}
+	f.coldness = fulmarcoldness.New(s.ColdRule, f.views, fulmarclock.Now)
 	f.currentSettings.Store(&s)
 	f.forwardedStore = fulmarkvforwarder.New(f.store, func(ctx context.Context, address string) (fulmarkvforwarder.Daemon, error) {
 		return fulmarleaderrpc.Dial(ctx, address)
@@ -128,7 +132,7 @@
 	loads := fulmarkeyload.New(f.balancer)
 	leaderDeps := fulmarleader.Deps{
 		ID: s.ID, Address: s.Listen.Peers, DC: s.DC, Store: f.forwardedStore, Registry: p.Registry,
-		Orders: p.NewOrders(f.orderPool), Views: f.views, MaxGrantDuration: s.MaxGrant, MinLease: s.MinLease, CPUShare: s.CPUShare, Metrics: metrics, Log: log, Now: fulmarclock.Now, Limits: f.targetLimits, Notices: f.notices, Crashes: f.crashes, StoreForwarded: f.forwardedStore.Forwarding,
+		Orders: p.NewOrders(f.orderPool), Views: f.views, MaxGrantDuration: s.MaxGrant, MinLease: s.MinLease, CPUShare: s.CPUShare, Metrics: metrics, Log: log, Now: fulmarclock.Now, Limits: f.targetLimits, Coldness: f.coldness, Notices: f.notices, Crashes: f.crashes, StoreForwarded: f.forwardedStore.Forwarding,
 	}
 	f.follower = fulmarfollower.New(leaderDeps, loads, func(ctx context.Context, address string) (fulmarfollower.Leader, error) {
 		return fulmarleaderrpc.Dial(ctx, address)
@@ -140,11 +144,12 @@
 		},
 	})
 	f.gate = fulmaradmission.New(fulmaradmission.Deps{
-		Limits: f.targetLimits, Leader: f.follower, Rotation: fulmarrotation.New(s.ID), Daemons: func() int { return f.views.Get().Daemons },
+		Limits: f.targetLimits, Rates: fulmarrate.Least{f.targetLimits, f.coldness}, ColdRates: f.coldness, TurnRates: fulmarrate.Least{f.targetLimits, f.coldness.Turns()},
+		Leader: f.follower, Rotation: fulmarrotation.New(s.ID), Daemons: func() int { return f.views.Get().Daemons },
 		Metrics: metrics, Log: log, Now: fulmarclock.Now,
 	})
 	f.forwarder = fulmarforwarder.New(fulmarforwarder.Deps{
-		HeaderNames: p.HeaderNames, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.requestPool, Balancer: f.balancer, Limits: f.targetLimits, Notices: f.notices, Crashes: f.crashes, Gate: f.gate,
+		HeaderNames: p.HeaderNames, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.requestPool, Balancer: f.balancer, Limits: f.targetLimits, Coldness: f.coldness, Notices: f.notices, Crashes: f.crashes, Gate: f.gate,
 		Splitter: fulmarroute.NewSplitter(), RetryBudget: f.retryBudget, Hedger: f.hedger, Loads: loads,
 		Metrics: metrics, Log: log, Now: time.Now, Clock: fulmarclock.Now, DrainTime: func() time.Duration { return f.currentSettings.Load().DrainTime - drainMargin },
 		LatestEnd: func() time.Time { return f.latestEnd(time.Now()) },
@@ -296,6 +301,7 @@
 			if c != nil && recent.Advance(now, c) {
 				f.balancer.Retain(recent.Has)
 				f.targetLimits.Retain(recent.Has)
+				f.coldness.Retain(recent.Has)
 				f.notices.Retain(recent.Has)
 				f.gate.Retain(recent.Has)
 			}
--- a/internal/fulmarfrontdaemon/settings.go
+++ b/internal/fulmarfrontdaemon/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarallowance"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarhedge"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarwarmup"
 )
 
 // ListenAddresses holds the addresses that a daemon listens on, host:port.
@@ -29,6 +30,7 @@
 	GracePeriod time.Duration        // time from SIGTERM to the exit of the process
 	RetryRule   fulmarallowance.Rule // retry limit of the fleet
 	Hedging     fulmarhedge.Policy   // limit of hedged requests; a change takes effect at the next start
+	ColdRule    fulmarwarmup.Rule    // bound of the requests to a cold target
 	CPUShare    float64              // share of a CPU core that the daemon may use
 	MemoryBytes int64                // memory of the instance in bytes
 }
@@ -55,6 +57,9 @@
 			return errors.Errorf("fulmarfrontdaemon: %s is not positive", field.name)
 		}
 	}
+	if s.ColdRule.Over < 0 || s.ColdRule.Slack < 0 {
+		return errors.New("fulmarfrontdaemon: bound of the requests to a cold target is negative")
+	}
 	if s.MinLease < 0 {
 		return errors.New("fulmarfrontdaemon: shortest lease of the store is negative")
 	}
--- a/internal/fulmarleader/permit.go
+++ b/internal/fulmarleader/permit.go
@@ -5,11 +5,13 @@
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarassign"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrate"
 )
 
-// Permits dispenses permits for requests to targets with a limit. A term gives none after its lease, so that no other
+// Permits dispenses permits for requests to targets with a limit, cold ones, and those of hot keys. A term gives none after its lease, so that no other
 // leader dispenses permits at the same time.
 func (t *Term) Permits(r *fulmarleaderrpc.PermitRequest) (*fulmarleaderrpc.PermitAnswer, error) {
 	now := t.deps.Now()
@@ -17,12 +19,13 @@
 		return nil, fulmarleaderrpc.ErrNotLeader
 	}
 	t.deps.RecordLimits(r.Limits, "daemon")
+	rates := fulmarrate.Least{t.deps.Limits, t.deps.Coldness, *t.hotKeyRates.Load()}
 	out := &fulmarleaderrpc.PermitAnswer{Permits: make([]fulmarleaderrpc.Permit, 0, len(r.Permits))}
 	for _, ask := range r.Permits {
 		p, request := fulmarleaderrpc.Permit{Granted: true}, fulmarpermit.Request{Target: ask.Target, MaxWait: ask.MaxWait, Priority: ask.Priority}
-		rate, bounded := t.deps.Limits.Rate(ask.Target)
-		if !bounded {
-			rate, bounded = (*t.hotKeyRates.Load())[ask.Target]
+		rate, bounded := rates.Rate(ask.Target)
+		if ask.ColdRate > 0 && (!bounded || ask.ColdRate < rate) { // the daemon may have read of it later than the leader
+			rate, bounded = ask.ColdRate, true
 		}
 		if bounded {
 			p.Wait, p.Granted = t.permits.Take(now, rate, request)
@@ -48,7 +51,7 @@
 		}
 	}
 	s.hotKeyRates = rates
-	all := make(map[string]float64)
+	all := make(fulmarrate.Table)
 	for _, s := range t.services {
 		for target, rate := range s.hotKeyRates {
 			all[target.ID] = rate
@@ -63,6 +66,9 @@
 // all of its keys gets no requests, so that nobody would learn of the end of its limit.
 const needMemory = 10 * time.Second
 
+// coldKeyShare is the part of what a cold target takes that the plan gives it in keys, whose rates vary.
+const coldKeyShare = 0.7
+
 // needDelay is the time without a new limit of a service from which on the plan takes its limits into account, at the
 // latest maxNeedDelay after a target has stated its own. The targets of a service may come to state limits one after
 // another, and keys that leave the first ones would have to leave the next ones as well.
@@ -96,3 +102,14 @@
 	target.InNeed = now.Sub(s.ReceivedAt) < needMemory
 	return target
 }
+
+// withColdness returns a target with the capacity that it has while it is cold. As soon as it is warm, it may get keys again:
+// unlike a limit, coldness ends at a known time, and does not come back with the load.
+func (t *Term) withColdness(now time.Time, listed fulmarcatalog.Target, target fulmarassign.Target) fulmarassign.Target {
+	service, _ := t.snapshot.Routes.Service(listed.Service)
+	rate, cold := t.deps.Coldness.RateOf(listed, service, now)
+	if !cold {
+		return target
+	}
+	return target.WithLimit(coldKeyShare * rate)
+}
--- a/internal/fulmarleader/plan.go
+++ b/internal/fulmarleader/plan.go
@@ -138,7 +138,7 @@
 		candidate := fulmarassign.Target{
 			Incarnation: incarnation, Slots: target.Slots, ServiceTime: s.responseTimes.Get(now, target.ID), HasUnansweredGrant: unanswered, Leaving: target.Leaving,
 		}
-		out = append(out, t.withLimit(now, newestLimit, candidate))
+		out = append(out, t.withColdness(now, target, t.withLimit(now, newestLimit, candidate)))
 	}
 	return out
 }
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarcoldness"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarpublisher"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarretention"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
@@ -21,6 +22,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarorder"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrate"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrelay"
 )
 
@@ -71,6 +73,7 @@
 	MinLease         time.Duration              // shortest lease that the store grants, zero for none
 	CPUShare         float64                    // usable share of a CPU core of this daemon
 	Limits           *fulmarlimit.Board         // limits that targets have stated
+	Coldness         *fulmarcoldness.Coldness   // of the targets of Views; may be nil
 	Notices          *fulmarnotice.Board        // what targets say of themselves
 	Crashes          *fulmarcrash.Board         // requests under which targets have ended
 	Publisher        *fulmarpublisher.Publisher // of Views; the follower that leads sets it
@@ -120,11 +123,11 @@
 	nextRelayChoice  time.Time            // relays are not chosen anew before then
 	publishRequested chan struct{}        // holds a value while there are changes to publish
 	permits          *fulmarpermit.Dispenser
-	hotKeyRates      atomic.Pointer[map[string]float64] // by target: the permits a second for its only key; read without mu
-	permitsUntil     atomic.Pointer[time.Time]          // validUntil; it is read without mu, which a publication may hold for long
-	crashesWritten   int64                              // version of the crashes that this term has stored; planLoop uses it
-	load             answerCounts                       // of the answers to reports since the last line in the log
-	duties           dutyCounts                         // since the last line in the log
+	hotKeyRates      atomic.Pointer[fulmarrate.Table] // by target: the permits a second for its only key; read without mu
+	permitsUntil     atomic.Pointer[time.Time]        // validUntil; it is read without mu, which a publication may hold for long
+	crashesWritten   int64                            // version of the crashes that this term has stored; planLoop uses it
+	load             answerCounts                     // of the answers to reports since the last line in the log
+	duties           dutyCounts                       // since the last line in the log
 	group            sync.WaitGroup
 }
 
@@ -143,7 +146,7 @@
 	}
 	t.keepRelays(d.Views.Get().Relays)
 	t.permitsUntil.Store(&acquired.validUntil)
-	t.hotKeyRates.Store(&map[string]float64{})
+	t.hotKeyRates.Store(&fulmarrate.Table{})
 	return t, nil
 }
 
--- a/internal/fulmarleaderrpc/limit.go
+++ b/internal/fulmarleaderrpc/limit.go
@@ -37,6 +37,8 @@
 	Target   string        `cbor:"target"`
 	MaxWait  time.Duration `cbor:"wait"`               // longest time until the request may be sent
 	Priority int           `cbor:"priority,omitempty"` // 0 is the most urgent
+	// ColdRate is the rate of permits for a target that the sender takes for cold, in requests per second, zero otherwise.
+	ColdRate float64 `cbor:"cold,omitempty"`
 }
 
 // PermitAnswer has a permit for each one that was asked for, in the same order.
--- a/pkg/fulmarcatalog/catalog.go
+++ b/pkg/fulmarcatalog/catalog.go
@@ -37,8 +37,20 @@
 	return fulmarrange.Incarnation{ID: t.ID, Born: t.Born}
 }
 
-// equivalent reports whether a and b are equal for routing, which ignores their times.
+// warmupTolerance is the difference of remaining warm-ups that is no change. Targets report theirs from time to time, and what is
+// known of it varies by about that.
+const warmupTolerance = 500 * time.Millisecond
+
+// equivalent reports whether a and b are equal for routing, which ignores their times. A target that is cold again differs
+// from what it was.
 func equivalent(a, b Target) bool {
+	latest := a.SeenAt
+	if b.SeenAt.After(latest) {
+		latest = b.SeenAt
+	}
+	if (a.AsOf(latest).WarmupLeft - b.AsOf(latest).WarmupLeft).Abs() > warmupTolerance {
+		return false
+	}
 	a.WarmupLeft, b.WarmupLeft, a.LeavingFor, b.LeavingFor = 0, 0, 0, 0
 	a.SeenAt, b.SeenAt = time.Time{}, time.Time{}
 	return a == b
--- a/pkg/fulmarcatalog/read_test.go
+++ b/pkg/fulmarcatalog/read_test.go
@@ -86,6 +86,25 @@
 		}, false),
 	)
 
+	// Guards against daemons that are not told of a target that has become cold again in the same incarnation.
+	DescribeTable("differs by the warm-up of a target",
+		func(before, after time.Duration, equivalent bool) {
+			old, next := target("a", false), target("a", false)
+			old.WarmupLeft, next.WarmupLeft = before, after
+			c := read(start, []fulmarcatalog.Target{old}, nil, time.Time{})
+			d := read(at(time.Second), []fulmarcatalog.Target{next}, c, start)
+			Expect(d.Equivalent(c)).To(Equal(equivalent))
+			changed, _ := d.Diff(c)
+			Expect(len(changed) == 0).To(Equal(equivalent))
+		},
+		Entry("cold again", time.Duration(0), 3*time.Second, false),
+		Entry("cold again, after a warm-up", 500*time.Millisecond, 3*time.Second, false),
+		Entry("warm before it was expected", 10*time.Second, time.Duration(0), false),
+		Entry("as expected", 3*time.Second, 2*time.Second, true),
+		Entry("about as expected", 3*time.Second, 2300*time.Millisecond, true),
+		Entry("warm as expected", 900*time.Millisecond, time.Duration(0), true),
+	)
+
 	It("advances times since the read", func() {
 		cold := target("a", false)
 		cold.WarmupLeft = time.Second
--- a/pkg/fulmarroute/table.go
+++ b/pkg/fulmarroute/table.go
@@ -35,6 +35,10 @@
 	Connections int           `cbor:"connections"` // maximum that one target accepts from all callers
 	Keyed       bool          `cbor:"keyed"`       // targets own key ranges exclusively
 	WarmupTime  time.Duration `cbor:"warm"`        // time for which keys stay slow after a move without handover
+	// ColdTime is the time for which a target is cold after it has started. While it is cold, for whatever reason, it takes
+	// ColdRate requests a second from all daemons together; 0 means that it takes any rate.
+	ColdTime time.Duration `cbor:"coldtime,omitempty"`
+	ColdRate float64       `cbor:"coldrate,omitempty"`
 }
 
 // Limits bounds the size and duration of callers' requests.
@@ -68,6 +72,9 @@
 		if s.Name == "" {
 			return nil, errors.New("fulmarroute: service without a name")
 		}
+		if s.ColdRate < 0 {
+			return nil, errors.Errorf("fulmarroute: service %q has a negative rate of cold targets", s.Name)
+		}
 		t.services[s.Name] = s
 		t.names[s.Name] = true
 	}
