Send a keyed request once more to an owner that rejects it with a free slot

Cause: only the owner of a key can serve its requests, so that one that the owner rejected waited a third of its objective for another owner and was refused.

Change: an owner that reports a free slot with its rejection gets the request once more, within the fleet's budget and the route's attempts. The replay gets loads of a fleet of 144 daemons with bursts, and with targets that share their machines.

--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -96,7 +96,7 @@
 		}
 		return NoCapacity, nil
 	case notRun:
-		if x.sends >= x.route.Attempts {
+		if x.sends >= x.route.Attempts || x.key >= 0 && !x.mayRepeatAtOwner(target) {
 			return Rejected, x.refuseOrFail(Rejected)
 		}
 		return Rejected, nil
--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -43,6 +43,8 @@
 // Answers of a test target; ordinary stands for a complete answer to the request.
 const (
 	notRun          = "HTTP/1.1 503 x\r\nNot-Run: 1\r\nId: one\r\nContent-Length: 0\r\n\r\n"
+	notRunWithRoom  = "HTTP/1.1 503 x\r\nNot-Run: 1\r\nId: one\r\nLoad: 1,0,3,100\r\nContent-Length: 0\r\n\r\n"
+	notRunFull      = "HTTP/1.1 503 x\r\nNot-Run: 1\r\nId: one\r\nLoad: 3,12,3,100\r\nContent-Length: 0\r\n\r\n"
 	misdirected     = "HTTP/1.1 421 x\r\nId: one\r\nContent-Length: 0\r\n\r\n"
 	unsigned        = "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok"
 	incomplete      = "HTTP/1.1 200 x\r\nSign: s\r\nContent-Length: 20\r\n\r\nok"
@@ -480,6 +482,10 @@
 		{"no more than the route permits", true, []string{closeConnection}, 502, 2},
 		{"not idempotent", false, []string{closeConnection}, 502, 1},
 		{"rejected by the owner", true, []string{notRun}, 503, 1},
+		{"rejected by an owner with a free slot", true, []string{notRunWithRoom, ordinary}, 200, 2},
+		{"rejected by an owner with a free slot, not idempotent", false, []string{notRunWithRoom, ordinary}, 200, 2},
+		{"rejected by an owner whose queue is full", true, []string{notRunFull, ordinary}, 503, 1},
+		{"rejected by an owner with a free slot again and again", true, []string{notRunWithRoom}, 503, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/fulmarforwarder/load.go
+++ b/internal/fulmarforwarder/load.go
@@ -20,20 +20,22 @@
 	usualPace = 100.
 )
 
-// recordLoad records the load that a target reports with an answer. A malformed report is counted and logged.
-func (x *exchange) recordLoad(now time.Time, target string, answer http.Header) {
+// recordLoad records the load that a target reports with an answer and returns it, zero if there is none. A malformed report is
+// counted and logged.
+func (x *exchange) recordLoad(now time.Time, target string, answer http.Header) fulmarbalancer.Load {
 	d := &x.forwarder.deps
 	text := answer.Get(d.HeaderNames.Load)
 	if text == "" {
-		return
+		return fulmarbalancer.Load{}
 	}
 	load, err := parseLoad(text)
 	if err != nil {
 		d.Metrics.Count("relay.load_malformed")
 		d.Log.Warn("target reports a malformed load", "target", target, "id", x.id, "value", text, "error", err)
-		return
+		return fulmarbalancer.Load{}
 	}
 	d.Balancer.RecordLoad(now, target, load)
+	return load
 }
 
 // parseLoad parses the load that a target reports: running requests, waiting requests and slots, and, from some targets, how
--- a/internal/fulmarforwarder/send.go
+++ b/internal/fulmarforwarder/send.go
@@ -97,7 +97,9 @@
 			d.Balancer.Release(t.ID)
 		}
 	}()
+	now := d.Now()
 	said := x.newStatement(t.ID, a)
+	said.load = x.recordLoad(now, t.ID, a.Header)
 	x.recordStatement(said)
 	if a.Status == http.StatusMisdirectedRequest { // such an answer may be another target's
 		d.Notices.RecordFailure(t.Incarnation())
@@ -105,8 +107,6 @@
 		x.recordLimit(t.ID, a.Header, s.sentAt)
 		x.recordNotices(t, a)
 	}
-	now := d.Now()
-	x.recordLoad(now, t.ID, a.Header)
 	if res := said.result(); res != delivered {
 		if a.Remainder != nil {
 			a.Remainder.Close()
--- a/internal/fulmarforwarder/statement.go
+++ b/internal/fulmarforwarder/statement.go
@@ -1,11 +1,13 @@
 package fulmarforwarder
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarlink"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarbalancer"
 )
 
 // statement is what the answer of a target says about the execution of a request; the zero value is no answer.
@@ -16,6 +18,7 @@
 	signed     bool // it has the target's signature
 	identified bool // it bears the id of the request
 	place      fulmarlink.Place
+	load       fulmarbalancer.Load // that the target reported, zero if none
 }
 
 // newStatement returns the statement of an answer.
@@ -81,6 +84,9 @@
 		}
 	}
 	text += " at " + strconv.FormatInt(s.place.Connection, 10) + "." + strconv.Itoa(s.place.Exchange)
+	if s.load.Slots > 0 && s.result() == notRun {
+		text += fmt.Sprintf(" load %d,%d,%d", s.load.Running, s.load.Waiting, s.load.Slots)
+	}
 	if s.place.Late > 0 {
 		text += " late " + strconv.Itoa(s.place.Late)
 	}
--- a/internal/fulmarreplay/pattern.go
+++ b/internal/fulmarreplay/pattern.go
@@ -28,6 +28,30 @@
 	Factor          float64
 }
 
+// BurstPeriod is a period in which the rate of requests is multiplied by Factor.
+type BurstPeriod struct {
+	Start, Duration time.Duration
+	Factor          float64
+}
+
+// Noise makes a share of the targets slower by Factor, others in each period of Every, as they share their machines with others.
+type Noise struct {
+	Share, Factor float64
+	Every         time.Duration
+}
+
+// slowdown returns the factor by which target i is slower at a time.
+func (n Noise) slowdown(i int, at time.Duration) float64 {
+	if n.Every <= 0 {
+		return 1
+	}
+	draw := rand.New(rand.NewPCG(uint64(i), uint64(at/n.Every)))
+	if draw.Float64() < n.Share {
+		return n.Factor
+	}
+	return 1
+}
+
 // ServiceTime is the distribution of service times at a target of speed 1: log-normal
 // with a tail of longer requests, and cut off at Max.
 type ServiceTime struct {
@@ -58,6 +82,8 @@
 	HotPeriods    []HotPeriod
 	ShedPeriods   []ShedPeriod
 	SlowPeriods   []SlowPeriod
+	BurstPeriods  []BurstPeriod
+	Noise         Noise
 	ServiceTime   ServiceTime
 	Targets       int
 	TargetSpeeds  []float64 // relative speeds, assigned to the targets in turn
@@ -73,7 +99,13 @@
 
 // rateAt returns the request rate at a time, in requests a second.
 func (p Pattern) rateAt(at time.Duration) float64 {
-	return p.Rate * (1 + p.Amplitude*math.Sin(2*math.Pi*at.Seconds()/p.Period.Seconds()))
+	rate := p.Rate * (1 + p.Amplitude*math.Sin(2*math.Pi*at.Seconds()/p.Period.Seconds()))
+	for _, b := range p.BurstPeriods {
+		if at >= b.Start && at < b.Start+b.Duration {
+			rate *= b.Factor
+		}
+	}
+	return rate
 }
 
 // keySampler draws the keys of requests: from a hot range in its period, and otherwise
--- a/internal/fulmarreplay/patterns.go
+++ b/internal/fulmarreplay/patterns.go
@@ -34,6 +34,18 @@
 	}
 }
 
+// boardsPattern returns a load on a keyed service of a large fleet whose targets share their machines with others, so that a
+// fifth of them is three times slower at any moment.
+func boardsPattern(name string, rate float64) Pattern {
+	return Pattern{
+		Name: name, Rate: rate, Amplitude: 0.15, Period: 11 * time.Second, Duration: 20 * time.Second, ZipfExponent: 0.387,
+		ServiceTime: ServiceTime{Mean: 150 * time.Millisecond, LogSigma: 0.3, TailShare: 0.01, TailFactor: 5, Max: 1100 * time.Millisecond},
+		Targets:     164, TargetSpeeds: []float64{0.7, 0.7, 1.6}, Slots: 3, Queue: 12, Daemons: 144,
+		Noise: Noise{Share: 0.2, Factor: 3, Every: 400 * time.Millisecond},
+		Goal:  800 * time.Millisecond, Timeout: 1500 * time.Millisecond, LateWorth: 0.11, MoveCost: 240,
+	}
+}
+
 // Hot periods of a range of keys and of a single key.
 var (
 	hotRangePeriods = []HotPeriod{
@@ -46,6 +58,12 @@
 	}
 )
 
+// Bursts of many callers, up to more than twice the usual load.
+var burstPeriods = []BurstPeriod{
+	{Start: 4 * time.Second, Duration: 4 * time.Second, Factor: 1.8},
+	{Start: 12 * time.Second, Duration: 4 * time.Second, Factor: 2.4},
+}
+
 // with returns a copy of p to which change was applied.
 func (p Pattern) with(change func(*Pattern)) Pattern {
 	change(&p)
@@ -72,6 +90,9 @@
 		taggingPattern("tagging-quiet", 240),
 		taggingPattern("tagging-quiet-key", 240).with(func(p *Pattern) { p.HotPeriods = hotKeyPeriods }),
 		taggingPattern("tagging-crest-range", 400).with(func(p *Pattern) { p.HotPeriods = hotRangePeriods }),
+		boardsPattern("boards", 1600),
+		boardsPattern("boards-burst", 1600).with(func(p *Pattern) { p.BurstPeriods = burstPeriods }),
+		boardsPattern("boards-burst-twice", 1900).with(func(p *Pattern) { p.BurstPeriods = burstPeriods }),
 		cataloguePattern("catalogue-crest-slow", 300).with(func(p *Pattern) {
 			p.SlowPeriods = []SlowPeriod{{Start: 8 * time.Second, Duration: 8 * time.Second, TargetShare: 0.4, Factor: 5}}
 		}),
--- a/internal/fulmarreplay/sim.go
+++ b/internal/fulmarreplay/sim.go
@@ -28,6 +28,12 @@
 	Ended(s *Sim, r *Request)
 }
 
+// Rejecter is an Admission that decides what happens to a request that its target rejected. Otherwise, it is refused.
+type Rejecter interface {
+	// Rejected takes a request for which it calls s.Send or s.Refuse, now or later. hasFreeSlot reports whether the target would start it at once.
+	Rejected(s *Sim, r *Request, hasFreeSlot bool)
+}
+
 // Request is one attempt of a caller.
 type Request struct {
 	Key      int
@@ -188,7 +194,7 @@
 		s.clock.after(networkDelay, func() {
 			finish(func() {
 				if rejected {
-					s.Refuse(r)
+					s.rejected(r)
 					return
 				}
 				latency := s.clock.now - sent
@@ -211,6 +217,15 @@
 	})
 }
 
+// rejected passes a request that its target rejected to the admission.
+func (s *Sim) rejected(r *Request) {
+	if a, ok := s.admission.(Rejecter); ok {
+		a.Rejected(s, r, len(s.targets[r.Target].running) < s.pattern.Slots)
+		return
+	}
+	s.Refuse(r)
+}
+
 // Refuse refuses a request. Its caller retries once if the deadline permits; a refusal
 // counts only if no retry follows.
 func (s *Sim) Refuse(r *Request) {
--- a/internal/fulmarreplay/sim_test.go
+++ b/internal/fulmarreplay/sim_test.go
@@ -69,6 +69,17 @@
 	}
 }
 
+// Guards against requests for keys that are refused as soon as the owner of the key rejects them, though it has free slots. Of
+// those that end refused, repeats within the budget must serve a third.
+func TestRepeats(t *testing.T) {
+	g := NewWithT(t)
+	p := pattern(t, "rota-crest-shed")
+	without := fulmarreplay.New(p, fulmarassign.DefaultPolicy, fulmarreplay.NewDaemonLimit(4), seed).Run()
+	with := fulmarreplay.New(p, fulmarassign.DefaultPolicy, fulmarreplay.NewRepeats(4), seed).Run()
+	g.Expect(with.Refused).To(BeNumerically("<", without.Refused*2/3))
+	g.Expect(with.Good).To(BeNumerically(">", without.Good))
+}
+
 // Guards against a policy that beats Ideal, which would show that the model is wrong and comparisons are void.
 func TestBound(t *testing.T) {
 	for _, p := range fulmarreplay.Patterns()[:3] {
--- a/internal/fulmarreplay/target.go
+++ b/internal/fulmarreplay/target.go
@@ -26,7 +26,7 @@
 
 // slowdown returns the factor by which service times are multiplied now.
 func (t *target) slowdown() float64 {
-	f := 1 / t.speed
+	f := t.sim.pattern.Noise.slowdown(t.index, t.sim.clock.now) / t.speed
 	for _, s := range t.sim.pattern.SlowPeriods {
 		if t.sim.clock.now >= s.Start && t.sim.clock.now < s.Start+s.Duration && float64(t.index) < s.TargetShare*float64(t.sim.pattern.Targets) {
 			f *= s.Factor
