Compare the retries of each window with the requests that count for it

Cause: the budget compared the retries of a whole window with the requests of its second half, so that half of it stayed unused under steady load. While targets reject requests although they have room, most repeats were denied.

Change: a retry counts in all windows that contain it, and each of them is compared with the requests that count for it at the least: its own, or those of the window that ended half a window earlier.

--- a/pkg/fulmarallowance/budget.go
+++ b/pkg/fulmarallowance/budget.go
@@ -77,25 +77,36 @@
 // AllowRetry reports whether the limit allows a retry, and counts it if so. daemons is the number of daemons that share
 // the fixed number of retries.
 //
-// It compares the retries of the whole window with the requests of its second half only, as a window that ends later
-// may no longer contain the earlier requests.
+// A retry counts in all windows that contain it, of which the latest end a window after it. The limit of a window refers to the
+// requests of that window, of the one before it or of the one that ended half a window earlier, whichever has most. Each window is
+// compared with its own requests if it ends within half a window from now, and otherwise with those of the one that ended half a
+// window earlier; requests that are still to come count as none. All daemons compare the same windows, so that the limit holds for
+// the sums of the fleet too.
 func (a *RetryBudget) AllowRetry(now time.Time, service string, daemons int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	current := a.bucketAt(now, service)
-	requests, retries := 0, 0
+	var requests, retries [bucketsPerWindow + 1]int // of the buckets of at most that age
 	for _, c := range a.services[service] {
-		age := current.index - c.index
-		if age < 0 || age > bucketsPerWindow {
-			continue
-		}
-		retries += c.retries
-		if age < bucketsPerWindow/2 {
-			requests += c.requests
+		if age := current.index - c.index; age >= 0 && age <= bucketsPerWindow {
+			requests[age] += c.requests
+			retries[age] += c.retries
 		}
 	}
-	if float64(retries+1) > a.rule.Ratio*float64(requests)+a.rule.FixedRetries/float64(max(daemons, 1)) {
-		return false
+	for age := 1; age <= bucketsPerWindow; age++ {
+		requests[age] += requests[age-1]
+		retries[age] += retries[age-1]
+	}
+	fixed := a.rule.FixedRetries / float64(max(daemons, 1))
+	for ahead := range bucketsPerWindow { // until the end of the window
+		counted := bucketsPerWindow - ahead
+		if ahead > bucketsPerWindow/2 {
+			counted = min(counted+bucketsPerWindow/2, bucketsPerWindow)
+		}
+		// The oldest of the buckets lies in the window in part only: its retries count, and its requests do not.
+		if float64(retries[bucketsPerWindow-ahead]+1) > a.rule.Ratio*float64(requests[counted-1])+fixed {
+			return false
+		}
 	}
 	current.retries++
 	return true
