Bound the memory for bodies, and hold long ones for another send while it lasts

The server refuses a body for which there is no room before it reads it, lets long bodies retain what is read of them, and counts answers that wait to be written. Answers beyond 8 KiB are no longer copied behind their heads.

--- a/internal/fulmarbody/body.go
+++ b/internal/fulmarbody/body.go
@@ -18,8 +18,17 @@
 // ErrRevoked is the error of a read by a reader that has been closed or replaced.
 var ErrRevoked = errors.New("fulmarbody: reader has been revoked")
 
+// Memory admits the bytes that a body retains.
+type Memory interface {
+	// Reserve reserves n bytes and reports whether there was room.
+	Reserve(n int64) bool
+	// Release ends the reservation of n bytes.
+	Release(n int64)
+}
+
 // Body is a request body whose bytes after a prefix come from the caller's connection, once. It is safe for concurrent use;
-// only the reader that was opened last gets bytes.
+// only the reader that was opened last gets bytes. A body with a Memory retains the bytes after the prefix as they are read,
+// while there is room, so that it can be read from its start again.
 type Body struct {
 	prefix   []byte
 	rest     io.Reader // nil if the prefix is the whole body
@@ -29,11 +38,17 @@
 	reading sync.Mutex // held while rest is read; guards ended; locked before mu
 	ended   bool       // rest has returned its end
 
-	mu     sync.Mutex
-	reader *reader // the one that may read rest, nil for none
-	taken  bool    // a reader has begun to read rest
+	mu       sync.Mutex
+	reader   *reader  // the one that may read rest, nil for none
+	lost     bool     // bytes after the prefix have been read, or are being read, that are not retained
+	memory   Memory   // nil for a body that retains nothing more
+	chunks   [][]byte // the bytes after the prefix that have been read, unless lost; each has room for chunkSize
+	retained int      // bytes in chunks
 }
 
+// chunkSize is the unit in which bytes are retained, in bytes.
+const chunkSize = 16 << 10
+
 // Read reads the prefix of a body from r. length is the announced length, or -1 if it is not known. Read returns the
 // error of r if reading the prefix fails.
 func Read(r io.Reader, length int64) (*Body, error) {
@@ -84,13 +99,13 @@
 func (b *Body) Replayable() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.taken
+	return !b.lost
 }
 
 // Open returns a reader of the body from its start, for one send; an empty body has http.NoBody. The reader is revoked when it
 // is closed and when another one is opened. From then on its reads fail with ErrRevoked, so that a send that has ended can't take
 // bytes of a later one. A read that has begun before may still return. A body in memory has any number of readers. Open
-// returns ErrConsumed if a reader has begun to read the part after the prefix.
+// returns ErrConsumed if a reader has begun to read the part after the prefix and it is not retained.
 func (b *Body) Open() (io.ReadCloser, error) {
 	if b.rest == nil {
 		if len(b.prefix) == 0 {
@@ -100,7 +115,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.taken {
+	if b.lost {
 		return nil, ErrConsumed
 	}
 	b.reader = &reader{body: b, prefix: b.prefix}
@@ -115,7 +130,8 @@
 	}
 	r := &reader{body: b}
 	b.mu.Lock()
-	b.reader, b.taken = r, true
+	b.reader = r
+	b.forgetLocked()
 	b.mu.Unlock()
 	_, err = io.CopyN(io.Discard, r, limit)
 	if errors.Is(err, io.EOF) {
@@ -124,6 +140,33 @@
 	return false, err
 }
 
+// Retain makes a body that is not complete in memory retain what is read of it after the prefix, as far as memory admits it. It is
+// called before the first Open. The bytes are released by Forget.
+func (b *Body) Retain(memory Memory) {
+	if b.rest == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.memory = memory
+}
+
+// Forget releases the retained bytes and retains no more, after which a body that is not complete in memory can't be opened again.
+func (b *Body) Forget() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.forgetLocked()
+}
+
+// forgetLocked is Forget for a caller that holds mu.
+func (b *Body) forgetLocked() {
+	b.lost = true
+	if b.memory != nil {
+		b.memory.Release(int64(len(b.chunks) * chunkSize))
+	}
+	b.memory, b.chunks, b.retained = nil, nil, 0
+}
+
 // memoryReader is a reader of a body that is held in memory.
 type memoryReader struct{ *bytes.Reader }
 
@@ -134,6 +177,7 @@
 type reader struct {
 	body   *Body
 	prefix []byte // not read yet
+	read   int    // retained bytes that were read
 }
 
 // Read returns bytes of the prefix, then of the rest.
@@ -150,18 +194,21 @@
 }
 
 // readRest reads the part after the prefix. The check and the record of the read are one step, so that no other reader can be
-// opened in between.
+// opened in between, unless what is read is retained.
 func (r *reader) readRest(p []byte) (int, error) {
 	b := r.body
 	b.reading.Lock()
 	defer b.reading.Unlock()
-	if !r.take() {
-		return 0, ErrRevoked
+	p = p[:min(len(p), chunkSize)]
+	if n, err := r.take(p); n > 0 || err != nil {
+		return n, err
 	}
 	if b.ended {
 		return 0, io.EOF
 	}
 	n, err := b.rest.Read(p)
+	b.retain(p[:n])
+	r.read += n
 	if errors.Is(err, io.EOF) {
 		b.ended = true
 		close(b.consumed)
@@ -169,15 +216,43 @@
 	return n, err
 }
 
-// take records that the reader begins to read the rest, and reports whether it may.
-func (r *reader) take() bool {
-	r.body.mu.Lock()
-	defer r.body.mu.Unlock()
-	if r.body.reader != r {
-		return false
+// take reads retained bytes. If there are none, it prepares a read of len(p) bytes of the rest: it reserves memory for them, or
+// records that they are lost.
+func (r *reader) take(p []byte) (n int, err error) {
+	b := r.body
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.reader != r {
+		return 0, ErrRevoked
+	}
+	if r.read < b.retained {
+		n = copy(p, b.chunks[r.read/chunkSize][r.read%chunkSize:])
+		r.read += n
+		return n, nil
+	}
+	switch {
+	case b.memory == nil:
+		b.lost = true
+	case b.retained+len(p) <= len(b.chunks)*chunkSize:
+	case b.memory.Reserve(chunkSize):
+		b.chunks = append(b.chunks, make([]byte, 0, chunkSize))
+	default:
+		b.forgetLocked()
+	}
+	return 0, nil
+}
+
+// retain keeps bytes that were read of the rest, unless they are lost. There is room for them in chunks.
+func (b *Body) retain(p []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for len(p) > 0 && b.memory != nil {
+		c := &b.chunks[b.retained/chunkSize]
+		n := min(len(p), chunkSize-len(*c))
+		*c = append(*c, p[:n]...)
+		b.retained += n
+		p = p[n:]
 	}
-	r.body.taken = true
-	return true
 }
 
 func (r *reader) isCurrent() bool {
--- a/internal/fulmarforwarder/benchmark_test.go
+++ b/internal/fulmarforwarder/benchmark_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarhttpserver"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarreserve"
 )
 
 // BenchmarkRequest measures a request through the server of callers and the forwarder to a target, all on loopback.
@@ -21,7 +22,7 @@
 		b.Run(fmt.Sprint("body of ", size>>10, " KiB"), func(b *testing.B) {
 			f := start(b, false, newTarget(b, "x"))
 			limits := fulmarhttpserver.Limits{HeaderBytes: 8192, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
-			server := fulmarhttpserver.New(f.forwarder, func() fulmarhttpserver.Limits { return limits }, slog.New(slog.DiscardHandler))
+			server := fulmarhttpserver.New(f.forwarder, func() fulmarhttpserver.Limits { return limits }, fulmarreserve.New(0), slog.New(slog.DiscardHandler))
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				b.Fatal(err)
--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -467,6 +467,30 @@
 	}
 }
 
+// unboundedMemory admits any number of bytes.
+type unboundedMemory struct{}
+
+func (unboundedMemory) Reserve(int64) bool { return true }
+func (unboundedMemory) Release(int64)      {}
+
+// Guards against a caller of a long body who is refused although another target has room: 2.7% of the uploads of a day were, whose
+// bodies are longer than the prefix that is held of each.
+func TestRetainedBodySentAgain(t *testing.T) {
+	g := NewWithT(t)
+	long := strings.Repeat("b", fulmarbody.PrefixLimit+40_000)
+	x, y := newTarget(t, "x", notRun), newTarget(t, "y", ordinary)
+	f := start(t, false, x, y)
+	for len(x.requests()) == 0 {
+		r := request(t, "/f/1", "")
+		payload, err := fulmarbody.Read(strings.NewReader(long), -1)
+		g.Expect(err).NotTo(HaveOccurred())
+		payload.Retain(unboundedMemory{})
+		r.Payload = payload
+		expectStatus(g, f.forwarder.Serve(t.Context(), r), 200)
+	}
+	g.Expect(y.requests()).NotTo(BeEmpty())
+}
+
 // Guards against a keyed idempotent request that is not retried at its owner after a lost answer: while the answers of
 // a third of the targets were lost for 4 s, a fifth of all requests ended with 502 after a single send.
 func TestRepeatAtOwner(t *testing.T) {
--- a/internal/fulmarforwarder/stream_test.go
+++ b/internal/fulmarforwarder/stream_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarforwarder"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarhttpserver"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarreserve"
 )
 
 // answerSize exceeds the body limit of the fixture's pool, so that the answer is streamed.
@@ -91,7 +92,7 @@
 	d := s.deps
 	d.Log = slog.New(slog.NewTextHandler(s.log, nil))
 	limits := fulmarhttpserver.Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
-	s.server = fulmarhttpserver.New(fulmarforwarder.New(d), func() fulmarhttpserver.Limits { return limits }, slog.New(slog.DiscardHandler))
+	s.server = fulmarhttpserver.New(fulmarforwarder.New(d), func() fulmarhttpserver.Limits { return limits }, fulmarreserve.New(0), slog.New(slog.DiscardHandler))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -115,8 +115,9 @@
 	if err != nil {
 		return nil, err
 	}
+	memory := newCallerMemory(s.MemoryBytes, metrics)
 	link := fulmarlink.Settings{
-		DialTimeout: dialTimeout, AcceptMargin: acceptMargin, AckTimeout: ackTimeout, IdleTimeout: idleTimeout, BodyLimit: answerBodyLimit, RequestIDHeader: p.HeaderNames.RequestID,
+		DialTimeout: dialTimeout, AcceptMargin: acceptMargin, AckTimeout: ackTimeout, IdleTimeout: idleTimeout, BodyLimit: answerBodyLimit, HasRoom: memory.HasRoom, RequestIDHeader: p.HeaderNames.RequestID,
 	}
 	f := &Daemon{
 		settings: s, platform: p, log: log, metrics: metrics, views: fulmarview.New(),
@@ -154,7 +155,7 @@
 		Metrics: metrics, Log: log, Now: time.Now, Clock: fulmarclock.Now, DrainTime: func() time.Duration { return f.currentSettings.Load().DrainTime - drainMargin },
 		LatestEnd: func() time.Time { return f.latestEnd(time.Now()) },
 	})
-	f.server = fulmarhttpserver.New(f.forwarder, f.limits, log)
+	f.server = fulmarhttpserver.New(f.forwarder, f.limits, memory, log)
 	return f, nil
 }
 
--- a/internal/fulmarhttpserver/benchmark_test.go
+++ b/internal/fulmarhttpserver/benchmark_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarhttpserver"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarreserve"
 )
 
 // waitingHandler answers no request before its channel is closed.
@@ -47,7 +48,7 @@
 		b.Run(c.name, func(b *testing.B) {
 			for b.Loop() {
 				h := make(waitingHandler)
-				s := fulmarhttpserver.New(h, func() fulmarhttpserver.Limits { return limits }, slog.New(slog.DiscardHandler))
+				s := fulmarhttpserver.New(h, func() fulmarhttpserver.Limits { return limits }, fulmarreserve.New(0), slog.New(slog.DiscardHandler))
 				listener, err := net.Listen("tcp", "127.0.0.1:0")
 				if err != nil {
 					b.Fatal(err)
@@ -81,3 +82,49 @@
 		})
 	}
 }
+
+// BenchmarkUploads measures the memory for 500 uploads of 360 KB that are in flight, of which the callers have sent all that the server
+// reads.
+func BenchmarkUploads(b *testing.B) {
+	const uploads, size = 500, 360 << 10
+	for _, total := range []int64{0, 17 << 20} {
+		b.Run(fmt.Sprintf("memory of %d bytes", total), func(b *testing.B) {
+			large := limits
+			large.BodyBytes = 1 << 20
+			body := make([]byte, size)
+			for b.Loop() {
+				h := make(waitingHandler)
+				s := fulmarhttpserver.New(h, func() fulmarhttpserver.Limits { return large }, fulmarreserve.New(total), slog.New(slog.DiscardHandler))
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					b.Fatal(err)
+				}
+				ctx, cancel := context.WithCancel(b.Context())
+				served := make(chan error, 1)
+				go func() { served <- s.Serve(ctx, listener) }()
+				before := memoryInUse()
+				for i := range uploads {
+					// Each caller has an address of its own.
+					d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, byte(1+i/200), byte(1+i%200))}}
+					c, err := d.DialContext(ctx, "tcp", listener.Addr().String())
+					if err != nil {
+						b.Fatal(err)
+					}
+					go func() {
+						defer c.Close()
+						_, _ = fmt.Fprintf(c, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)
+						_, _ = c.Write(body)
+						<-ctx.Done()
+					}()
+				}
+				time.Sleep(time.Second) // longer than the server takes to read what it holds
+				b.ReportMetric((memoryInUse()-before)/uploads, "B/upload")
+				close(h)
+				cancel()
+				if err := <-served; err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/fulmarhttpserver/conn.go
+++ b/internal/fulmarhttpserver/conn.go
@@ -32,6 +32,7 @@
 type conn struct {
 	net.Conn
 	server        *Server
+	caller        string // whose memory the connection uses
 	reader        *bufio.Reader
 	limited       limitedReader
 	ctx           context.Context
@@ -76,7 +77,7 @@
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
-	c := &conn{Conn: raw, server: s, pipelineSlots: make(chan struct{}, maxPipelined)}
+	c := &conn{Conn: raw, server: s, caller: callerOf(raw), pipelineSlots: make(chan struct{}, maxPipelined)}
 	c.limited = limitedReader{conn: c}
 	c.reader = bufio.NewReaderSize(&c.limited, readBuffer)
 	return c
@@ -129,12 +130,17 @@
 		return nil, c.reject(previous, a)
 	}
 	req := &Request{Request: r, ReceivedAt: time.Now(), RemoteAddress: c.RemoteAddr().String()}
+	if !c.reserveBody(req) {
+		return nil, c.reject(previous, noMemoryAnswer())
+	}
 	if err := c.readBody(previous, req, limits); err != nil {
+		c.releaseBody(req)
 		return nil, err
 	}
 	select {
 	case c.pipelineSlots <- struct{}{}:
 	case <-c.ctx.Done():
+		c.releaseBody(req)
 		return nil, c.ctx.Err()
 	}
 	done := make(chan struct{})
@@ -143,6 +149,7 @@
 	number := c.requests
 	c.group.Go(func() {
 		c.handle(req, number, previous, done)
+		c.releaseBody(req)
 		<-c.pipelineSlots
 	})
 	// After the last request of a connection, run still waits for bytes, as it learns in this way that the caller leaves.
@@ -218,6 +225,7 @@
 	case err != nil:
 		return err
 	}
+	payload.Retain(retention{c})
 	r.Payload = payload
 	return nil
 }
@@ -270,6 +278,11 @@
 	}
 	defer context.AfterFunc(c.server.requests, func() { cancel(ErrInterrupted) })()
 	a := c.server.handler.Serve(ctx, r)
+	if a != nil && len(a.Body) > 0 {
+		n := int64(len(a.Body))
+		c.server.memory.Add(c.caller, n)
+		defer c.server.memory.Release(c.caller, n)
+	}
 	<-previous
 	c.writeAnswer(r.Request, number, a)
 }
--- a/internal/fulmarhttpserver/message.go
+++ b/internal/fulmarhttpserver/message.go
@@ -17,6 +17,8 @@
 	Payload       *fulmarbody.Body
 	ReceivedAt    time.Time // time when the head was complete
 	RemoteAddress string
+
+	held int64 // bytes of the body for which memory is reserved, without those that Payload retains
 }
 
 // Answer is the answer to a request. If Status is zero, the connection ends with a reset in its place.
@@ -52,6 +54,10 @@
 	Serve(ctx context.Context, r *Request) *Answer
 }
 
+// maxCopiedBody is the longest body that is copied behind its head, in bytes. One write less is worth the copy of a short body; a long
+// one would be held twice while its caller reads slowly.
+const maxCopiedBody = 8 << 10
+
 // hasNoBody reports whether HTTP defines the answer as one without a body.
 func hasNoBody(method string, status int) bool {
 	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
@@ -68,7 +74,7 @@
 func (a *Answer) write(w io.Writer, r *http.Request, closeAfter bool) (mustClose bool, err error) {
 	closeAfter = closeAfter || a.Close
 	var head bytes.Buffer
-	head.Grow(512 + len(a.Body))
+	head.Grow(512 + min(len(a.Body), maxCopiedBody))
 	text := http.StatusText(a.Status)
 	if text == "" {
 		text = "Status"
@@ -105,7 +111,7 @@
 		_, err := w.Write(head.Bytes())
 		return closeAfter, err
 	}
-	if a.Remainder == nil {
+	if a.Remainder == nil && len(a.Body) <= maxCopiedBody {
 		head.Write(a.Body)
 		_, err := w.Write(head.Bytes())
 		return closeAfter, err
@@ -126,6 +132,9 @@
 			return err
 		}
 	}
+	if a.Remainder == nil {
+		return nil
+	}
 	// The wrapper hides any ReadFrom method of w from io.Copy, as its fast path would bypass chunkWriter.
 	n, err := io.Copy(struct{ io.Writer }{w}, a.Remainder)
 	if err != nil {
--- a/internal/fulmarhttpserver/server.go
+++ b/internal/fulmarhttpserver/server.go
@@ -19,10 +19,23 @@
 	IdleTimeout   time.Duration
 }
 
+// Memory admits the bytes that the server holds for its callers.
+type Memory interface {
+	// Reserve reserves n bytes for a caller and reports whether there was room.
+	Reserve(caller string, n int64) bool
+	// ReserveOptional is Reserve for bytes that the server can do without.
+	ReserveOptional(caller string, n int64) bool
+	// Add counts n bytes that are held for a caller already.
+	Add(caller string, n int64)
+	// Release ends the count of n bytes of a caller.
+	Release(caller string, n int64)
+}
+
 // Server serves the connections of a listener.
 type Server struct {
 	handler  Handler
 	limits   func() Limits
+	memory   Memory
 	log      *slog.Logger
 	draining atomic.Bool
 	mu       sync.Mutex
@@ -36,9 +49,9 @@
 // ErrInterrupted is the cause of the end of a request's context after Interrupt.
 var ErrInterrupted = errors.New("fulmarhttpserver: request interrupted by the shutdown")
 
-// New returns a server that calls limits for each request.
-func New(handler Handler, limits func() Limits, log *slog.Logger) *Server {
-	s := &Server{handler: handler, limits: limits, log: log, conns: make(map[*conn]struct{})}
+// New returns a server that calls limits for each request, and refuses those for whose bodies memory has no room.
+func New(handler Handler, limits func() Limits, memory Memory, log *slog.Logger) *Server {
+	s := &Server{handler: handler, limits: limits, memory: memory, log: log, conns: make(map[*conn]struct{})}
 	s.requests, s.interrupt = context.WithCancel(context.Background())
 	return s
 }
--- a/internal/fulmarhttpserver/server_test.go
+++ b/internal/fulmarhttpserver/server_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarhttpserver"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarreserve"
 )
 
 // handler answers with the path of the request. A request for a path that begins with /wait waits until the channel
@@ -102,9 +103,12 @@
 	address string
 }
 
-func start(limits fulmarhttpserver.Limits) *fixture {
+func start(limits fulmarhttpserver.Limits) *fixture { return startWith(limits, fulmarreserve.New(0)) }
+
+// startWith is start with a bound on the memory for callers.
+func startWith(limits fulmarhttpserver.Limits, memory fulmarhttpserver.Memory) *fixture {
 	f := &fixture{handler: newHandler()}
-	f.server = fulmarhttpserver.New(f.handler, func() fulmarhttpserver.Limits { return limits }, slog.New(slog.DiscardHandler))
+	f.server = fulmarhttpserver.New(f.handler, func() fulmarhttpserver.Limits { return limits }, memory, slog.New(slog.DiscardHandler))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	f.address = listener.Addr().String()
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -32,6 +32,7 @@
 	chunkSize         = 4 << 10     // buffer for a body of unknown length, in bytes
 	keepAliveMargin   = time.Second // close this much before the timeout of a Keep-Alive header
 	requestBuffer     = 1 << 10
+	scarceBodyLimit   = 16 << 10 // bytes of a body that are read into memory where that is scarce
 	// maxRequests is the number of requests after which a connection is not kept, as it remembers the id of each, or the token of
 	// its answer. That takes 8 KB at most, and one in a thousand requests opens a connection more.
 	maxRequests = 1 << 10
@@ -47,11 +48,13 @@
 type Settings struct {
 	DialTimeout time.Duration // longest time to open a connection
 	// AcceptMargin is the wait for a reset of a new connection, besides the time that opening it took, at most as much again.
-	AcceptMargin    time.Duration
-	AckTimeout      time.Duration // longest time that sent data may stay unacknowledged
-	IdleTimeout     time.Duration // longest time that a connection stays idle
-	BodyLimit       int64         // longest body that is read into memory, in bytes; the rest of a longer one is streamed
-	RequestIDHeader string        // name of the header with the request id
+	AcceptMargin time.Duration
+	AckTimeout   time.Duration // longest time that sent data may stay unacknowledged
+	IdleTimeout  time.Duration // longest time that a connection stays idle
+	BodyLimit    int64         // longest body that is read into memory, in bytes; the rest of a longer one is streamed
+	// HasRoom reports whether there is memory for n bytes; without it, less of a body is read before the answer is returned. It may be nil.
+	HasRoom         func(n int64) bool
+	RequestIDHeader string // name of the header with the request id
 }
 
 // Request is one request to a target.
--- a/internal/fulmarlink/receive.go
+++ b/internal/fulmarlink/receive.go
@@ -61,17 +61,21 @@
 		c.idleTimeout = min(c.idleTimeout, limit-keepAliveMargin)
 	}
 	keep := !resp.Close && c.idleTimeout > 0
-	size := int64(chunkSize)
+	size, limit := int64(chunkSize), p.settings.BodyLimit
 	if resp.ContentLength >= 0 {
-		size = min(resp.ContentLength, p.settings.BodyLimit)
+		size = min(resp.ContentLength, limit)
+	}
+	if p.settings.HasRoom != nil && limit > scarceBodyLimit && !p.settings.HasRoom(size) {
+		limit = scarceBodyLimit
+		size = min(size, limit)
 	}
 	buf := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
-	n, err := buf.ReadFrom(io.LimitReader(resp.Body, p.settings.BodyLimit))
+	n, err := buf.ReadFrom(io.LimitReader(resp.Body, limit))
 	if err != nil {
 		return nil, false, err
 	}
 	a.Body = buf.Bytes()
-	if n == p.settings.BodyLimit && n != resp.ContentLength {
+	if n == limit && n != resp.ContentLength {
 		a.Remainder = resp.Body
 		return a, keep, nil
 	}
