Check configurations for what cannot be meant before they are sent

Cause: 'config check' reported faults alone, and the platform's configurations could not be checked at all before they were in force. Daemons accept entries that can never apply and limits that contradict each other.

Routes of equal prefixes keep the order of the configuration.

Tests: TestCheck, TestDiff, TestInspect, TestRoutesCheck.

--- a/cmd/fulmarctl/config.go
+++ b/cmd/fulmarctl/config.go
@@ -27,13 +27,8 @@
 					fmt.Fprintf(w, "# version %d by %s, operation %s\n%s", v.Version, v.Author, v.OperationID, v.Text)
 				})
 			}),
-			t.clientCommand("check", "report the faults of FILE (- for standard input)", "FILE", nil, func(ctx context.Context, s *session) error {
-				v, err := s.checkFile(ctx)
-				if err != nil {
-					return err
-				}
-				return s.print(v, func(w io.Writer) { fmt.Fprintln(w, "no faults") })
-			}),
+			t.clientCommand("check", "report faults of FILE (- for standard input), entries that never apply, and differences from the version in force", "FILE", nil,
+				func(ctx context.Context, s *session) error { return s.checkConfig(ctx) }),
 			t.clientCommand("diff", "show how FILE differs from the configuration in force", "FILE", nil, func(ctx context.Context, s *session) error {
 				v, err := s.checkFile(ctx)
 				if err != nil {
--- a/cmd/fulmarctl/main.go
+++ b/cmd/fulmarctl/main.go
@@ -29,6 +29,7 @@
 	exitConflict
 	exitUnreachable
 	exitAmbiguous
+	exitFindings
 )
 
 const (
@@ -73,9 +74,11 @@
 	switch {
 	case errors.Is(err, errUsage):
 		return exitUsage
+	case errors.Is(err, errFindings):
+		return exitFindings
 	case errors.Is(err, fulmaradmin.ErrAmbiguous):
 		return exitAmbiguous
-	case errors.Is(err, fulmaradmin.ErrUnreachable), errors.Is(err, errNotInForce):
+	case errors.Is(err, fulmaradmin.ErrUnreachable), errors.Is(err, errNotInForce), errors.Is(err, errNoStore):
 		return exitUnreachable
 	case errors.As(err, &responseErr):
 		switch responseErr.Status {
@@ -151,7 +154,7 @@
 		},
 		Commands: []*cli.Command{
 			t.statusCommand(), t.configCommand(), t.exceptionCommand(), t.targetCommand(), t.explainCommand(),
-			t.drainCommand(), t.quarantineCommand(), t.rosterCommand(),
+			t.drainCommand(), t.quarantineCommand(), t.rosterCommand(), t.routesCommand(),
 		},
 	}
 }
--- a/pkg/fulmarconfig/diff.go
+++ b/pkg/fulmarconfig/diff.go
@@ -2,46 +2,22 @@
 
 import (
 	"fmt"
-	"sort"
 	"strings"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmartoml"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarentries"
 )
 
 // Diff returns one line for each setting that differs between a and b.
 // Differences in formatting, comments and order are ignored.
 func Diff(a, b Config) []string {
-	before, after := a.describe(), b.describe()
-	var names []string
-	for name := range before {
-		names = append(names, name)
-	}
-	for name := range after {
-		if _, ok := before[name]; !ok {
-			names = append(names, name)
-		}
-	}
-	sort.Strings(names)
-	var lines []string
-	for _, name := range names {
-		old, inBefore := before[name]
-		updated, inAfter := after[name]
-		switch {
-		case !inBefore:
-			lines = append(lines, fmt.Sprintf("+ %s: %s", name, updated))
-		case !inAfter:
-			lines = append(lines, fmt.Sprintf("- %s: %s", name, old))
-		case old != updated:
-			lines = append(lines, fmt.Sprintf("~ %s: %s -> %s", name, old, updated))
-		}
-	}
-	return lines
+	return a.describe().Diff(b.describe())
 }
 
 // describe returns a textual value for each setting and entry, by name, for comparison by Diff.
-func (c Config) describe() map[string]string {
+func (c Config) describe() fulmarentries.Entries {
 	s := c.dataOrDefaults()
-	f := map[string]string{
+	f := fulmarentries.Entries{
 		"defaults.weight":     fmt.Sprint(s.defaultLimits.Weight),
 		"defaults.queue":      fmt.Sprint(s.defaultLimits.MaxQueue),
 		"defaults.timeout":    s.defaultLimits.Timeout.String(),
--- /dev/null
+++ b/pkg/fulmarentries/doc.go
@@ -0,0 +1,3 @@
+// Package fulmarentries compares two versions of a configuration by the text of
+// their entries.
+package fulmarentries
--- /dev/null
+++ b/pkg/fulmarfinding/doc.go
@@ -0,0 +1,2 @@
+// Package fulmarfinding describes what a check of a configuration has found.
+package fulmarfinding
--- a/pkg/fulmarroute/table.go
+++ b/pkg/fulmarroute/table.go
@@ -67,29 +67,50 @@
 
 // New returns the table of a configuration, or an error that describes the first invalid entry.
 func New(c Config) (*Table, error) {
+	t := newTable(c)
+	if faults := t.faults(); len(faults) > 0 {
+		return nil, faults[0]
+	}
+	for _, r := range c.Routes {
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+		t.names[r.Name] = true
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t, nil
+}
+
+// Faults returns an error for each invalid entry of a configuration.
+func Faults(c Config) []error { return newTable(c).faults() }
+
+// newTable returns a table without routes.
+func newTable(c Config) *Table {
 	t := &Table{config: c, hosts: make(map[string][]Route), services: make(map[string]Service), names: make(map[string]bool)}
 	for _, s := range c.Services {
+		t.services[s.Name] = s
+		t.names[s.Name] = true
+	}
+	return t
+}
+
+// faults returns an error for each invalid entry of the configuration.
+func (t *Table) faults() (out []error) {
+	for _, s := range t.config.Services {
 		if s.Name == "" {
-			return nil, errors.New("fulmarroute: service without a name")
+			out = append(out, errors.New("fulmarroute: service without a name"))
 		}
 		if s.ColdRate < 0 {
-			return nil, errors.Errorf("fulmarroute: service %q has a negative rate of cold targets", s.Name)
+			out = append(out, errors.Errorf("fulmarroute: service %q has a negative rate of cold targets", s.Name))
 		}
-		t.services[s.Name] = s
-		t.names[s.Name] = true
 	}
-	for _, r := range c.Routes {
+	for _, r := range t.config.Routes {
 		if err := t.validate(r); err != nil {
-			return nil, err
+			out = append(out, err)
 		}
-		host := strings.ToLower(r.Host)
-		t.hosts[host] = append(t.hosts[host], r)
-		t.names[r.Name] = true
 	}
-	for _, routes := range t.hosts {
-		slices.SortFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
-	}
-	return t, nil
+	return out
 }
 
 func (t *Table) validate(r Route) error {
