--- a/pkg/fulmarconfig/inspect_test.go
+++ b/pkg/fulmarconfig/inspect_test.go
@@ -26,11 +26,15 @@
 		{"exception for a service", exceptionText("x", `service = "a"`, "queue = 8"), nil},
 		{"exception for a group", exceptionText("x", `group = "g"`, "weight = 2.5"), nil},
 		{"same value as the default", exceptionText("x", `service = "a"`, "queue = 64"), []string{"exception x"}},
-		{"replaced for each group", exceptionText("x", `service = "a"`, "queue = 8") +
-			exceptionText("y", "service = \"a\"\ngroup = \"g\"", "queue = 9") + exceptionText("z", "service = \"a\"\ngroup = \"h\"", "queue = 10"),
-			[]string{"exception x"}},
-		{"default that no service has", exceptionText("x", `service = "a"`, "queue = 8") + exceptionText("y", `service = "b"`, "queue = 9"),
-			[]string{"defaults.queue"}},
+		{
+			"replaced for each group", exceptionText("x", `service = "a"`, "queue = 8") +
+				exceptionText("y", "service = \"a\"\ngroup = \"g\"", "queue = 9") + exceptionText("z", "service = \"a\"\ngroup = \"h\"", "queue = 10"),
+			[]string{"exception x"},
+		},
+		{
+			"default that no service has", exceptionText("x", `service = "a"`, "queue = 8") + exceptionText("y", `service = "b"`, "queue = 9"),
+			[]string{"defaults.queue"},
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
