Send fewer orders to targets that do not answer

A daemon that leads lost its lease after the loss of a data centre in which it was not. In the model of 310 daemons and 3,006 targets it sent up to 3,800 orders a second then, most of them releases to lost targets: one for each range, again and again. Its reads of the store failed, it went through other daemons, did not renew its lease, as too few daemons reported, and extended all grants. Its successor waited 9.7 s for them to lapse; all keys were served after 17 s, and not within 20 s if the leader was lost as well.

The delay before the next order to a failing target now doubles from 0.1 s to 0.8 s, and only one release at a time is sent to it. Grants do not wait for a release, and an answer ends the delay. No rule on who holds what changes, as fewer orders are sent.

--- a/internal/fulmarfollower/largefleet_test.go
+++ b/internal/fulmarfollower/largefleet_test.go
@@ -28,7 +28,6 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarnotice"
-	"github.com/fulmarbend/fulmarbend/pkg/fulmarorder"
 )
 
 // Costs of the model: processor time of a core (measured with drpc and CBOR on one core of the machine of the journal
@@ -62,6 +61,7 @@
 	oldBuild  bool                   // the daemon's build knows no relays
 	hears     func(from string) bool // whether answers and calls of a daemon arrive; nil for all
 	peersCut  atomic.Bool            // no other daemon is reached, in either direction
+	lost      atomic.Bool            // without power
 }
 
 // use occupies a resource for d.
@@ -90,7 +90,8 @@
 	daemons   map[string]*simulatedDaemon // by address
 	loadSince time.Time                   // when the load was last reset
 
-	forwardedScansFail atomic.Bool // scans of the store through other daemons get no answer
+	forwardedScansFail atomic.Bool            // scans of the store through other daemons get no answer
+	lostDC             atomic.Pointer[string] // the data centre without power
 }
 
 // simulatedDaemon is a daemon of a largeFleet.
@@ -114,7 +115,7 @@
 
 func (c storeClient) reach(ctx context.Context) error {
 	time.Sleep(storeDelay)
-	if c.storeCut.Load() || ctx.Err() != nil {
+	if c.lost.Load() || c.storeCut.Load() || ctx.Err() != nil {
 		return fulmarkv.ErrUnavailable
 	}
 	return nil
@@ -173,17 +174,18 @@
 	return c.Store.CreateLease(ctx, ttl)
 }
 
-func (c storeClient) RenewLease(ctx context.Context, l fulmarkv.Lease) error {
+func (c storeClient) RevokeLease(ctx context.Context, l fulmarkv.Lease) error {
 	if err := c.reach(ctx); err != nil {
 		return err
 	}
-	return c.Store.RenewLease(ctx, l)
+	return c.Store.RevokeLease(ctx, l)
 }
 
-// Send models an order to a target.
-func (m *machine) Send(_ context.Context, _ string, _ fulmarorder.Order) (fulmarorder.Reply, error) {
-	m.work(m.orderCost)
-	return fulmarorder.Reply{Certain: true}, nil
+func (c storeClient) RenewLease(ctx context.Context, l fulmarkv.Lease) error {
+	if err := c.reach(ctx); err != nil {
+		return err
+	}
+	return c.Store.RenewLease(ctx, l)
 }
 
 // simulatedLink is a connection from one simulated daemon to another.
@@ -242,6 +244,9 @@
 			l.to.send(size)
 		}
 		time.Sleep(zoneDelay)
+		if l.to.lost.Load() {
+			return
+		}
 		answers <- answer{u, err}
 	}()
 	select {
@@ -321,6 +326,7 @@
 	weakCPUShare     float64 // of the others
 	weakLink         float64 // in bytes per second
 	orderCost        time.Duration
+	dcs              int // number of data centres
 }
 
 func (s fleetSize) String() string {
@@ -330,13 +336,13 @@
 // sizeOf returns the size of a fleet of n daemons with the machines of hkv-rota-large, of whose processors requests take
 // half, and three targets each.
 func sizeOf(n int) fleetSize {
-	return fleetSize{daemons: n, targets: 3 * n, strongCPUShare: 0.4, weakCPUShare: 0.08, weakLink: 2.5e6, orderCost: 80 * time.Microsecond}
+	return fleetSize{daemons: n, targets: 3 * n, strongCPUShare: 0.4, weakCPUShare: 0.08, weakLink: 2.5e6, orderCost: 80 * time.Microsecond, dcs: 5}
 }
 
 // manyTargets is the size at which configurations came too late: the machines of osierbank-hub-grown, and ten targets each.
 // A leader that sends 2,700 orders a second has none of its 0.8 of a core left there.
 var manyTargets = fleetSize{
-	daemons: 310, targets: 3006, unkeyed: 3, strongCPUShare: 0.8, weakCPUShare: 0.112, weakLink: 1.25e6, orderCost: 300 * time.Microsecond,
+	daemons: 310, targets: 3006, unkeyed: 3, strongCPUShare: 0.8, weakCPUShare: 0.112, weakLink: 1.25e6, orderCost: 300 * time.Microsecond, dcs: 5,
 }
 
 // newLargeFleet returns a fleet without daemons before a store with a configuration and the targets of the size.
@@ -345,6 +351,7 @@
 	f := &largeFleet{store: configuredStore(t), storeLink: make(chan struct{}, 1), size: size, entries: size.targets, daemons: make(map[string]*simulatedDaemon)}
 	for i := range size.targets {
 		x := target(fmt.Sprintf("t%d", i), false)
+		x.DC = size.targetDC(i)
 		if size.unkeyed > 0 && i%size.unkeyed == 0 {
 			x.Service = "desk"
 		}
@@ -363,7 +370,7 @@
 		return simulatedLink{fleet: f, from: d, to: to}, err
 	}, func() []string { return d.views.Get().Contacts }, func() []string { return d.views.Get().Peers(m.id) }, nil, log)
 	deps := fulmarleader.Deps{
-		ID: m.id, Address: m.id, DC: m.dc, Store: d.store, Registry: registry, Orders: m, Views: d.views,
+		ID: m.id, Address: m.id, DC: m.dc, Store: d.store, Registry: registry, Orders: targetLinks{f, m}, Views: d.views,
 		MaxGrantDuration: 10 * time.Second, CPUShare: m.cpuShare, Metrics: noMetrics{}, Notices: d.notices, Crashes: d.crashes, Log: log, Now: time.Now, Limits: fulmarlimit.New(), StoreForwarded: d.store.Forwarding,
 	}
 	d.Follower = fulmarfollower.New(deps, noLoad{}, func(ctx context.Context, address string) (fulmarfollower.Leader, error) {
@@ -385,12 +392,12 @@
 	go exchange.Run(ctx)
 }
 
-// startAll starts the daemons in five data centres. Every twentieth has 0.8 of a core and a link of 200 Mbit/s.
+// startAll starts the daemons, spread over the data centres. Every twentieth has 0.8 of a core and a link of 200 Mbit/s.
 func (f *largeFleet) startAll(ctx context.Context) {
 	n := f.size.daemons
 	for i := range n {
 		m := &machine{
-			id: fmt.Sprintf("d%d", i), dc: fmt.Sprint("dc", i%5), cpuShare: f.size.weakCPUShare, link: f.size.weakLink, orderCost: f.size.orderCost,
+			id: fmt.Sprintf("d%d", i), dc: fmt.Sprint("dc", i%f.size.dcs), cpuShare: f.size.weakCPUShare, link: f.size.weakLink, orderCost: f.size.orderCost,
 			cpu: make(chan struct{}, 1), out: make(chan struct{}, 1),
 		}
 		if i < max(2, n/20) {
--- a/internal/fulmarleader/worker.go
+++ b/internal/fulmarleader/worker.go
@@ -146,6 +146,8 @@
 	}
 	if o.Kind == fulmarorder.Release && (err == nil || errors.Is(err, fulmarorder.ErrTargetEnded)) {
 		t.wakeWorkers()
+	} else if o.Kind == fulmarorder.Release {
+		w.wake() // other releases may have waited for the end of this one
 	}
 }
 
--- a/pkg/fulmarorder/scheduler.go
+++ b/pkg/fulmarorder/scheduler.go
@@ -54,24 +54,18 @@
 	renew       time.Duration                     // time between renewals of a grant
 	renewals    int                               // number of answered grants, which spreads the next ones
 	failures    map[string]failureStreak
+	releases    map[fulmarrange.Incarnation]int                   // number of releases in flight
 	owned       map[fulmarrange.Incarnation][]fulmarrange.Segment // by owner: the segments of table, in their order
 	leaving     map[string][]fulmarrange.Segment                  // by target: those of which it is a prior owner
 	heldUntil   time.Time                                         // no order is sent before then
 }
 
-// failureStreak counts consecutive failures of orders to one target.
-type failureStreak struct {
-	since  time.Time
-	count  int
-	unsent bool // the last order could not be sent
-}
-
 // New returns a scheduler for a table on which a previous sender may have acted up to now.
 func New(now time.Time, table fulmarrange.Table, t Timing) *Scheduler {
 	b := &Scheduler{
 		timing: t, ledger: fulmarledger.New(), orders: make(map[orderKey]*orderStatus),
 		answered: make(map[fulmarrange.Incarnation]bool), connections: make(map[fulmarrange.Incarnation]int64), grantTTL: t.GrantTTL, renew: t.RenewInterval,
-		failures: make(map[string]failureStreak),
+		failures: make(map[string]failureStreak), releases: make(map[fulmarrange.Incarnation]int),
 	}
 	b.setTable(table)
 	// The previous sender may have extended grants to current owners after it wrote the table, but not grants to
@@ -245,22 +239,6 @@
 	return s
 }
 
-// FailureStreak counts consecutive failures of orders to one target.
-type FailureStreak struct {
-	Elapsed    time.Duration // time since the first failure
-	Count      int
-	LastUnsent bool // the last order could not be sent: the target is unreachable
-}
-
-// FailureStreak returns the failures of orders to the target since the last one that it answered.
-func (b *Scheduler) FailureStreak(now time.Time, target fulmarrange.Incarnation) FailureStreak {
-	s, ok := b.failures[target.ID]
-	if !ok {
-		return FailureStreak{}
-	}
-	return FailureStreak{Elapsed: now.Sub(s.since), Count: s.count, LastUnsent: s.unsent}
-}
-
 // NeedsNewFence reports whether the target may have been granted keys over a connection that is no longer used.
 // Another incarnation may have replaced it since, so its keys need new fences before they are granted again.
 func (b *Scheduler) NeedsNewFence(target fulmarrange.Incarnation) bool {
--- a/pkg/fulmarorder/sending.go
+++ b/pkg/fulmarorder/sending.go
@@ -29,10 +29,14 @@
 	if left := b.heldUntil.Sub(now); left > 0 {
 		return o, min(left, b.renew), false
 	}
-	return b.next(now, target)
+	if untilRetry := b.untilRetry(now, target); untilRetry > 0 {
+		return o, untilRetry, false
+	}
+	return b.nextOrder(now, target)
 }
 
-func (b *Scheduler) next(now time.Time, target fulmarrange.Incarnation) (o Order, wait time.Duration, ok bool) {
+// nextOrder is Next for a target to which orders may be sent.
+func (b *Scheduler) nextOrder(now time.Time, target fulmarrange.Incarnation) (o Order, wait time.Duration, ok bool) {
 	wait = b.renew
 	wakeAt := func(at time.Time) {
 		if d := at.Sub(now); d < wait {
@@ -52,7 +56,7 @@
 					Kind: Release, Incarnation: target, From: s.From, To: s.To, Fence: p.Fence, RequireKnownConnection: true, AfterGrants: true,
 				}
 			}
-			if st.done || st.inFlight {
+			if !b.mayRelease(target, st) {
 				continue
 			}
 			if st.notBefore.After(now) {
@@ -124,6 +128,7 @@
 	if o.Kind == Grant {
 		return b.ledger.Begin(o.Incarnation.ID, o.From, o.To, o.Fence, o.TTL)
 	}
+	b.releases[o.Incarnation]++
 	return 0
 }
 
@@ -131,6 +136,11 @@
 // routing must be updated.
 func (b *Scheduler) EndSend(now time.Time, o Order, entry fulmarledger.GrantID, reply Reply, err error) bool {
 	b.recordGrants(now, o, entry, reply, err)
+	if o.Kind == Release {
+		if b.releases[o.Incarnation]--; b.releases[o.Incarnation] <= 0 {
+			delete(b.releases, o.Incarnation)
+		}
+	}
 	ended := errors.Is(err, ErrTargetEnded)
 	if ended {
 		b.ledger.TargetEnded(o.Incarnation.ID)
@@ -138,13 +148,7 @@
 	if err == nil || errors.Is(err, ErrRefused) {
 		delete(b.failures, o.Incarnation.ID)
 	} else {
-		s := b.failures[o.Incarnation.ID]
-		if s.count == 0 {
-			s.since = now
-		}
-		s.count++
-		s.unsent = !errors.Is(err, ErrUnanswered)
-		b.failures[o.Incarnation.ID] = s
+		b.recordFailure(now, o.Incarnation, err)
 	}
 	st := b.orders[b.keyOf(o)]
 	if st == nil {
