Plan the keys of many lost targets in one pass over the table

The plan after the loss of a data centre read all targets and copied the whole table for each of the ranges that it gave away, and so did the new fences, the removal of former owners and the statuses of orders. The leader holds its lock meanwhile: it sends no orders and answers no daemons.

The cheapest receiver comes from a heap, and all changes of a table are made in one pass, with the same result as one after the other (TestChangesAtOnce). Statuses are found by the claim.

--- a/internal/fulmarleader/plan.go
+++ b/internal/fulmarleader/plan.go
@@ -101,18 +101,17 @@
 	if len(obsolete) > 0 && now.Sub(s.obsoleteSince) >= priorRemovalDelay {
 		s.obsoleteSince = time.Time{}
 		changed = true
-		for _, segment := range obsolete {
-			for _, p := range segment.PriorClaims {
-				table = table.WithoutPriorClaim(segment.From, segment.To, p)
-			}
-		}
+		table = table.WithoutPriorClaims(obsolete)
 	}
+	var renewed []fulmarrange.Segment
 	for _, segment := range table.Segments() {
 		if segment.HasOwner() && s.orders.NeedsNewFence(segment.Owner.Incarnation) {
-			table = table.WithRenewedFence(segment.From, segment.To)
-			changed = true
+			renewed = append(renewed, segment)
 		}
 	}
+	if len(renewed) > 0 {
+		table, changed = table.WithRenewedFences(renewed), true
+	}
 	return table, changed
 }
 
--- a/pkg/fulmarassign/plan.go
+++ b/pkg/fulmarassign/plan.go
@@ -173,13 +173,16 @@
 		p.divideKeySpace()
 		return
 	}
+	receivers := p.receivers()
+	var changes []fulmarrange.Change
 	for _, s := range orphans {
 		for from := s.From; from <= s.To; {
 			to := p.rangeEnd(from, s.To, partRate)
-			p.assign(from, to, p.cheapest())
+			changes = append(changes, fulmarrange.Change{From: from, To: to, Owner: receivers.assign(p.rate(from, to))})
 			from = to + 1
 		}
 	}
+	p.table = p.table.WithOwners(changes)
 }
 
 // divideKeySpace divides the whole key space among the targets in proportion to their capacity.
@@ -440,16 +443,20 @@
 // mergeSegments gives adjacent segments of one incarnation a common fence, so that one grant covers them.
 func (p *planner) mergeSegments() {
 	segments := p.table.Segments()
+	var merged []fulmarrange.Segment
 	for i := 0; i < len(segments); {
 		j := i
 		for j+1 < len(segments) && segments[j+1].Owner.Incarnation == segments[i].Owner.Incarnation && len(segments[j+1].PriorClaims) == 0 {
 			j++
 		}
 		if j > i && len(segments[i].PriorClaims) == 0 && segments[i].HasOwner() {
-			p.table = p.table.WithRenewedFence(segments[i].From, segments[j].To)
+			merged = append(merged, fulmarrange.Segment{From: segments[i].From, To: segments[j].To})
 		}
 		i = j + 1
 	}
+	if len(merged) > 0 {
+		p.table = p.table.WithRenewedFences(merged)
+	}
 }
 
 // absorbSegment assigns a segment to the owner of an adjacent one if that saves more than it costs and there are too
--- a/pkg/fulmarorder/benchmark_test.go
+++ b/pkg/fulmarorder/benchmark_test.go
@@ -43,3 +43,29 @@
 		})
 	}
 }
+
+// BenchmarkCommit measures a new table in which a quarter of the keys have other owners.
+func BenchmarkCommit(b *testing.B) {
+	const n = 2000
+	now, table := time.Unix(1000, 0), fulmarrange.New()
+	targets := make([]fulmarrange.Incarnation, n)
+	for i := range targets {
+		targets[i] = fulmarrange.Incarnation{ID: fmt.Sprintf("i-%010x", i*7919), Born: 1}
+		table = table.WithOwner(i*fulmarrange.MaxKey/n, (i+1)*fulmarrange.MaxKey/n-1, targets[i])
+	}
+	next := table
+	for i := range n / 4 {
+		next = next.WithOwner(i*fulmarrange.MaxKey/n, (i+1)*fulmarrange.MaxKey/n-1, targets[n-1-i])
+	}
+	s := fulmarorder.New(now, fulmarrange.New(), modelTiming)
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		s.Commit(table)
+		for _, target := range targets {
+			s.Next(now, target)
+		}
+		b.StartTimer()
+		s.Commit(next)
+	}
+}
--- a/pkg/fulmarorder/scheduler.go
+++ b/pkg/fulmarorder/scheduler.go
@@ -194,6 +194,11 @@
 	old, formerFence := b.orders, b.table.MaxFence()
 	b.setTable(table)
 	b.orders = make(map[orderKey]*orderStatus)
+	byClaim := make(map[orderKey][]orderKey) // without keys: the former orders of each kind and claim
+	for o := range old {
+		all := orderKey{kind: o.kind, claim: o.claim}
+		byClaim[all] = append(byClaim[all], o)
+	}
 	carry := func(kind Kind, claim fulmarrange.Claim, from, to int) {
 		k := orderKey{kind, claim, from, to}
 		if s := old[k]; s != nil {
@@ -201,9 +206,9 @@
 			return
 		}
 		// A part of a range keeps the status of the whole range.
-		for o, s := range old {
-			if o.kind == kind && o.claim == claim && o.from <= from && o.to >= to {
-				c := *s
+		for _, o := range byClaim[orderKey{kind: kind, claim: claim}] {
+			if o.from <= from && o.to >= to {
+				c := *old[o]
 				c.inFlight = false
 				b.orders[k] = &c
 				return
--- a/pkg/fulmarrange/table.go
+++ b/pkg/fulmarrange/table.go
@@ -113,16 +113,7 @@
 // fence. Previous owners become prior claims, even if owner itself owned the keys.
 // The zero Incarnation leaves the keys without an owner.
 func (t Table) WithOwner(from, to int, owner Incarnation) Table {
-	fence := t.fence + 1
-	return t.edit(from, to, fence, func(s *Segment) {
-		if s.HasOwner() {
-			s.PriorClaims = append(slices.Clone(s.PriorClaims), s.Owner)
-		}
-		s.Owner = Claim{Incarnation: owner, Fence: fence}
-		if owner.ID == "" {
-			s.Owner = Claim{}
-		}
-	})
+	return t.WithOwners([]Change{{from, to, owner}})
 }
 
 // WithRenewedFence returns a table in which the owner of exactly the keys from to to gets a
@@ -135,42 +126,12 @@
 // WithoutPriorClaim returns a table in which the claim is removed from the prior claims of the keys from
 // from to to.
 func (t Table) WithoutPriorClaim(from, to int, claim Claim) Table {
-	return t.edit(from, to, t.fence, func(s *Segment) {
-		s.PriorClaims = slices.DeleteFunc(slices.Clone(s.PriorClaims), func(c Claim) bool { return c == claim })
-		if len(s.PriorClaims) == 0 {
-			s.PriorClaims = nil
-		}
-	})
+	return t.edit(from, to, t.fence, func(s *Segment) { s.removePriorClaim(claim) })
 }
 
-// edit applies change to the segments between from and to, splitting segments at these bounds, and merges
-// adjacent segments with equal owners and prior claims.
+// edit applies change to the segments between from and to; see editAll.
 func (t Table) edit(from, to int, fence int64, change func(*Segment)) Table {
-	if from < 0 || to > MaxKey || from > to {
-		panic("fulmarrange: invalid key range")
-	}
-	out := make([]Segment, 0, len(t.segments)+2)
-	for _, s := range t.segments {
-		if s.To < from || s.From > to {
-			out = appendMerged(out, s)
-			continue
-		}
-		if s.From < from {
-			left := s
-			left.To = from - 1
-			out = appendMerged(out, left)
-		}
-		mid := s
-		mid.From, mid.To = max(s.From, from), min(s.To, to)
-		change(&mid)
-		out = appendMerged(out, mid)
-		if s.To > to {
-			right := s
-			right.From = to + 1
-			out = appendMerged(out, right)
-		}
-	}
-	return Table{segments: out, fence: fence, extendedGrants: t.extendedGrants}
+	return t.editAll([]edit{{from, to, change}}, fence)
 }
 
 // appendMerged appends s, or extends the last segment if it has the same owner and prior claims.
--- a/pkg/fulmarrange/table_test.go
+++ b/pkg/fulmarrange/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -72,6 +73,47 @@
 	})
 }
 
+// Guards against tables that differ when many changes are made at once.
+func TestChangesAtOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := fulmarrange.New()
+		for range 3 {
+			var changes []fulmarrange.Change
+			oneByOne := table
+			for from := rapid.IntRange(0, 99).Draw(t, "first"); from < 100; {
+				to := rapid.IntRange(from, min(from+20, 99)).Draw(t, "to")
+				c := fulmarrange.Change{From: from, To: to, Owner: fulmarrange.Incarnation{ID: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "owner")}}
+				changes, oneByOne = append(changes, c), oneByOne.WithOwner(c.From, c.To, c.Owner)
+				from = to + 1 + rapid.IntRange(0, 9).Draw(t, "gap")
+			}
+			table = table.WithOwners(changes)
+			expectEqual(t, table, oneByOne)
+		}
+		var some, owned []fulmarrange.Segment
+		released, renewed := table, table
+		for _, s := range table.Segments() {
+			if len(s.PriorClaims) > 0 && rapid.Bool().Draw(t, "released") {
+				some = append(some, s)
+				for _, p := range s.PriorClaims {
+					released = released.WithoutPriorClaim(s.From, s.To, p)
+				}
+			}
+			if s.HasOwner() && rapid.Bool().Draw(t, "renewed") {
+				owned, renewed = append(owned, s), renewed.WithRenewedFence(s.From, s.To)
+			}
+		}
+		expectEqual(t, table.WithoutPriorClaims(some), released)
+		expectEqual(t, table.WithRenewedFences(owned), renewed)
+	})
+}
+
+// expectEqual expects equal segments and fences.
+func expectEqual(t *rapid.T, a, b fulmarrange.Table) {
+	if !reflect.DeepEqual(a.Segments(), b.Segments()) || a.MaxFence() != b.MaxFence() {
+		t.Fatalf("%v, fence %d, in place of %v, fence %d", a.Segments(), a.MaxFence(), b.Segments(), b.MaxFence())
+	}
+}
+
 func ExampleTable() {
 	table := fulmarrange.New().WithOwner(0, fulmarrange.MaxKey, incarnationA).WithOwner(100, 199, incarnationB)
 	for _, s := range table.Segments() {
