Give cold targets no keys that others can have

Cause: a plan gives a target without keys its whole share at once, but one that has some only what outweighs the cost of the moves.

Change: a cold target gets no keys meanwhile that others can have, without the memory that stated limits have, and its share with the first plan after its warm-up.

--- a/internal/fulmarfollower/follower_test.go
+++ b/internal/fulmarfollower/follower_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarcoldness"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarconfigreader"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarfollower"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarkvforwarder"
@@ -32,6 +33,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarnotice"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarorder"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarwarmup"
 )
 
 // registry decodes configurations and targets that are stored as JSON.
@@ -183,6 +185,7 @@
 		Eras: eras,
 		ID:   id, Address: id, Store: store, Registry: registry, Orders: orders, Views: views,
 		MaxGrantDuration: 10 * time.Second, MinLease: f.minLease, CPUShare: cpuShare, Metrics: noMetrics{}, Notices: fulmarnotice.New(), Crashes: fulmarcrash.New(), Log: slog.New(slog.DiscardHandler), Now: time.Now, Limits: limits, StoreForwarded: forwarded,
+		Coldness: fulmarcoldness.New(fulmarwarmup.Rule{Over: 1.5, Slack: 8}, views, time.Now),
 	}, loads, f.dial)
 	f.setLeader(id, inProcessLeader{d, &f.configs, &f.limits})
 	go d.Run(ctx)
--- a/internal/fulmarleader/permit.go
+++ b/internal/fulmarleader/permit.go
@@ -103,13 +103,17 @@
 	return target
 }
 
-// withColdness returns a target with the capacity that it has while it is cold. As soon as it is warm, it may get keys again:
-// unlike a limit, coldness ends at a known time, and does not come back with the load.
+// withColdness returns a target with the capacity that it has while it is cold, which gets no keys meanwhile that others can
+// have. With a few of them, it would keep to these after its warm-up: a plan gives a target without keys its whole share at once, but
+// one that has some only what outweighs the cost of the moves. There is no memory as for limits: coldness ends at a known time and does
+// not come back with the load.
 func (t *Term) withColdness(now time.Time, listed fulmarcatalog.Target, target fulmarassign.Target) fulmarassign.Target {
 	service, _ := t.snapshot.Routes.Service(listed.Service)
 	rate, cold := t.deps.Coldness.RateOf(listed, service, now)
 	if !cold {
 		return target
 	}
-	return target.WithLimit(coldKeyShare * rate)
+	target = target.WithLimit(coldKeyShare * rate)
+	target.InNeed = true
+	return target
 }
