Log cold targets, and take turns at them more rarely

Cause: an operator saw neither how many targets are cold nor that a request was refused as its target is. Turns of daemons without a leader used a fifth of what the permits leave on average; with every turn used, more than that came together once in some thousand seconds.

Change: the leader logs the number of cold targets of each service as it changes, and the line of a request has the rate of permits of a cold target. Turns use a tenth.

--- a/internal/fulmarfollower/cold_test.go
+++ b/internal/fulmarfollower/cold_test.go
@@ -61,6 +61,11 @@
 		setCold(t, store, "x", 0)
 		time.Sleep(time.Second)
 		g.Expect(askPermits(ctx, g, a, "x", 100)).To(Equal(100), "once it is warm")
+
+		ask := fulmarleaderrpc.PermitAsk{Target: "x", ColdRate: coldRate}
+		answer, err := a.AskPermits(ctx, &fulmarleaderrpc.PermitRequest{Permits: []fulmarleaderrpc.PermitAsk{ask, ask, ask, ask, ask, ask}})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Permits).To(ContainElement(HaveField("Granted", Equal(false))), "the daemon knows that it is cold, the leader does not")
 	})
 }
 
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -239,6 +239,9 @@
 	if rate, ok := d.Limits.Rate(x.target); ok {
 		fields = append(fields, "limit", rate)
 	}
+	if rate, cold := d.Coldness.Rate(x.target); cold {
+		fields = append(fields, "coldlimit", rate)
+	}
 	if text := x.statementsText(); text != "" {
 		fields = append(fields, "answers", text)
 	}
--- a/internal/fulmarleader/permit.go
+++ b/internal/fulmarleader/permit.go
@@ -5,7 +5,6 @@
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarassign"
-	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrate"
@@ -66,9 +65,6 @@
 // all of its keys gets no requests, so that nobody would learn of the end of its limit.
 const needMemory = 10 * time.Second
 
-// coldKeyShare is the part of what a cold target takes that the plan gives it in keys, whose rates vary.
-const coldKeyShare = 0.7
-
 // needDelay is the time without a new limit of a service from which on the plan takes its limits into account, at the
 // latest maxNeedDelay after a target has stated its own. The targets of a service may come to state limits one after
 // another, and keys that leave the first ones would have to leave the next ones as well.
@@ -102,18 +98,3 @@
 	target.InNeed = now.Sub(s.ReceivedAt) < needMemory
 	return target
 }
-
-// withColdness returns a target with the capacity that it has while it is cold, which gets no keys meanwhile that others can
-// have. With a few of them, it would keep to these after its warm-up: a plan gives a target without keys its whole share at once, but
-// one that has some only what outweighs the cost of the moves. There is no memory as for limits: coldness ends at a known time and does
-// not come back with the load.
-func (t *Term) withColdness(now time.Time, listed fulmarcatalog.Target, target fulmarassign.Target) fulmarassign.Target {
-	service, _ := t.snapshot.Routes.Service(listed.Service)
-	rate, cold := t.deps.Coldness.RateOf(listed, service, now)
-	if !cold {
-		return target
-	}
-	target = target.WithLimit(coldKeyShare * rate)
-	target.InNeed = true
-	return target
-}
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -126,6 +126,7 @@
 	nextRelayChoice  time.Time            // relays are not chosen anew before then
 	publishRequested chan struct{}        // holds a value while there are changes to publish
 	permits          *fulmarpermit.Dispenser
+	coldTargets      map[string]int                   // by service: number of cold targets that was logged last
 	hotKeyRates      atomic.Pointer[fulmarrate.Table] // by target: the permits a second for its only key; read without mu
 	permitsUntil     atomic.Pointer[time.Time]        // validUntil; it is read without mu, which a publication may hold for long
 	crashesWritten   int64                            // version of the crashes that this term has stored; planLoop uses it
@@ -145,7 +146,7 @@
 	t := &Term{
 		deps: d, reader: reader, lease: acquired, validUntil: acquired.validUntil, lastRenewal: d.Now(), snapshot: s,
 		services: make(map[string]*keyedService), workers: make(map[fulmarrange.Incarnation]*worker),
-		fleet: newFleet(), beganAt: d.Now(), formerDaemons: d.Views.Get().Daemons, recentTargets: fulmarretention.New(d.Now(), targetRetention), permits: fulmarpermit.New(),
+		fleet: newFleet(), beganAt: d.Now(), formerDaemons: d.Views.Get().Daemons, recentTargets: fulmarretention.New(d.Now(), targetRetention), permits: fulmarpermit.New(), coldTargets: make(map[string]int),
 		publishRequested: make(chan struct{}, 1), served: make(map[string]time.Time), recovery: recovery{memory: m},
 	}
 	t.keepRelays(d.Views.Get().Relays)
@@ -265,6 +266,7 @@
 	t.addServices(now)
 	t.startWorkers(now)
 	t.forgetTargets(now)
+	t.logCold(now)
 	if first {
 		t.publish()
 	} else {
--- a/pkg/fulmarwarmup/rule.go
+++ b/pkg/fulmarwarmup/rule.go
@@ -11,9 +11,9 @@
 	burstFactor  = 1.25
 	burstPermits = 4.
 	// turnShare is the part of what permits leave that turns use on average. Daemons have their turns at random times, so
-	// that their number in a second has a Poisson distribution: a fifth of six is exceeded by more than that once in a
-	// thousand seconds in which every turn is used and the permits as well.
-	turnShare = 0.2
+	// that their number in a second has a Poisson distribution: with a mean of half a request, more than five come together once in
+	// fifty thousand seconds, even if every turn and every permit is used.
+	turnShare = 0.1
 	// turnSpan is the time, in seconds, of which the turns may be used within a second, as a turn lasts up to half a second.
 	turnSpan = 1.5
 	// usedShare is the part of a rate that package fulmarrotation divides into turns.
--- a/pkg/fulmarwarmup/rule_test.go
+++ b/pkg/fulmarwarmup/rule_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrotation"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarwarmup"
 )
 
@@ -44,6 +45,44 @@
 	})
 }
 
+// Guards against turns of many daemons that together with the permits of a leader, which others still follow, exceed the bound
+// in some second, although every daemon has requests all the time.
+func TestTurnsBesidePermitsKeepRule(t *testing.T) {
+	rule, taken := fulmarwarmup.Rule{Over: 1.5, Slack: 8}, 5.4
+	for _, daemons := range []int{27, 144, 300} {
+		t.Run(fmt.Sprintf("%d daemons", daemons), func(t *testing.T) {
+			g := NewWithT(t)
+			rotations := make([]*fulmarrotation.Rotation, daemons)
+			for i := range rotations {
+				rotations[i] = fulmarrotation.New(fmt.Sprintf("d%d", i))
+			}
+			turns := 0
+			for target := range 20 {
+				id, leader := fmt.Sprintf("t%d", target), fulmarpermit.New()
+				var sends []time.Duration
+				first := 0
+				for at := time.Duration(0); at < 30*time.Second; at += 20 * time.Millisecond {
+					now := start.Add(at)
+					if _, ok := leader.Take(now, rule.PermitRate(taken), fulmarpermit.Request{Target: id}); ok {
+						sends = append(sends, at)
+					}
+					for _, r := range rotations {
+						if r.Take(now, id, rule.TurnRate(taken), daemons) {
+							sends = append(sends, at)
+							turns++
+						}
+					}
+					for len(sends) > first && at-sends[first] >= time.Second {
+						first++
+					}
+					g.Expect(float64(len(sends)-first)).To(BeNumerically("<=", taken*rule.Over+rule.Slack), "%s at %v", id, at)
+				}
+			}
+			g.Expect(turns).To(BeNumerically(">", 100), "in 600 s")
+		})
+	}
+}
+
 // Guards against a cold target that gets fewer requests than it takes although the bound leaves room, and against rates that
 // exceed what a rule without slack allows.
 func TestRates(t *testing.T) {
