Ask for permits of two cold targets at most

Cause: the test of requests without a key passed whatever the number of cold targets that a request asks for, as its warm target cost less.

Change: the test has a warm target with a queue and a gate that takes time, and fails without the bound. A request asks for two cold targets, as each call takes some milliseconds of an eighth of its objective.

--- a/internal/fulmarforwarder/cold_test.go
+++ b/internal/fulmarforwarder/cold_test.go
@@ -1,6 +1,7 @@
 package fulmarforwarder_test
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"testing"
@@ -11,14 +12,16 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarcoldness"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarforwarder"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarbalancer"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarwarmup"
 )
 
-// startCold starts a forwarder in front of a service whose cold targets take coldRate requests a second. The targets with the
+// startCold returns the dependencies of a forwarder in front of a service whose cold targets take coldRate requests a second. The targets with the
 // given ids are cold by their entries.
-func startCold(t *testing.T, coldRate float64, gate fulmarforwarder.Gate, cold []string, targets ...*target) (*fulmarforwarder.Forwarder, *fulmarcoldness.Coldness) {
+func startCold(t *testing.T, coldRate float64, gate fulmarforwarder.Gate, cold []string, targets ...*target) fulmarforwarder.Deps {
 	t.Helper()
 	f := start(t, false, targets...)
 	f.views.Update(func(v *fulmarview.View) {
@@ -39,7 +42,7 @@
 	if gate != nil {
 		deps.Gate = gate
 	}
-	return fulmarforwarder.New(deps), deps.Coldness
+	return deps
 }
 
 // Guards against a target that turns cold without a change of its entry, and is sent as much as before.
@@ -61,14 +64,25 @@
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			x := newTarget(t, "x", "HTTP/1.1 200 x\r\nSign: s\r\nId: one\r\nCold: "+c.value+"\r\nContent-Length: 4\r\n\r\nfrom")
-			f, coldness := startCold(t, c.coldRate, nil, nil, x)
-			expectStatus(g, f.Serve(t.Context(), request(t, "/f/1", "")), http.StatusOK)
-			_, bounded := coldness.Rate("x")
+			deps := startCold(t, c.coldRate, nil, nil, x)
+			expectStatus(g, fulmarforwarder.New(deps).Serve(t.Context(), request(t, "/f/1", "")), http.StatusOK)
+			_, bounded := deps.Coldness.Rate("x")
 			g.Expect(bounded).To(Equal(c.bounded))
 		})
 	}
 }
 
+// callingGate takes the time of a call of the leader for each request to one of the closed targets, which it refuses.
+type callingGate struct{ closed closedGate }
+
+func (c callingGate) Admit(ctx context.Context, r fulmarpermit.Request) (time.Duration, bool) {
+	after, ok := c.closed.Admit(ctx, r)
+	if !ok {
+		time.Sleep(time.Millisecond)
+	}
+	return after, ok
+}
+
 // Guards against requests without a key that ask for permits of one cold target after another until their time is over, while
 // warm targets have room.
 func TestRequestGoesToWarmTarget(t *testing.T) {
@@ -76,15 +90,17 @@
 	var cold []string
 	var targets []*target
 	closed := closedGate{}
-	for i := range 12 {
+	for i := range 40 {
 		id := strconv.Itoa(i)
 		targets = append(targets, newTarget(t, id))
 		cold = append(cold, id)
 		closed[id] = time.Second
 	}
 	warm := newTarget(t, "warm")
-	f, _ := startCold(t, 5.4, closed, cold, append(targets, warm)...)
+	deps := startCold(t, 5.4, callingGate{closed}, cold, append(targets, warm)...)
+	f := fulmarforwarder.New(deps)
 	for range 4 {
+		deps.Balancer.RecordLoad(time.Now(), "warm", fulmarbalancer.Load{Running: 3, Waiting: 9, Slots: 3}) // so that the cold ones cost less
 		expectStatus(g, f.Serve(t.Context(), request(t, "/f/1", "")), http.StatusOK)
 	}
 	g.Expect(sends(targets...)).To(BeZero())
--- a/internal/fulmarforwarder/limit.go
+++ b/internal/fulmarforwarder/limit.go
@@ -22,7 +22,7 @@
 	maxWait           = 50 * time.Millisecond
 	// maxColdRefusals is the number of cold targets that a request without a key asks for, each by a call of the leader. Then
 	// it goes to warm ones, which have more room.
-	maxColdRefusals = 3
+	maxColdRefusals = 2
 	// maxRetrySpread bounds the random part of the time after which refused callers may return.
 	maxRetrySpread = 2 * time.Second
 )
