Choose the targets of requests without keys for the whole fleet

Change: for services whose targets report how slow they are, daemons state to the leader what they do at the targets, and it chooses the target of each request by the same estimate over the whole fleet. Deployments whose targets report three figures are served as before.

--- a/internal/fulmarfollower/permit.go
+++ b/internal/fulmarfollower/permit.go
@@ -124,3 +124,13 @@
 	}
 	return out
 }
+
+// Leader returns the address of the leader, empty if none is known or if this daemon leads, which self states.
+func (f *Follower) Leader() (address string, self bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.term != nil {
+		return "", true
+	}
+	return f.leaderAddress, false
+}
--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -135,7 +135,7 @@
 	// A send may have taken seconds, in which targets have left.
 	x.view = x.forwarder.deps.Views.Get()
 	for began := x.forwarder.deps.Now(); ; {
-		t, reason := x.chooseByLoad()
+		t, reason := x.chooseTarget(ctx)
 		if reason != "" {
 			return t, reason
 		}
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -62,6 +62,7 @@
 	Notices     *fulmarnotice.Board      // what targets say of themselves
 	Crashes     *fulmarcrash.Board       // requests under which targets have ended
 	Gate        Gate
+	Chooser     Chooser // may be nil, for none
 	Splitter    *fulmarroute.Splitter
 	RetryBudget *fulmarallowance.RetryBudget
 	Hedger      *fulmarhedge.Hedger
--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -521,6 +521,69 @@
 	}
 }
 
+// chosen is a Chooser that always chooses the same target.
+type chosen struct {
+	target  string
+	sharing []string
+}
+
+func (c *chosen) RecordSharing(service string) { c.sharing = append(c.sharing, service) }
+func (c *chosen) Choose(context.Context, string) (string, bool) {
+	return c.target, c.target != ""
+}
+
+// Guards against daemons that ignore the choice of the fleet, and against requests to a target that must get none, as the leader's
+// choice may be older than what the daemon knows.
+func TestChosenTarget(t *testing.T) {
+	for _, c := range []struct {
+		name, target, want string
+	}{
+		{"usable", "y", "y"}, {"leaving", "leaving", "x"}, {"unknown", "z", "x"}, {"none", "", "x"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			x, y, leaving := newTarget(t, "x"), newTarget(t, "y"), newTarget(t, "leaving")
+			f := start(t, true, x, y, leaving)
+			for _, other := range []string{"y", "leaving"} {
+				f.deps.Balancer.RecordFailure(time.Now(), other)
+			}
+			f.deps.Notices.RecordLeaving(leaving.entry("free").Incarnation(), time.Now())
+			f.deps.Chooser = &chosen{target: c.target}
+			expectStatus(g, fulmarforwarder.New(f.deps).Serve(t.Context(), request(t, "/f/1", "")), 200)
+			for _, s := range []*target{x, y, leaving} {
+				want := 0
+				if s.id == c.want {
+					want = 1
+				}
+				g.Expect(sends(s)).To(Equal(want), s.id)
+			}
+		})
+	}
+}
+
+// Guards against deployments that pay for choices of the fleet although each daemon alone chooses as well: the targets report
+// that they share their machines, or the choice stays with the daemon. Keys have owners.
+func TestSharingTargets(t *testing.T) {
+	for _, c := range []struct {
+		name, path, load string
+		want             []string
+	}{
+		{"shared machines", "/f/1", "1,0,3,300", []string{"free"}},
+		{"own machines", "/f/1", "1,0,3", nil},
+		{"with keys", "/k/1", "1,0,3,300", nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			x := newTarget(t, "x", "HTTP/1.1 200 x\r\nSign: s\r\nId: one\r\nLoad: "+c.load+"\r\nContent-Length: 0\r\n\r\n")
+			f := start(t, true, x)
+			chooser := &chosen{}
+			f.deps.Chooser = chooser
+			expectStatus(g, fulmarforwarder.New(f.deps).Serve(t.Context(), request(t, c.path, "", "Key", "7")), 200)
+			g.Expect(chooser.sharing).To(Equal(c.want))
+		})
+	}
+}
+
 // Guards against a target without answers whose requests are missing from its response time samples.
 func TestAbandoned(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/fulmarforwarder/load.go
+++ b/internal/fulmarforwarder/load.go
@@ -35,13 +35,16 @@
 		return fulmarbalancer.Load{}
 	}
 	d.Balancer.RecordLoad(now, target, load)
+	if load.Slowdown > 0 && x.key < 0 && d.Chooser != nil {
+		d.Chooser.RecordSharing(x.service.Name)
+	}
 	return load
 }
 
 // parseLoad parses the load that a target reports: running requests, waiting requests and slots, and, from some targets, how
 // long work takes there now, in percent of the usual time. Figures after these are of a later version and are ignored.
 func parseLoad(text string) (fulmarbalancer.Load, error) {
-	load := fulmarbalancer.Load{Slowdown: 1}
+	var load fulmarbalancer.Load
 	parts := strings.Split(text, ",")
 	if len(parts) < minLoadFigures {
 		return load, errors.Errorf("fulmarforwarder: load report has %d figures, at least %d expected", len(parts), minLoadFigures)
--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmaradmission"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarchooser"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarcoldness"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarcrashexchange"
@@ -37,6 +38,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarkv"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarnotice"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarplacement"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrate"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrotation"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
@@ -102,6 +104,8 @@
 	crashes         *fulmarcrash.Board // requests under which targets have ended
 	crashExchange   *fulmarcrashexchange.Exchange
 	gate            *fulmaradmission.Gate
+	placer          *fulmarplacement.Placer
+	chooser         *fulmarchooser.Chooser
 	retryBudget     *fulmarallowance.RetryBudget
 	hedger          *fulmarhedge.Hedger
 	follower        *fulmarfollower.Follower
@@ -153,8 +157,16 @@
 		Leader: f.follower, Rotation: fulmarrotation.New(s.ID), Daemons: func() int { return f.views.Get().Daemons },
 		Metrics: metrics, Log: log, Now: fulmarclock.Now,
 	})
+	f.placer = fulmarplacement.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	f.chooser = fulmarchooser.New(fulmarchooser.Deps{
+		ID: s.ID, DC: s.DC, Views: f.views, Balancer: f.balancer, Placer: f.placer, Limits: f.targetLimits, Notices: f.notices, Leader: f.follower.Leader,
+		Dial: func(ctx context.Context, address string) (fulmarchooser.Leader, error) {
+			return fulmarleaderrpc.Dial(ctx, address)
+		},
+		Metrics: metrics, Log: log, Now: time.Now, Clock: fulmarclock.Now,
+	})
 	f.forwarder = fulmarforwarder.New(fulmarforwarder.Deps{
-		HeaderNames: p.HeaderNames, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.requestPool, Balancer: f.balancer, Limits: f.targetLimits, Coldness: f.coldness, Notices: f.notices, Crashes: f.crashes, Gate: f.gate,
+		HeaderNames: p.HeaderNames, ID: s.ID, DC: s.DC, Views: f.views, Pool: f.requestPool, Balancer: f.balancer, Limits: f.targetLimits, Coldness: f.coldness, Notices: f.notices, Crashes: f.crashes, Gate: f.gate, Chooser: f.chooser,
 		Splitter: fulmarroute.NewSplitter(), RetryBudget: f.retryBudget, Hedger: f.hedger, Loads: loads,
 		Metrics: metrics, Log: log, Now: time.Now, Clock: fulmarclock.Now, DrainTime: func() time.Duration { return f.currentSettings.Load().DrainTime - drainMargin },
 		LatestEnd: func() time.Time { return f.latestEnd(time.Now()) },
@@ -168,6 +180,7 @@
 	*fulmarfollower.Follower
 	*fulmarkvforwarder.Store
 	*fulmarcrashexchange.Exchange
+	*fulmarchooser.Chooser
 }
 
 // storeClient returns an HTTP client with its own connections.
@@ -216,7 +229,7 @@
 	if err != nil {
 		return errors.Wrap(err, "fulmarfrontdaemon: listen for peers")
 	}
-	syncServer, err := fulmarleaderrpc.New(peerHandler{f.follower, f.forwardedStore, f.crashExchange}, f.log)
+	syncServer, err := fulmarleaderrpc.New(peerHandler{f.follower, f.forwardedStore, f.crashExchange, f.chooser}, f.log)
 	if err != nil {
 		return err
 	}
@@ -227,6 +240,7 @@
 	group.Go(func() error { return syncServer.Serve(base, peers) })
 	group.Go(func() error { f.follower.Run(lead); return nil })
 	group.Go(func() error { f.gate.Run(base); return nil })
+	group.Go(func() error { f.chooser.Run(base); return nil })
 	group.Go(func() error { f.crashExchange.Run(base); return nil })
 	group.Go(func() error { return f.serveHTTP(base, f.settings.Listen.Ready, f.readyHandler()) })
 	if f.settings.Listen.Metrics != "" {
@@ -305,6 +319,7 @@
 			}
 			if c != nil && recent.Advance(now, c) {
 				f.balancer.Retain(recent.Has)
+				f.placer.Retain(recent.Has)
 				f.targetLimits.Retain(recent.Has)
 				f.coldness.Retain(recent.Has)
 				f.notices.Retain(recent.Has)
--- a/internal/fulmarleaderrpc/transport.go
+++ b/internal/fulmarleaderrpc/transport.go
@@ -24,6 +24,7 @@
 	rpcForward          = "/fulmarbend.Leader/Forward"
 	rpcPermits          = "/fulmarbend.Leader/Permits"
 	rpcExchangeCrashes  = "/fulmarbend.Leader/ExchangeCrashes"
+	rpcPlace            = "/fulmarbend.Leader/Place"
 	maxMessageSize      = 2 << 20 // bytes
 	dialTimeout         = 300 * time.Millisecond
 	acceptRetryInterval = 10 * time.Millisecond
@@ -43,12 +44,14 @@
 	// ExchangeCrashes takes over what another daemon knows of requests that crash targets, and answers with what all
 	// daemons are to know.
 	ExchangeCrashes(ctx context.Context, c *CrashExchange) (*CrashExchange, error)
+	// Place takes over what a daemon does at targets, and chooses the targets of its requests.
+	Place(ctx context.Context, r *PlacementRequest) (*PlacementAnswer, error)
 }
 
 // rpcDescription describes the methods to the drpc multiplexer.
 type rpcDescription struct{ codec fulmarwire.Codec }
 
-func (rpcDescription) NumMethods() int { return 4 }
+func (rpcDescription) NumMethods() int { return 5 }
 
 func (d rpcDescription) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
 	switch n {
@@ -60,6 +63,8 @@
 		return rpcPermits, d.codec, receiver(Handler.Permits), Handler.Permits, true
 	case 3:
 		return rpcExchangeCrashes, d.codec, receiver(Handler.ExchangeCrashes), Handler.ExchangeCrashes, true
+	case 4:
+		return rpcPlace, d.codec, receiver(Handler.Place), Handler.Place, true
 	}
 	return "", nil, nil, nil, false
 }
@@ -164,6 +169,11 @@
 	return call[CrashExchange](ctx, c, rpcExchangeCrashes, e)
 }
 
+// Place states what this daemon does at targets and asks the leader for targets.
+func (c *Client) Place(ctx context.Context, r *PlacementRequest) (*PlacementAnswer, error) {
+	return call[PlacementAnswer](ctx, c, rpcPlace, r)
+}
+
 // Forward makes a call to the store through the daemon.
 func (c *Client) Forward(ctx context.Context, s *StoreCall) (*StoreAnswer, error) {
 	return call[StoreAnswer](ctx, c, rpcForward, s)
--- a/internal/fulmarreplay/patterns.go
+++ b/internal/fulmarreplay/patterns.go
@@ -46,6 +46,17 @@
 	}
 }
 
+// desksPattern returns a load on a service without keys of the same fleet.
+func desksPattern(name string, rate float64) Pattern {
+	return Pattern{
+		Name: name, Rate: rate, Amplitude: 0.15, Period: 11 * time.Second, Duration: 20 * time.Second,
+		ServiceTime: ServiceTime{Mean: 200 * time.Millisecond, LogSigma: 0.8, TailShare: 0.01, TailFactor: 5, Max: 1500 * time.Millisecond},
+		Targets:     73, TargetSpeeds: []float64{0.7, 0.7, 1.6}, Slots: 3, Queue: 12, Daemons: 144,
+		Noise: Noise{Share: 0.2, Factor: 3, Every: 400 * time.Millisecond},
+		Goal:  800 * time.Millisecond, Timeout: 2 * time.Second, LateWorth: 0.31, MoveCost: 0,
+	}
+}
+
 // Hot periods of a range of keys and of a single key.
 var (
 	hotRangePeriods = []HotPeriod{
@@ -93,6 +104,8 @@
 		boardsPattern("boards", 1600),
 		boardsPattern("boards-burst", 1600).with(func(p *Pattern) { p.BurstPeriods = burstPeriods }),
 		boardsPattern("boards-burst-twice", 1900).with(func(p *Pattern) { p.BurstPeriods = burstPeriods }),
+		desksPattern("desks", 540),
+		desksPattern("desks-busy", 640),
 		cataloguePattern("catalogue-crest-slow", 300).with(func(p *Pattern) {
 			p.SlowPeriods = []SlowPeriod{{Start: 8 * time.Second, Duration: 8 * time.Second, TargetShare: 0.4, Factor: 5}}
 		}),
--- a/internal/fulmarreplay/sim.go
+++ b/internal/fulmarreplay/sim.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarassign"
@@ -49,15 +50,16 @@
 // Result counts the outcomes of requests.
 type Result struct {
 	Requests, Good, Late, Refused, Failed, RefusedTwice int
-	Worth                                               float64 // worth of the answers less costs, as a share of that of answering all requests within the goal
-	Moved                                               float64 // moved keys as a multiple of the key space
+	Worth                                               float64       // worth of the answers less costs, as a share of that of answering all requests within the goal
+	Moved                                               float64       // moved keys as a multiple of the key space
+	WaitP99                                             time.Duration // 99th percentile of the time from a caller's first attempt to a slot
 }
 
 // String returns the result as one line.
 func (r Result) String() string {
 	n := float64(max(r.Requests, 1))
-	return fmt.Sprintf("worth %.4f good %.3f late %.3f refused %.3f failed %.3f again %.3f moved %.2f",
-		r.Worth, float64(r.Good)/n, float64(r.Late)/n, float64(r.Refused)/n, float64(r.Failed)/n, float64(r.RefusedTwice)/n, r.Moved)
+	return fmt.Sprintf("worth %.4f good %.3f late %.3f refused %.3f failed %.3f again %.3f moved %.2f wait p99 %s",
+		r.Worth, float64(r.Good)/n, float64(r.Late)/n, float64(r.Refused)/n, float64(r.Failed)/n, float64(r.RefusedTwice)/n, r.Moved, r.WaitP99.Round(time.Millisecond))
 }
 
 // Sim is the simulation of one pattern.
@@ -74,8 +76,9 @@
 	moving        map[[2]int]bool // segments whose move completeMove is carrying out, by first and last key
 	rates         *fulmarassign.Rates
 	serviceTimes  *fulmarassign.ServiceTimes
-	keyCounts     map[int]int  // requests of each key since the last report
-	latencies     []latencySum // of each target since the last report, without the estimated time in its queue
+	keyCounts     map[int]int     // requests of each key since the last report
+	latencies     []latencySum    // of each target since the last report, without the estimated time in its queue
+	waits         []time.Duration // of all requests that started
 	result        Result
 }
 
@@ -129,6 +132,10 @@
 	s.scheduleReport()
 	s.schedulePlan()
 	s.clock.run(s.pattern.Duration + s.pattern.Timeout)
+	if len(s.waits) > 0 {
+		slices.Sort(s.waits)
+		s.result.WaitP99 = s.waits[len(s.waits)*99/100]
+	}
 	n := float64(max(s.result.Requests, 1))
 	s.result.Worth = (float64(s.result.Good) + s.pattern.LateWorth*float64(s.result.Late) - repeatedRefusalCost*float64(s.result.RefusedTwice) -
 		s.pattern.MoveCost*s.result.Moved) / n
@@ -189,7 +196,7 @@
 		s.admission.Ended(s, r)
 	}
 	r.done = false
-	r.call = &call{key: r.Key, serviceTime: s.pattern.ServiceTime.sample(s.random), onEnd: func(_, rejected bool) {
+	r.call = &call{key: r.Key, arrived: r.Arrived, serviceTime: s.pattern.ServiceTime.sample(s.random), onEnd: func(_, rejected bool) {
 		waiting := len(t.waiting)
 		s.clock.after(networkDelay, func() {
 			finish(func() {
--- a/internal/fulmarreplay/sim_test.go
+++ b/internal/fulmarreplay/sim_test.go
@@ -80,6 +80,22 @@
 	g.Expect(with.Good).To(BeNumerically(">", without.Good))
 }
 
+// Guards against daemons that choose targets without knowing of each other's requests, while the speed of the targets changes
+// several times a second. With targets chosen for the whole fleet, less than half as many answers miss the goal, and the longest waits
+// for a slot are less than half as long.
+func TestPlacement(t *testing.T) {
+	for _, name := range []string{"desks", "desks-busy"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := pattern(t, name)
+			alone := fulmarreplay.New(p, fulmarassign.DefaultPolicy, fulmarreplay.NewChoice(p, 4, seed), seed).Run()
+			fleet := fulmarreplay.New(p, fulmarassign.DefaultPolicy, fulmarreplay.NewPlacement(p, 4, seed), seed).Run()
+			g.Expect(fleet.Late + fleet.Failed).To(BeNumerically("<", (alone.Late+alone.Failed)/2))
+			g.Expect(fleet.WaitP99).To(BeNumerically("<", alone.WaitP99/2))
+		})
+	}
+}
+
 // Guards against a policy that beats Ideal, which would show that the model is wrong and comparisons are void.
 func TestBound(t *testing.T) {
 	for _, p := range fulmarreplay.Patterns()[:3] {
--- a/internal/fulmarreplay/target.go
+++ b/internal/fulmarreplay/target.go
@@ -18,6 +18,7 @@
 // call is a request at a target.
 type call struct {
 	key         int
+	arrived     time.Duration // of the caller's request
 	serviceTime time.Duration // at speed 1
 	onEnd       func(ok, rejected bool)
 	abandoned   bool // the sender gave up
@@ -56,6 +57,7 @@
 // start runs a request in a free slot.
 func (t *target) start(c *call) {
 	t.running[c] = true
+	t.sim.waits = append(t.sim.waits, t.sim.clock.now-c.arrived)
 	t.sim.clock.after(time.Duration(float64(c.serviceTime)*t.slowdown()), func() {
 		if !t.running[c] {
 			return
--- a/pkg/fulmarbalancer/balancer.go
+++ b/pkg/fulmarbalancer/balancer.go
@@ -48,6 +48,7 @@
 	queueRounds      float64 // waiting requests per slot at the last load report
 	slowdown         float64 // at the last load report, 1 if the target does not report it
 	sample           Sample  // since the last call of TakeSamples
+	use              Use     // since the last call of TakeUses, without InFlight
 }
 
 // Balancer estimates the cost of a request at each target; it is safe for concurrent use.
@@ -55,6 +56,7 @@
 	mu          sync.Mutex
 	random      *rand.Rand
 	targets     map[string]*target
+	used        map[string]bool // targets whose use has changed since the last call of TakeUses
 	minCompared int
 }
 
@@ -64,7 +66,7 @@
 	if minCompared < 1 {
 		panic("fulmarbalancer: number of compared candidates must be positive")
 	}
-	return &Balancer{random: rand.New(src), targets: make(map[string]*target), minCompared: minCompared}
+	return &Balancer{random: rand.New(src), targets: make(map[string]*target), used: make(map[string]bool), minCompared: minCompared}
 }
 
 func (b *Balancer) target(id string) *target {
@@ -143,6 +145,7 @@
 		return false
 	}
 	t.inFlight++
+	b.used[id] = true
 	return true
 }
 
@@ -152,6 +155,7 @@
 	defer b.mu.Unlock()
 	if t := b.targets[id]; t != nil {
 		t.inFlight--
+		b.used[id] = true
 	}
 }
 
@@ -163,6 +167,9 @@
 	t.meanSeconds += latencyWeight * (took.Seconds() - t.meanSeconds)
 	t.decayingFailures *= 1 - latencyWeight // a served request lowers the failure score, too
 	// The response time includes the time in the target's queue, about queueRounds times the time of one request.
+	t.use.Served++
+	t.use.ServedTime += took
+	b.used[id] = true
 	t.sample.Served++
 	t.sample.ServedTime += time.Duration(float64(took) / (1 + t.queueRounds))
 }
@@ -188,6 +195,8 @@
 	t := b.target(id)
 	t.decayingFailures = t.failureScore(now) + 1
 	t.failedAt = now
+	t.use.Failed++
+	b.used[id] = true
 }
 
 // RecordLoad records the load that the target reported with a response at now.
@@ -197,6 +206,8 @@
 	t := b.target(id)
 	t.othersLoad = float64(max(l.Running+l.Waiting-t.inFlight, 0))
 	t.loadAt = now
+	t.use.Load, t.use.LoadAt = l, now
+	b.used[id] = true
 	t.queueRounds = float64(l.Waiting) / float64(max(l.Slots, 1))
 	if t.slowdown = l.Slowdown; t.slowdown <= 0 {
 		t.slowdown = 1
@@ -233,6 +244,7 @@
 	for id, t := range b.targets {
 		if t.inFlight == 0 && !keep(id) {
 			delete(b.targets, id)
+			delete(b.used, id)
 		}
 	}
 }
