Show operators what is left in evacuated data centres

An operator could not tell whether an evacuation had reached the daemons, nor when a data centre is empty. Each daemon logs its begin, its end and when no keys and requests are left there, and has gauges by data centre: the time since the begin, targets, keys, and its own requests in flight.

--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarcoldness"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarcrashexchange"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarevacuationmonitor"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarfollower"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarforwarder"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarhttpserver"
@@ -106,6 +107,7 @@
 	notices         *fulmarnotice.Board
 	crashes         *fulmarcrash.Board // requests under which targets have ended
 	crashExchange   *fulmarcrashexchange.Exchange
+	evacuations     *fulmarevacuationmonitor.Monitor
 	gate            *fulmaradmission.Gate
 	placer          *fulmarplacement.Placer
 	chooser         *fulmarchooser.Chooser
@@ -141,6 +143,8 @@
 		return fulmarleaderrpc.Dial(ctx, address)
 	}, func() []string { return f.views.Get().Contacts }, func() []string { return f.views.Get().Peers(s.Listen.Peers) }, f.eras, log)
 	f.balancer = fulmarbalancer.New(comparedTargets, rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	f.evacuations = fulmarevacuationmonitor.New(f.views, f.balancer.InFlight, log, fulmarclock.Now)
+	f.evacuations.Register(metrics)
 	loads := fulmarkeyload.New(f.balancer)
 	registry := p.Registry
 	if s.Evacuation == 0 {
@@ -328,6 +332,7 @@
 			c := v.Catalog
 			if c != nil {
 				f.forwarder.RecordEndedTargets(c)
+				f.evacuations.Update()
 			}
 			if c != nil && recent.Advance(now, c) {
 				f.balancer.Retain(recent.Has)
--- a/internal/fulmarmetric/metrics.go
+++ b/internal/fulmarmetric/metrics.go
@@ -175,6 +175,21 @@
 	c.(metric.Int64Counter).Add(context.Background(), 1)
 }
 
+// RegisterGauges adds a gauge whose values by label are the result of read; see RegisterGauge.
+func (m *Metrics) RegisterGauges(name, label string, read func() map[string]float64) {
+	checkName(name)
+	_, err := m.meter.Float64ObservableGauge(namePrefix+name, metric.WithFloat64Callback(
+		func(_ context.Context, o metric.Float64Observer) error {
+			for value, n := range read() {
+				o.Observe(n, metric.WithAttributes(attribute.String(label, value)))
+			}
+			return nil
+		}))
+	if err != nil {
+		panic("fulmarmetric: " + err.Error())
+	}
+}
+
 // RegisterGauge adds a gauge whose value is the result of read, which is called at each collection,
 // possibly concurrently. It panics unless name starts with a-z and holds only a-z, 0-9, '_' and '.'.
 func (m *Metrics) RegisterGauge(name string, read func() float64) {
--- a/pkg/fulmarbalancer/balancer.go
+++ b/pkg/fulmarbalancer/balancer.go
@@ -149,6 +149,16 @@
 	return true
 }
 
+// InFlight returns the number of requests in flight at the target.
+func (b *Balancer) InFlight(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.targets[id]; t != nil {
+		return t.inFlight
+	}
+	return 0
+}
+
 // Release ends the count of a request that Acquire counted.
 func (b *Balancer) Release(id string) {
 	b.mu.Lock()
