Let a few daemons try each target that joins

Each daemon prefers a few targets of its data centre and uses others only when these are busy, so that a target that joins under light load may be preferred by nobody.

Each daemon now draws newcomers by a hash, about six daemons for each, and sends them one request that is not a repeat.

--- a/internal/fulmarforwarder/attempt.go
+++ b/internal/fulmarforwarder/attempt.go
@@ -151,6 +151,9 @@
 // chooseByLoad returns the cheapest target below its limit of requests in flight and counts the request as in flight
 // there. Targets that leave or are evacuated are used if there are no others.
 func (x *exchange) chooseByLoad() (fulmarcatalog.Target, Reason) {
+	if t, ok := x.chooseNewcomer(); ok {
+		return t, ""
+	}
 	for _, departing := range []bool{false, true} {
 		if t, reason := x.chooseAmong(departing); reason != NoTarget {
 			return t, reason
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcrash"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarhedge"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarnewcomer"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarnotice"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
@@ -84,12 +85,13 @@
 	deps        Deps
 	startedAt   time.Time
 	preferences preferences
+	newcomers   *fulmarnewcomer.Trials
 	unanswered  unansweredSends
 }
 
 // New returns a Forwarder.
 func New(d Deps) *Forwarder {
-	return &Forwarder{deps: d, startedAt: d.Now(), preferences: preferences{id: d.ID, dc: d.DC, board: d.Notices}}
+	return &Forwarder{deps: d, startedAt: d.Now(), preferences: preferences{id: d.ID, dc: d.DC, board: d.Notices}, newcomers: fulmarnewcomer.New(d.ID)}
 }
 
 // Repeatable reports whether the request's route is idempotent.
--- a/pkg/fulmarcatalog/catalog.go
+++ b/pkg/fulmarcatalog/catalog.go
@@ -148,6 +148,16 @@
 	return changed, gone
 }
 
+// Joined returns the targets whose incarnations old does not have, in no particular order.
+func (c *Catalog) Joined(old *Catalog) (out []Target) {
+	for id, t := range c.targets {
+		if u, ok := old.targets[id]; !ok || u.Born != t.Born {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // WithLeaving returns a catalog in which the targets that have said so are leaving since the given times, whatever their
 // entries state. The catalog contains all changes of entries up to asOf: they may have been leaving since then, as far as the
 // store knows.
