--- a/internal/fulmarfollower/largefleet_test.go
+++ b/internal/fulmarfollower/largefleet_test.go
@@ -366,14 +366,14 @@
 func (f *largeFleet) start(ctx context.Context, m *machine) {
 	ctx, cancel := context.WithCancel(ctx)
 	d := &simulatedDaemon{machine: m, views: fulmarview.New(), stop: cancel, notices: fulmarnotice.New(), crashes: fulmarcrash.New()}
-	log := slog.New(slog.DiscardHandler)
-	d.store = fulmarkvforwarder.New(storeClient{fulmarmemory.NewClient(f.store), f, m}, func(ctx context.Context, address string) (fulmarkvforwarder.Daemon, error) {
+	log, eras := slog.New(slog.DiscardHandler), fulmarera.New(noEvents{}, time.Now)
+	d.store = fulmarkvforwarder.New(storeClient{fulmarmemory.NewClient(f.store).WithEras(eras), f, m}, func(ctx context.Context, address string) (fulmarkvforwarder.Daemon, error) {
 		to, err := f.connect(ctx, m, address)
 		return simulatedLink{fleet: f, from: d, to: to}, err
-	}, func() []string { return d.views.Get().Contacts }, func() []string { return d.views.Get().Peers(m.id) }, nil, log)
+	}, func() []string { return d.views.Get().Contacts }, func() []string { return d.views.Get().Peers(m.id) }, eras, log)
 	deps := fulmarleader.Deps{
 		ID: m.id, Address: m.id, DC: m.dc, Store: d.store, Registry: registry, Orders: targetLinks{f, m}, Views: d.views,
-		MaxGrantDuration: 10 * time.Second, CPUShare: m.cpuShare, Metrics: noMetrics{}, Notices: d.notices, Crashes: d.crashes, Log: log, Now: time.Now, Limits: fulmarlimit.New(), StoreForwarded: d.store.Forwarding, EvacuationTime: evacuationTime,
+		MaxGrantDuration: 10 * time.Second, CPUShare: m.cpuShare, Metrics: noMetrics{}, Notices: d.notices, Crashes: d.crashes, Log: log, Now: time.Now, Limits: fulmarlimit.New(), StoreForwarded: d.store.Forwarding, EvacuationTime: evacuationTime, Eras: eras,
 	}
 	d.Follower = fulmarfollower.New(deps, noLoad{}, func(ctx context.Context, address string) (fulmarfollower.Leader, error) {
 		to, err := f.connect(ctx, m, address)
--- a/internal/fulmarfollower/restore_test.go
+++ b/internal/fulmarfollower/restore_test.go
@@ -268,3 +268,28 @@
 		})
 	})
 }
+
+// Guards against changes that come too late after a restore, as all daemons turn to the store or get complete states at once.
+func TestLargeFleetRestored(t *testing.T) {
+	for _, n := range []int{30, 295} {
+		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) {
+			simulateLargeFleet(t, n, func(_ context.Context, t *testing.T, g *WithT, f *largeFleet) {
+				f.store.SetEra(1) // the store begins to state its era, as after an upgrade
+				time.Sleep(5 * time.Second)
+				copied := f.store.Copy()
+				f.change(t, g, 2, "t1")
+				time.Sleep(2 * time.Second)
+				former := f.leader(t)
+				f.resetLoad()
+				f.store.Restore(copied)
+				time.Sleep(time.Second)
+				f.logLoad(t)
+				g.Expect(f.leader(t)).To(Equal(former))
+				g.Expect(f.missing(hasConfig(2))).To(BeZero())
+				g.Expect(f.missing(knowsLeaving("t1"))).To(BeZero())
+				g.Expect(f.missing(hasOwners)).To(BeZero())
+				f.change(t, g, 3, "t2")
+			})
+		})
+	}
+}
--- a/internal/fulmarleader/plan.go
+++ b/internal/fulmarleader/plan.go
@@ -47,6 +47,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.recovery.mustWrite {
+		t.deps.Log.Info("records written for the first time in the era", "term", t.lease.revision, "basis", t.recovery.basis.String(), "tables", len(tables), "crashes", t.deps.Crashes.Version())
+	}
 	t.tablesRevision, t.recovery.mustWrite = revision, false
 	for name, table := range tables {
 		t.services[name].orders.Commit(table)
