Count the eras of a store from 0, and wait for former grants from the first election

Cause: a store may state 0 as its first era, which was taken for damage, so that no answer would have been used.

Change: an era is one more than what the store states. A daemon that knows of a term of the era counts from then.

--- a/internal/fulmarfollower/follow.go
+++ b/internal/fulmarfollower/follow.go
@@ -181,6 +181,7 @@
 
 // updateView replaces the view by the state received from the leader.
 func (f *Follower) updateView(s *leaderState, u *fulmarleaderrpc.Update, asOf, configAsOf time.Time) {
+	f.noteTerm(u.Versions.Term)
 	f.mu.Lock()
 	leaderAddress := f.leaderAddress
 	f.mu.Unlock()
--- a/internal/fulmarfollower/follower.go
+++ b/internal/fulmarfollower/follower.go
@@ -94,6 +94,7 @@
 	ignoreLeaderUntil time.Time // that leader is not followed again before then
 
 	memory *fulmarrecovery.Memory // of a term of this daemon that a restore of the store ended, nil for none
+	led    ledEra
 
 	permits permitLink
 
@@ -327,7 +328,7 @@
 // leadOnce stands for election, leads if elected, and reports whether to stand again at once: a restore of the store has
 // ended the term, or still shows it as the current one.
 func (f *Follower) leadOnce(ctx context.Context, s *fulmarsnapshot.Snapshot) (again bool) {
-	term, err := fulmarleader.Begin(ctx, f.deps, f.reader, s, f.memory)
+	term, err := fulmarleader.Begin(ctx, f.deps, f.reader, s, f.past())
 	if err != nil {
 		level := slog.LevelWarn
 		if errors.Is(err, fulmarkv.ErrConflict) {
@@ -336,6 +337,7 @@
 		f.log.Log(ctx, level, "not elected as leader", "error", err)
 		return f.memory.IsOf(f.deps.Eras.Current().Era) && errors.Is(err, fulmarkv.ErrConflict) && f.deps.EndRestoredTerm(ctx)
 	}
+	f.noteTerm(term.Revision())
 	f.setTerm(term)
 	defer f.setTerm(nil)
 	selfCtx, cancel := context.WithCancel(ctx)
--- a/internal/fulmarfollower/restore.go
+++ b/internal/fulmarfollower/restore.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarleader"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarera"
 )
 
 // formerLeaderTime is the time after a restore of the store in which only the daemon that led before it stands for election. It
@@ -17,6 +19,28 @@
 	return era.Former != 0 && now.Sub(era.Since) < formerLeaderTime && !f.memory.IsOf(era.Era)
 }
 
+// ledEra is the newest era of which the daemon knows a term.
+type ledEra struct {
+	era   fulmarera.Era
+	since time.Time // when it first knew one
+}
+
+// noteTerm notes that there is a term, or has been. Only the goroutine of Run calls it.
+func (f *Follower) noteTerm(term fulmarera.Revision) {
+	if e := term.Era(); e > f.led.era {
+		f.led = ledEra{e, f.deps.Now()}
+	}
+}
+
+// past returns what the daemon knows of earlier terms.
+func (f *Follower) past() fulmarleader.Past {
+	p := fulmarleader.Past{Memory: f.memory}
+	if era := f.deps.Eras.Current().Era; era != 0 && f.led.era == era {
+		p.Led = f.led.since
+	}
+	return p
+}
+
 // lastSnapshot returns what the view holds of the store. A term reads the store itself; a read before the election would only delay it.
 func (f *Follower) lastSnapshot() *fulmarsnapshot.Snapshot {
 	view := f.views.Get()
--- a/internal/fulmarleader/restore.go
+++ b/internal/fulmarleader/restore.go
@@ -13,10 +13,19 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrecovery"
 )
 
+// Past is what a daemon knows of earlier terms where the store may have been restored.
+type Past struct {
+	Memory *fulmarrecovery.Memory // of the former era, nil for none
+	Led    time.Time              // when the daemon first knew of a term of the era, zero for none
+}
+
+// Revision returns the revision that identifies the term.
+func (t *Term) Revision() fulmarera.Revision { return t.lease.revision }
+
 // recovery is the state of a term in which a restore of the store matters.
 type recovery struct {
-	memory    *fulmarrecovery.Memory // of the former era, nil for none
-	chosen    bool                   // basis is known
+	Past
+	chosen    bool // basis is known
 	basis     fulmarrecovery.Basis
 	heldUntil time.Time // no keys are granted and no tables written before then
 	mustWrite bool      // no tables were written in this era
@@ -65,12 +74,12 @@
 func (t *Term) chooseBasis(now time.Time, s *fulmarsnapshot.Snapshot) {
 	r, era, writer := &t.recovery, t.lease.era, s.TablesWriter.Term
 	r.chosen, r.writers, r.mustWrite = true, []fulmarera.Revision{t.lease.revision, writer}, writer.Era() != era.Era
-	start := fulmarrecovery.Start{Era: era, Writer: writer, Memory: r.memory, LeaseTTL: t.deps.LeaseTTL(), MaxHold: t.timing().MaxHoldTime()}
+	start := fulmarrecovery.Start{Era: era, Writer: writer, Memory: r.Memory, Led: r.Led, LeaseTTL: t.deps.LeaseTTL(), MaxHold: t.timing().MaxHoldTime()}
 	switch r.basis, r.heldUntil = start.Choose(now); r.basis {
 	case fulmarrecovery.Remembered:
-		r.writers = append(r.writers, r.memory.Writers...)
+		r.writers = append(r.writers, r.Memory.Writers...)
 		t.deps.Metrics.Count("leader.restored_from_memory")
-		t.deps.Log.Warn("ownership tables restored from the memory of the former leader", "term", t.lease.revision, "written", writer, "left", r.memory.Lapse.Sub(now))
+		t.deps.Log.Warn("ownership tables restored from the memory of the former leader", "term", t.lease.revision, "written", writer, "left", r.Memory.Lapse.Sub(now))
 	case fulmarrecovery.Held:
 		t.deps.Metrics.Count("leader.restored_without_memory")
 		t.deps.Log.Warn("no keys are granted until all grants of the former era have lapsed", "term", t.lease.revision, "written", writer, "left", r.heldUntil.Sub(now))
@@ -80,7 +89,7 @@
 // knownTables returns the tables by service that the term starts from; s is a snapshot of the store. The caller holds mu.
 func (t *Term) knownTables(s *fulmarsnapshot.Snapshot) map[string]fulmarrange.Table {
 	if t.recovery.basis == fulmarrecovery.Remembered {
-		return t.recovery.memory.Tables
+		return t.recovery.Memory.Tables
 	}
 	return s.Tables
 }
@@ -90,7 +99,7 @@
 	s := fulmarorder.New(now, table.WithUsedFences(t.lease.era.Era.FirstFence()), t.timing())
 	s.Hold(t.recovery.heldUntil)
 	if t.recovery.basis == fulmarrecovery.Remembered {
-		s.LimitInherited(t.recovery.memory.Lapse)
+		s.LimitInherited(t.recovery.Memory.Lapse)
 	}
 	return s
 }
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -137,9 +137,9 @@
 	group            sync.WaitGroup
 }
 
-// Begin tries to become the leader. s is the latest known snapshot, in which no daemon leads. m is what this daemon knows of a
-// former era of the store, nil for nothing. The term is the only user of reader until it ends.
-func Begin(ctx context.Context, d Deps, reader *fulmarsnapshot.Reader, s *fulmarsnapshot.Snapshot, m *fulmarrecovery.Memory) (*Term, error) {
+// Begin tries to become the leader. s is the latest known snapshot, in which no daemon leads. p is what
+// this daemon knows from before. The term is the only user of reader until it ends.
+func Begin(ctx context.Context, d Deps, reader *fulmarsnapshot.Reader, s *fulmarsnapshot.Snapshot, p Past) (*Term, error) {
 	acquired, err := acquireLease(ctx, d)
 	if err != nil {
 		return nil, err
@@ -148,7 +148,7 @@
 		deps: d, reader: reader, lease: acquired, validUntil: acquired.validUntil, lastRenewal: d.Now(), snapshot: s,
 		services: make(map[string]*keyedService), workers: make(map[fulmarrange.Incarnation]*worker),
 		fleet: newFleet(), beganAt: d.Now(), formerDaemons: d.Views.Get().Daemons, recentTargets: fulmarretention.New(d.Now(), targetRetention), permits: fulmarpermit.New(), coldTargets: make(map[string]int),
-		publishRequested: make(chan struct{}, 1), served: make(map[string]time.Time), recovery: recovery{memory: m},
+		publishRequested: make(chan struct{}, 1), served: make(map[string]time.Time), recovery: recovery{Past: p},
 	}
 	t.keepRelays(d.Views.Get().Relays)
 	t.permitsUntil.Store(&acquired.validUntil)
--- a/internal/fulmarmemory/client.go
+++ b/internal/fulmarmemory/client.go
@@ -48,7 +48,7 @@
 	if c.eras == nil {
 		return nil
 	}
-	_, err := c.eras.Observe(strconv.FormatInt(int64(era), 10), era != 0)
+	_, err := c.eras.Observe(strconv.FormatInt(int64(era)-1, 10), era != 0)
 	switch {
 	case err == nil:
 		return nil
--- a/pkg/fulmarera/revision.go
+++ b/pkg/fulmarera/revision.go
@@ -1,6 +1,6 @@
 package fulmarera
 
-// Era numbers the eras of a store. The zero value is that of a store that states none.
+// Era numbers the eras of a store: one more than the number that the store states. The zero value is that of a store that states none.
 type Era int64
 
 const (
--- a/pkg/fulmarera/tracker.go
+++ b/pkg/fulmarera/tracker.go
@@ -89,8 +89,8 @@
 // noEra never ends.
 var noEra State
 
-// Observe takes over what an answer states of its era, and returns the era if the answer can be used. present is false if the answer
-// states none. The error is ErrNotBelieved.
+// Observe takes over what an answer states of its era, a decimal number from 0 on, and returns the era if the answer can be used. present
+// is false if the answer states none. The error is ErrNotBelieved.
 func (t *Tracker) Observe(text string, present bool) (Era, error) {
 	if t == nil {
 		return 0, nil
@@ -98,10 +98,10 @@
 	stated := Era(0)
 	if present {
 		n, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || n <= 0 || Era(n) > MaxEra {
+		if err != nil || n < 0 || n >= int64(MaxEra) {
 			return 0, t.reject(Damaged)
 		}
-		stated = Era(n)
+		stated = Era(n) + 1 // the first one may be 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/fulmarrecovery/memory.go
+++ b/pkg/fulmarrecovery/memory.go
@@ -44,6 +44,7 @@
 	Era      *fulmarera.State
 	Writer   fulmarera.Revision // term that wrote the stored tables, zero for none
 	Memory   *Memory            // nil for none
+	Led      time.Time          // when this daemon first knew of a term of the era, zero if it knew none before its own
 	LeaseTTL time.Duration      // longest time for which a lease lasts without a renewal
 	MaxHold  time.Duration      // longest time for which a target holds keys under a grant that was sent before now
 }
@@ -60,10 +61,14 @@
 		// Nothing tells that there was a restore: the tables are missing, or were written by a leader of an earlier build.
 		return Stored, time.Time{}
 	}
-	// The leases of former eras, and the orders of their leaders, end within their time to live after the begin of this one.
-	ended := s.Era.Since.Add(s.LeaseTTL)
-	if ended.Before(now) {
-		ended = now // a leader of an earlier build may have gone on by a lease that the copy holds
+	// The leases of former eras, and the orders of their leaders, end within their time to live after the begin of this one. A leader
+	// of an earlier build may go on by a lease that the copy holds, until another one is elected.
+	ended, elected := s.Era.Since.Add(s.LeaseTTL), now
+	if !s.Led.IsZero() {
+		elected = s.Led
+	}
+	if ended.Before(elected) {
+		ended = elected
 	}
 	return Held, ended.Add(s.MaxHold)
 }
--- a/pkg/fulmarrecovery/memory_test.go
+++ b/pkg/fulmarrecovery/memory_test.go
@@ -60,6 +60,9 @@
 				g.Expect(until).To(Equal(now.Add(11 * time.Second)))
 				_, until = start.Choose(now.Add(5 * time.Second))
 				g.Expect(until).To(Equal(now.Add(15 * time.Second)))
+				start.Led = now.Add(3 * time.Second) // by another leader, which has not written the tables
+				_, until = start.Choose(now.Add(5 * time.Second))
+				g.Expect(until).To(Equal(now.Add(13 * time.Second)))
 			}
 		})
 	}
