Wait for former grants where no tables are stored after the first start

Cause: a daemon that starts on a store without tables took that for the first start of a fleet and granted at once.

Change: the settings of a daemon state whether the whole fleet starts for the first time. Any other daemon that finds no tables in a store which states its era lets all grants lapse first.

--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -152,7 +152,7 @@
 	}
 	leaderDeps := fulmarleader.Deps{
 		ID: s.ID, Address: s.Listen.Peers, DC: s.DC, Store: f.forwardedStore, Registry: registry, EvacuationTime: f.evacuationTime,
-		Orders: p.NewOrders(f.orderPool), Views: f.views, MaxGrantDuration: s.MaxGrant, MinLease: s.MinLease, CPUShare: s.CPUShare, Metrics: metrics, Log: log, Now: fulmarclock.Now, Limits: f.targetLimits, Coldness: f.coldness, Notices: f.notices, Crashes: f.crashes, StoreForwarded: f.forwardedStore.Forwarding, Eras: f.eras,
+		Orders: p.NewOrders(f.orderPool), Views: f.views, MaxGrantDuration: s.MaxGrant, MinLease: s.MinLease, CPUShare: s.CPUShare, Metrics: metrics, Log: log, Now: fulmarclock.Now, Limits: f.targetLimits, Coldness: f.coldness, Notices: f.notices, Crashes: f.crashes, StoreForwarded: f.forwardedStore.Forwarding, Eras: f.eras, FirstStart: s.FirstStart,
 	}
 	f.follower = fulmarfollower.New(leaderDeps, loads, func(ctx context.Context, address string) (fulmarfollower.Leader, error) {
 		return fulmarleaderrpc.Dial(ctx, address)
--- a/internal/fulmarfrontdaemon/settings.go
+++ b/internal/fulmarfrontdaemon/settings.go
@@ -22,6 +22,7 @@
 type Settings struct {
 	ID          string
 	DC          string
+	FirstStart  bool // the whole fleet starts for the first time
 	Listen      ListenAddresses
 	Store       string               // address of the key-value service
 	MinLease    time.Duration        // shortest lease that the store grants, zero for none
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -81,6 +81,7 @@
 	Crashes          *fulmarcrash.Board         // requests under which targets have ended
 	Publisher        *fulmarpublisher.Publisher // of Views; the follower that leads sets it
 	Eras             *fulmarera.Tracker         // of the store; nil for a store without eras
+	FirstStart       bool                       // the fleet starts for the first time
 	StoreForwarded   func() bool                // reports whether calls to the store are forwarded through other daemons
 	// FindGrantLapse returns the time at which all grants of an earlier term have lapsed; ok is false if no daemon
 	// knows it. It may ask the daemon at address, which led in that term.
--- a/pkg/fulmarrecovery/memory.go
+++ b/pkg/fulmarrecovery/memory.go
@@ -47,6 +47,8 @@
 	Led      time.Time          // when this daemon first knew of a term of the era, zero if it knew none before its own
 	LeaseTTL time.Duration      // longest time for which a lease lasts without a renewal
 	MaxHold  time.Duration      // longest time for which a target holds keys under a grant that was sent before now
+	// First states that the fleet starts for the first time, so that nobody has granted keys unless there are tables.
+	First bool
 }
 
 // Choose returns the basis on which a leader may act from now on, and for Held the time until which it grants no keys and writes no
@@ -57,8 +59,9 @@
 		return Stored, time.Time{}
 	case s.Memory.IsOf(s.Era.Era) && (s.Writer == 0 || slices.Contains(s.Memory.Writers, s.Writer)):
 		return Remembered, time.Time{}
-	case s.Writer.Era() == 0 && s.Era.Former == 0:
-		// Nothing tells that there was a restore: the tables are missing, or were written by a leader of an earlier build.
+	case s.Writer.Era() == 0 && s.Era.Former == 0 && (s.Writer != 0 || s.First || s.Era.Era == 0):
+		// Nothing tells that there was a restore: the tables are missing at the first start, or were written by a leader of an earlier
+		// build. Later, missing tables mean that the copy is older than the first ones.
 		return Stored, time.Time{}
 	}
 	// The leases of former eras, and the orders of their leaders, end within their time to live after the begin of this one. A leader
--- a/pkg/fulmarrecovery/memory_test.go
+++ b/pkg/fulmarrecovery/memory_test.go
@@ -40,7 +40,8 @@
 		want   fulmarrecovery.Basis
 	}{
 		{"a store without eras", nil, 70, nil, fulmarrecovery.Stored},
-		{"no tables in a store that nothing tells to be restored", eraOf(5), 0, nil, fulmarrecovery.Stored},
+		{"a store without eras and tables", nil, 0, nil, fulmarrecovery.Stored},
+		{"no tables, and not the first start", eraOf(5), 0, nil, fulmarrecovery.Held},
 		{"tables of an earlier build", eraOf(5), 70, nil, fulmarrecovery.Stored},
 		{"tables of this era", eraOf(4, 5), present, memory, fulmarrecovery.Stored},
 		{"tables that the former leader knows", eraOf(4, 5), writer, memory, fulmarrecovery.Remembered},
@@ -68,6 +69,22 @@
 	}
 }
 
+// Guards against a fleet that refuses requests for keys for 11 s at its first start, and against a daemon that takes a copy from before
+// the first tables for one: targets had two owners after all daemons had been killed.
+func TestChooseAtFirstStart(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	start := fulmarrecovery.Start{Era: eraOf(5).Current(), LeaseTTL: time.Second, MaxHold: 10 * time.Second, First: true}
+	basis, _ := start.Choose(now)
+	g.Expect(basis).To(Equal(fulmarrecovery.Stored))
+	start.Era = eraOf(4, 5).Current()
+	basis, _ = start.Choose(now)
+	g.Expect(basis).To(Equal(fulmarrecovery.Held), "it has seen the restore")
+	start.Era, start.First = eraOf(5).Current(), false
+	basis, _ = start.Choose(now)
+	g.Expect(basis).To(Equal(fulmarrecovery.Held))
+}
+
 // Guards against a leader that believes to have been the last one although another was elected, or may have been.
 func TestIsLast(t *testing.T) {
 	g := NewWithT(t)
