Let grants of large fleets last a renewal and 1.45 s

A grant of a fleet with more than 600 ranges lasted 2.4 renewals: 3.6 s at 2,000 ranges, 5.8 s at 3,200. All of it passes before the keys of a lost target have another owner. What a grant needs beyond a renewal is time for one that fails and is repeated, and that does not grow with the interval. It is now what it is in a small fleet.

--- a/internal/fulmarfollower/lossofdc_test.go
+++ b/internal/fulmarfollower/lossofdc_test.go
@@ -89,7 +89,7 @@
 // interval after the loss, and not answered for half a second. Of a lost leader nobody knows whether it has extended its grants.
 const (
 	renewalOfLargeFleet = 1500 * time.Millisecond // 2,004 ranges, half of 0.8 of a core
-	grantOfLargeFleet   = 3600 * time.Millisecond
+	grantOfLargeFleet   = renewalOfLargeFleet + 1450*time.Millisecond
 	lapseBound          = renewalOfLargeFleet + 500*time.Millisecond + grantOfLargeFleet*103/100
 	inheritedBound      = 10 * time.Second * 103 / 100
 	electionBound       = 2 * time.Second
--- a/internal/fulmarleader/pace.go
+++ b/internal/fulmarleader/pace.go
@@ -9,10 +9,11 @@
 	// maxRenewalShare is the part of the leader's processor that renewals of grants take at most. Reads of the store, updates and
 	// requests need the rest: at more than half, reads took up to 0.9 s where an idle leader needs 0.15 s.
 	maxRenewalShare = 0.5
-	// renewalsPerGrant is the least duration of a grant in renewal intervals, so that a renewal that fails after grantTimeout can
-	// be repeated in time.
-	renewalsPerGrant = 2.4
-	minCPUShare      = 0.01 // of a core; a smaller share is a damaged setting
+	// renewalMargin is the time that is left of a grant when it is renewed, whatever the interval: a renewal that fails after
+	// grantTimeout is repeated under a new fence, which takes a plan and a write. All that a grant lasts beyond that delays the next
+	// owner of the keys of a lost target.
+	renewalMargin = grantDuration - grantRenewInterval
+	minCPUShare   = 0.01 // of a core; a smaller share is a damaged setting
 )
 
 // grantPace returns the time between two renewals of a grant and the duration of grants for a number of granted ranges of keys.
@@ -20,8 +21,8 @@
 func (d Deps) grantPace(ranges int) (renew, ttl time.Duration) {
 	longest := time.Duration(float64(d.MaxGrantDuration) * extendedGrantShare)
 	needed := float64(ranges) * float64(orderCost) / (maxRenewalShare * max(d.CPUShare, minCPUShare))
-	renew = max(grantRenewInterval, time.Duration(min(needed, float64(longest)/renewalsPerGrant)))
-	return renew, max(grantDuration, time.Duration(float64(renew)*renewalsPerGrant))
+	renew = max(grantRenewInterval, time.Duration(min(needed, float64(longest-renewalMargin))))
+	return renew, renew + renewalMargin
 }
 
 // countRanges returns the number of granted ranges of keys. The caller holds mu.
