Hold no goroutine and no large buffer for each target at the leader

The busiest daemon of a fleet of 300 with 2,999 targets uses 132 MB, the leader's share of which grows with the targets: a goroutine with a stack for each, which waits for the next order nearly all the time, and a buffer of 4 KiB for answers of one line. What is held counts three times, as the collector lets the heap grow to that.

A timer starts the goroutine of a target when an order is due, and connections of lanes, which only orders use, have buffers of 512 bytes. An answered release wakes the owners of its keys in place of the workers of all targets.

--- a/internal/fulmarleader/worker.go
+++ b/internal/fulmarleader/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,18 +18,65 @@
 	releaseTimeout = 4 * time.Second
 )
 
-// worker sends the orders for one target.
+// worker sends the orders for one target. It has a goroutine only while orders are due: a leader of thousands of targets would
+// hold a stack for each of them, mostly without use.
 type worker struct {
-	target        fulmarcatalog.Target
-	lastListed    time.Time // when the target was last listed
-	wakeRequested chan struct{}
-	cancel        context.CancelFunc
+	target     fulmarcatalog.Target
+	lastListed time.Time // when the target was last listed
+	ctx        context.Context
+	cancel     context.CancelFunc
+	run        func()          // sends all orders that are due
+	group      *sync.WaitGroup // of the goroutines of the term
+
+	mu      sync.Mutex
+	next    *time.Timer // starts run when the next order is due
+	running bool
+	woken   bool // orders may have become due since run looked for one
+	stopped bool
 }
 
+// wake makes the worker look for due orders. It may be called with the lock of the term held.
 func (w *worker) wake() {
-	select {
-	case w.wakeRequested <- struct{}{}:
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.stopped:
+	case w.running:
+		w.woken = true
 	default:
+		w.running, w.woken = true, false
+		w.group.Go(w.run)
+	}
+}
+
+// rest ends run until the next order is due after wait, and reports whether it may end: the worker has not been woken meanwhile.
+func (w *worker) rest(wait time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.woken && !w.stopped {
+		w.woken = false
+		return false
+	}
+	w.running = false
+	if w.stopped {
+		return true
+	}
+	if w.next == nil {
+		w.next = time.AfterFunc(wait, w.wake)
+	} else {
+		w.next.Reset(wait)
+	}
+	return true
+}
+
+// stop stops the worker for good. Orders in flight are abandoned.
+func (w *worker) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.cancel()
+	if w.next != nil {
+		w.next.Stop()
 	}
 }
 
@@ -48,13 +96,14 @@
 			continue
 		}
 		ctx, cancel := context.WithCancel(context.Background())
-		w := &worker{target: target, lastListed: now, wakeRequested: make(chan struct{}, 1), cancel: cancel}
+		w := &worker{target: target, lastListed: now, ctx: ctx, cancel: cancel, group: &t.group}
+		w.run = func() { t.sendDueOrders(w) }
 		t.workers[incarnation] = w
-		t.group.Go(func() { t.runWorker(ctx, w) })
+		w.wake()
 	}
 	for incarnation, w := range t.workers {
 		if now.Sub(w.lastListed) > workerRetention {
-			w.cancel()
+			w.stop()
 			delete(t.workers, incarnation)
 		}
 	}
@@ -66,33 +115,23 @@
 	defer t.mu.Unlock()
 	t.workersStopped = true
 	for _, w := range t.workers {
-		w.cancel()
+		w.stop()
 	}
 }
 
-// runWorker sends the orders for one target as they become due.
-func (t *Term) runWorker(ctx context.Context, w *worker) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
+// sendDueOrders sends the orders for one target until none is due.
+func (t *Term) sendDueOrders(w *worker) {
+	for w.ctx.Err() == nil {
 		order, entry, wait, ok := t.nextOrder(w)
-		if ok {
-			if order.Kind == fulmarorder.Release && !order.AfterGrants {
-				t.group.Go(func() { t.sendOrder(ctx, w, order, entry) })
-			} else {
-				t.sendOrder(ctx, w, order, entry)
-			}
-			if ctx.Err() != nil {
+		switch {
+		case !ok:
+			if w.rest(wait) {
 				return
 			}
-			continue
-		}
-		timer.Reset(wait)
-		select {
-		case <-w.wakeRequested:
-		case <-timer.C:
-		case <-ctx.Done():
-			return
+		case order.Kind == fulmarorder.Release && !order.AfterGrants:
+			t.group.Go(func() { t.sendOrder(w, order, entry) })
+		default:
+			t.sendOrder(w, order, entry)
 		}
 	}
 }
@@ -116,14 +155,14 @@
 }
 
 // sendOrder sends an order and records its outcome.
-func (t *Term) sendOrder(ctx context.Context, w *worker, o fulmarorder.Order, entry fulmarledger.GrantID) {
+func (t *Term) sendOrder(w *worker, o fulmarorder.Order, entry fulmarledger.GrantID) {
 	timeout := grantTimeout
 	if o.Kind == fulmarorder.Release && !o.AfterGrants {
 		timeout = releaseTimeout
 	}
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(w.ctx, timeout)
 	began := t.deps.Now()
-	reply, err := t.deps.Orders.Send(callCtx, w.target.Address, o)
+	reply, err := t.deps.Orders.Send(ctx, w.target.Address, o)
 	cancel()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -144,10 +183,20 @@
 	if changed {
 		t.requestPublish()
 	}
-	if o.Kind == fulmarorder.Release && (err == nil || errors.Is(err, fulmarorder.ErrTargetEnded)) {
-		t.wakeWorkers()
-	} else if o.Kind == fulmarorder.Release {
+	if o.Kind == fulmarorder.Release {
 		w.wake() // other releases may have waited for the end of this one
+		if err == nil || errors.Is(err, fulmarorder.ErrTargetEnded) {
+			t.wakeOwners(book, o)
+		}
+	}
+}
+
+// wakeOwners wakes the workers of the targets that own the keys of an order. The caller holds mu.
+func (t *Term) wakeOwners(book *fulmarorder.Scheduler, o fulmarorder.Order) {
+	for _, s := range book.Table().Overlapping(o.From, o.To) {
+		if w := t.workers[s.Owner.Incarnation]; w != nil {
+			w.wake()
+		}
 	}
 }
 
--- a/internal/fulmarlink/conn.go
+++ b/internal/fulmarlink/conn.go
@@ -18,8 +18,13 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmaridset"
 )
 
-// readBuffer is large enough for the head of an answer and most small bodies, in bytes.
-const readBuffer = 4 << 10
+const (
+	// readBuffer is large enough for the head of an answer and most small bodies, in bytes.
+	readBuffer = 4 << 10
+	// laneReadBuffer is the same for the connections of a lane, whose answers are a head of some lines. A daemon that leads keeps one
+	// of them to each of thousands of targets.
+	laneReadBuffer = 512
+)
 
 // conn is a connection to a target.
 type conn struct {
@@ -53,7 +58,7 @@
 	return n, err
 }
 
-// dial opens a connection that fails when sent data stays unacknowledged for ackTimeout.
+// dial opens a connection, without a buffer for answers, that fails when sent data stays unacknowledged for ackTimeout.
 func dial(ctx context.Context, address string, timeout, ackTimeout time.Duration) (*conn, error) {
 	d := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
 		var optionErr error
@@ -75,10 +80,19 @@
 		return nil, err
 	}
 	out := &conn{Conn: c, raw: raw, readLimit: noReadLimit, carried: fulmaridset.New(maxRequests), tokens: fulmaridset.New(maxRequests)}
-	out.reader = bufio.NewReaderSize(out, readBuffer)
 	return out, nil
 }
 
+// setLane assigns the connection to a lane, empty for none, before its first use.
+func (c *conn) setLane(lane string) {
+	c.lane = lane
+	size := readBuffer
+	if lane != "" {
+		size = laneReadBuffer
+	}
+	c.reader = bufio.NewReaderSize(c, size)
+}
+
 // Write sets written before it sends b, unless sending was stopped.
 func (c *conn) Write(b []byte) (int, error) {
 	if c.sendStopped.Load() {
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -161,12 +161,12 @@
 		}
 		return nil, avoided, errors.Wrap(ErrUnsent, err.Error())
 	}
+	c.setLane(r.Lane)
 	if (nearLimit || avoided > 0 || r.Crowded) && !c.accepted(min(time.Since(started), p.settings.AcceptMargin)+p.settings.AcceptMargin) {
 		p.recordReset(address)
 		p.closeConn(address, c)
 		return nil, avoided, ErrNoRoom
 	}
-	c.lane = r.Lane
 	return c, avoided, nil
 }
 
