--- a/internal/fulmarpublisher/publisher.go
+++ b/internal/fulmarpublisher/publisher.go
@@ -44,8 +44,8 @@
 
 	mu                sync.Mutex
 	published         state
-	targetChanges     changes
-	ownerHistory      history[map[string]fulmarview.Spans]
+	targetChanges     history[[]string] // ids
+	ownerChanges      history[owners]
 	changed           chan struct{} // closed when published changes
 	cached            map[fulmarleaderrpc.Versions]cachedUpdate
 	packedConfig      packedConfig
@@ -90,7 +90,6 @@
 	}
 	// The versions go on, so that daemons never take a new state for one that they have.
 	p.published.View = nil
-	p.ownerHistory = history[map[string]fulmarview.Spans]{}
 	clear(p.cached)
 }
 
@@ -109,9 +108,13 @@
 		next.versions.Targets++
 		p.targetChanges.add(next.versions.Targets, ids)
 	}
-	if old == nil || !equalSpans(view.Owners, old.Owners) {
+	switch {
+	case old == nil:
 		next.versions.Owners++
-		p.ownerHistory.add(next.versions.Owners, view.Owners)
+		p.ownerChanges.start(next.versions.Owners)
+	case !equalSpans(view.Owners, old.Owners):
+		next.versions.Owners++
+		p.ownerChanges.add(next.versions.Owners, owners(view.Owners).changedSince(old.Owners))
 	}
 	if old == nil || !old.Relays.Equal(view.Relays) || len(view.Contacts) > len(old.Contacts) {
 		next.versions.Relays++
@@ -233,29 +236,23 @@
 	} else if have.Limits != s.versions.Limits {
 		u.Limits = p.packLimits(now, have.Limits)
 	}
-	ids, hasTargets := p.targetChanges.between(have.Targets, s.versions.Targets)
-	owners, hasOwners := p.ownerHistory.get(have.Owners)
-	if otherSource || !hasTargets || !hasOwners {
-		u.Complete = true
-		ids, owners = nil, nil
-		u.Targets = s.Catalog.Targets()
-	}
-	for id := range ids {
-		if t, ok := s.Catalog.Target(id); ok {
-			u.Targets = append(u.Targets, t)
-		} else {
-			u.RemovedTargets = append(u.RemovedTargets, id)
+	targets, knowsTargets := p.targetChanges.between(have.Targets, s.versions.Targets)
+	changed, knowsOwners := p.ownerChanges.between(have.Owners, s.versions.Owners)
+	if otherSource || !knowsTargets || !knowsOwners {
+		u.Complete, u.Targets, u.Owners = true, s.Catalog.Targets(), owners(s.Owners).changedSince(nil)
+	} else {
+		u.Owners = owners(s.Owners).where(changed)
+		for _, id := range union(targets) {
+			if t, ok := s.Catalog.Target(id); ok {
+				u.Targets = append(u.Targets, t)
+			} else {
+				u.RemovedTargets = append(u.RemovedTargets, id)
+			}
 		}
 	}
 	for i := range u.Targets {
 		u.Targets[i] = u.Targets[i].AsOf(now)
 	}
-	u.Owners = make(map[string]fulmarview.Spans)
-	for name, spans := range s.Owners {
-		if changes := spans.Diff(owners[name]); len(changes) > 0 {
-			u.Owners[name] = changes
-		}
-	}
 	return u
 }
 
--- a/internal/fulmarpublisher/size_test.go
+++ b/internal/fulmarpublisher/size_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
 )
 
 // largeCatalog returns a catalog of n targets, of which one in eight was started anew in each of the given versions.
@@ -22,6 +24,21 @@
 	return fulmarcatalog.New(list)
 }
 
+// randomOwners returns spans over all keys with random targets.
+func randomOwners(random *rand.Rand) (spans fulmarview.Spans) {
+	for from := 0; from <= fulmarrange.MaxKey; {
+		to := min(from+random.IntN(20000), fulmarrange.MaxKey)
+		spans = spans.Append(fulmarview.Span{From: from, To: to, Target: fmt.Sprint("t", random.IntN(3)), Ready: random.IntN(2) > 0})
+		from = to + 1
+	}
+	return spans
+}
+
+func (s source) setOwners(spans fulmarview.Spans) {
+	s.views.Update(func(v *fulmarview.View) { v.Owners = map[string]fulmarview.Spans{"board": spans} })
+	s.Publish()
+}
+
 func (s source) setCatalog(c *fulmarcatalog.Catalog) {
 	s.views.Update(func(v *fulmarview.View) { v.Catalog, v.AsOf = c, time.Now() })
 	s.Publish()
@@ -47,12 +64,28 @@
 	}
 }
 
-// Guards against past catalogues that are kept whole: those of 3,000 targets took a third of the memory of a daemon.
-func TestMemoryOfPastVersions(t *testing.T) {
-	const budget = 9 << 20 // a tenth of what the busiest daemon of a fleet may take
-	g := NewWithT(t)
-	s := newSource()
-	s.setCatalog(largeCatalog(3000, 0))
+// Guards against owners that differ from those of the source after some differences.
+func TestDifferencesOfOwners(t *testing.T) {
+	g, random := NewWithT(t), rand.New(rand.NewPCG(1, 2))
+	s := newSource("a")
+	u := expectUpdate(t, s, fulmarleaderrpc.Versions{}, true)
+	known := u.Owners["board"]
+	for version := range 500 {
+		latest := randomOwners(random)
+		s.setOwners(latest)
+		if version%3 > 0 {
+			continue
+		}
+		u = expectUpdate(t, s, u.Versions, true)
+		g.Expect(u.Complete).To(BeFalse())
+		known = known.Apply(u.Owners["board"])
+		g.Expect(known).To(Equal(latest))
+	}
+}
+
+// expectHeld expects a source to hold less than most bytes more after some changes.
+func expectHeld(t *testing.T, s source, most int64, change func(version int)) {
+	t.Helper()
 	expectUpdate(t, s, fulmarleaderrpc.Versions{}, true)
 	held := func() int64 {
 		var m runtime.MemStats
@@ -62,12 +95,33 @@
 	}
 	before := held()
 	for version := range 40 {
-		s.setCatalog(largeCatalog(3000, version))
+		change(version)
 	}
-	g.Expect(held() - before).To(BeNumerically("<", budget))
+	NewWithT(t).Expect(held()-before).To(BeNumerically("<", most), "bytes")
 	runtime.KeepAlive(s)
 }
 
+// Guards against past states that are kept whole: those of 3,000 targets took a third of the memory of a daemon.
+func TestMemoryOfPastVersions(t *testing.T) {
+	const mostTargets = 9 << 20 // a tenth of what the busiest daemon of a fleet may take
+	const mostOwners = 1 << 20  // eight whole states
+	t.Run("targets", func(t *testing.T) {
+		s := newSource()
+		s.setCatalog(largeCatalog(3000, 0))
+		expectHeld(t, s, mostTargets, func(version int) { s.setCatalog(largeCatalog(3000, version)) })
+	})
+	t.Run("owners", func(t *testing.T) {
+		s := newSource()
+		expectHeld(t, s, mostOwners, func(version int) {
+			var spans fulmarview.Spans
+			for i := range 3000 {
+				spans = append(spans, fulmarview.Span{From: 20 * i, To: 20*i + 19, Target: "t", Ready: (i+version)%40 > 0})
+			}
+			s.setOwners(spans)
+		})
+	})
+}
+
 // BenchmarkPublication measures a changed state of 3,000 targets and the answer to a daemon that has the former one.
 func BenchmarkPublication(b *testing.B) {
 	s := newSource()
--- a/internal/fulmarview/spans.go
+++ b/internal/fulmarview/spans.go
@@ -47,6 +47,14 @@
 	return append(s, next)
 }
 
+// Between appends the parts of s from one key to another to dst.
+func (s Spans) Between(dst Spans, from, to int) Spans {
+	for i := sort.Search(len(s), func(i int) bool { return s[i].To >= from }); i < len(s) && s[i].From <= to; i++ {
+		dst = dst.Append(s[i].between(max(s[i].From, from), min(s[i].To, to)))
+	}
+	return dst
+}
+
 // Diff returns the parts of s that old routes differently, so that old.Apply(s.Diff(old)) equals s.
 func (s Spans) Diff(old Spans) Spans {
 	var out Spans
