Send no grants to a data centre that answers none

After the loss of a data centre the leader learned of each target by itself that it does not answer, from the next renewal of its grant. Each such renewal extends the time for which the target may hold its keys, as it may have arrived.

What is left is the longest wait for the answer to a renewal and a grant of 2.95 s.

--- a/internal/fulmarfollower/lossofdc_test.go
+++ b/internal/fulmarfollower/lossofdc_test.go
@@ -85,12 +85,13 @@
 	return len(v.Owners["board"]) > 0
 }
 
-// The keys of a lost target have another owner when the last grant that it may hold has lapsed: one that was sent up to a renewal
-// interval after the loss, and not answered for half a second. Of a lost leader nobody knows whether it has extended its grants.
+// The keys of a lost target have another owner when the last grant that it may hold has lapsed: one that was sent before
+// the loss was noticed, and not answered for half a second. Of a lost leader nobody knows whether it has extended its grants.
 const (
 	renewalOfLargeFleet = 1500 * time.Millisecond // 2,004 ranges, half of 0.8 of a core
 	grantOfLargeFleet   = renewalOfLargeFleet + 1450*time.Millisecond
-	lapseBound          = renewalOfLargeFleet + 500*time.Millisecond + grantOfLargeFleet*103/100
+	silenceBound        = 600 * time.Millisecond // no renewals are sent to a data centre that has not answered for so long
+	lapseBound          = silenceBound + 500*time.Millisecond + grantOfLargeFleet*103/100
 	inheritedBound      = 10 * time.Second * 103 / 100
 	electionBound       = 2 * time.Second
 	handoverBound       = time.Second // plan, write and grant
--- a/internal/fulmarleader/plan.go
+++ b/internal/fulmarleader/plan.go
@@ -130,7 +130,7 @@
 		if failures.LastUnsent {
 			limit = unreachableTimeout
 		}
-		reachable := failures.Elapsed < limit || failures.Count < minFailedOrders
+		reachable := (failures.Elapsed < limit || failures.Count < minFailedOrders) && !t.silence.IsLost(now, target.DC)
 		if s.reachable[incarnation] != reachable {
 			s.reachable[incarnation] = reachable
 			t.deps.Log.Info("reachability of target changed", "target", incarnation.ID, "reachable", reachable, "failures", failures.Count, "since", failures.Elapsed, "unsent", failures.LastUnsent)
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -26,6 +26,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrate"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrecovery"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrelay"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarsilence"
 )
 
 // Timing of the leader's duties.
@@ -128,6 +129,7 @@
 	nextRelayChoice  time.Time            // relays are not chosen anew before then
 	publishRequested chan struct{}        // holds a value while there are changes to publish
 	permits          *fulmarpermit.Dispenser
+	silence          *fulmarsilence.Board
 	coldTargets      map[string]int                   // by service: number of cold targets that was logged last
 	hotKeyRates      atomic.Pointer[fulmarrate.Table] // by target: the permits a second for its only key; read without mu
 	permitsUntil     atomic.Pointer[time.Time]        // validUntil; it is read without mu, which a publication may hold for long
@@ -148,7 +150,7 @@
 	t := &Term{
 		deps: d, reader: reader, lease: acquired, validUntil: acquired.validUntil, lastRenewal: d.Now(), snapshot: s,
 		services: make(map[string]*keyedService), workers: make(map[fulmarrange.Incarnation]*worker),
-		fleet: newFleet(), beganAt: d.Now(), formerDaemons: d.Views.Get().Daemons, recentTargets: fulmarretention.New(d.Now(), targetRetention), permits: fulmarpermit.New(), coldTargets: make(map[string]int),
+		fleet: newFleet(), beganAt: d.Now(), formerDaemons: d.Views.Get().Daemons, recentTargets: fulmarretention.New(d.Now(), targetRetention), permits: fulmarpermit.New(), coldTargets: make(map[string]int), silence: fulmarsilence.New(),
 		publishRequested: make(chan struct{}, 1), served: make(map[string]time.Time), recovery: recovery{Past: p},
 	}
 	t.keepRelays(d.Views.Get().Relays)
--- a/internal/fulmarleader/worker.go
+++ b/internal/fulmarleader/worker.go
@@ -145,8 +145,12 @@
 	if !now.Before(t.validUntil) || t.lease.era.HasEnded() {
 		return o, 0, retryInterval, false
 	}
-	book := t.services[w.target.Service].orders
+	book, silent := t.services[w.target.Service].orders, t.silence.IsSilent(now, w.target.DC)
 	o, wait, ok = book.Next(now, w.target.Incarnation())
+	if ok && silent && !t.silence.MayProbe(now, w.target.DC) {
+		// A grant that is not sent does not delay the next owner of the keys.
+		return o, 0, silentCheckInterval, false
+	}
 	if ok {
 		entry = book.BeginSend(o)
 		t.duties.orders++
@@ -175,6 +179,7 @@
 		t.deps.Metrics.Count("order.answer_uncertain")
 	}
 	book := t.services[w.target.Service].orders
+	t.recordOutcome(began, now, w.target.DC, err)
 	changed := book.EndSend(now, o, entry, reply, err)
 	if err != nil || changed || o.AfterGrants {
 		t.deps.Log.Info("order to target completed or failed", "kind", o.Kind.String(), "target", o.Incarnation.ID, "from", o.From, "to", o.To,
