--- a/internal/fulmarfollower/largefleet_test.go
+++ b/internal/fulmarfollower/largefleet_test.go
@@ -94,6 +94,8 @@
 
 	forwardedScansFail atomic.Bool            // scans of the store through other daemons get no answer
 	lostDC             atomic.Pointer[string] // the data centre without power
+	lostOrders         atomic.Int64           // orders to its targets
+	longestGrant       atomic.Int64           // longest duration of a grant
 }
 
 // simulatedDaemon is a daemon of a largeFleet.
