Leave evacuated targets out of the leader's choices

Cause: the leader chose among all targets that don't leave, so that requests to a service with evacuated targets were placed there and then once more by the daemon, which doesn't follow such a choice.

Change: evacuated targets are no candidates, as in the choice of a daemon.

--- a/internal/fulmarchooser/chooser.go
+++ b/internal/fulmarchooser/chooser.go
@@ -275,7 +275,7 @@
 	return func(yield func(fulmarbalancer.Candidate) bool) {
 		clock := c.deps.Clock()
 		for _, t := range c.deps.Views.Get().Catalog.Service(service) {
-			if notice := c.deps.Notices.Get(t.Incarnation()); t.Leaving || notice.IsLeaving() {
+			if notice := c.deps.Notices.Get(t.Incarnation()); t.Leaving || t.Evacuated || notice.IsLeaving() {
 				continue
 			}
 			_, limited := c.deps.Limits.Rate(t.ID)
--- a/internal/fulmarchooser/chooser_test.go
+++ b/internal/fulmarchooser/chooser_test.go
@@ -47,6 +47,8 @@
 			{ID: "x", Born: 1, Service: "s", Slots: 3, DC: "a"},
 			{ID: "y", Born: 1, Service: "s", Slots: 3, DC: "a"},
 			{ID: "gone", Born: 1, Service: "s", Slots: 3, DC: "a", Leaving: true},
+			{ID: "evacuated", Born: 1, Service: "s", Slots: 3, DC: "a", Evacuated: true},
+
 			{ID: "z", Born: 1, Service: "plain", Slots: 3, DC: "a"},
 		})
 	})
@@ -113,7 +115,7 @@
 		return target
 	}
 
-	// Guards against daemons that don't know of each other's requests, and against targets that leave.
+	// Guards against daemons that don't know of each other's requests, and against targets that leave or are evacuated.
 	run("spreads the requests of all daemons", func(g Gomega, f *fleet) {
 		got := map[string]int{}
 		for range 2 {
