Test that targets that join under load get keys with requests

TestTargetsAddedLater has no load. In a plan for 164 targets with 1,500 requests a second, a target that joins gets at least half of its share at once.

--- a/pkg/fulmarassign/join_test.go
+++ b/pkg/fulmarassign/join_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -51,3 +52,41 @@
 		})
 	}
 }
+
+// Guards against a target that joins under load and gets no keys, or keys without requests, in the first plan. It is to have about its
+// share of the load.
+func TestTargetJoinsUnderLoad(t *testing.T) {
+	const perSecond, n = 1500, 164
+	for name, busyShare := range map[string]float64{"even load": 0, "a third on 200 adjacent keys": 0.35} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			random := rand.New(rand.NewPCG(1, 2))
+			now := time.Unix(1000, 0)
+			rates := fulmarassign.NewRates(now)
+			step := func() {
+				now = now.Add(200 * time.Millisecond)
+				rates.Advance(now)
+				for range perSecond / 5 {
+					key := random.IntN(fulmarrange.MaxKey + 1)
+					if random.Float64() < busyShare {
+						key = 4000 + random.IntN(200)
+					}
+					rates.Add(key, 1)
+				}
+			}
+			targets := make([]fulmarassign.Target, n+1)
+			for i := range targets {
+				targets[i] = fulmarassign.Target{Incarnation: fulmarrange.Incarnation{ID: fmt.Sprint(i), Born: 1}, Slots: 3, ServiceTime: 0.15}
+			}
+			table := fulmarrange.New()
+			for range 40 {
+				step()
+				table = withoutPriorClaims(fulmarassign.Plan(table, targets[:n], rates, fulmarassign.DefaultPolicy))
+			}
+			step()
+			table = fulmarassign.Plan(table, targets, rates, fulmarassign.DefaultPolicy)
+			rate := fulmarassign.OwnerRates(table, rates, fulmarassign.DefaultPolicy)[targets[n].Incarnation]
+			g.Expect(rate).To(BeNumerically(">=", perSecond/(n+1)/2), "requests a second")
+		})
+	}
+}
--- a/pkg/fulmarcatalog/evacuation_test.go
+++ b/pkg/fulmarcatalog/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -75,4 +76,23 @@
 		_, evacuated := evacuatedFor(after, end)
 		Expect(evacuated).To(BeFalse())
 	})
+
+	// Guards against a daemon of the former build that rejects the list of targets, and against one that takes it for one with
+	// evacuations.
+	It("is left out for daemons of the former build", func() {
+		type formerTarget struct {
+			ID string `cbor:"id"`
+			DC string `cbor:"dc"`
+		}
+		b, err := cbor.Marshal(fulmarcatalog.Target{ID: "a", DC: "dc", Evacuated: true, EvacuatedFor: time.Second})
+		Expect(err).NotTo(HaveOccurred())
+		var former formerTarget
+		Expect(cbor.Unmarshal(b, &former)).To(Succeed())
+		Expect(former).To(Equal(formerTarget{"a", "dc"}))
+		b, err = cbor.Marshal(former)
+		Expect(err).NotTo(HaveOccurred())
+		var t fulmarcatalog.Target
+		Expect(cbor.Unmarshal(b, &t)).To(Succeed())
+		Expect(t.Evacuated).To(BeFalse())
+	})
 })
