--- a/internal/fulmarleader/cold.go
+++ b/internal/fulmarleader/cold.go
@@ -15,6 +15,9 @@
 // one that has some only what outweighs the cost of the moves. There is no memory as for limits: coldness ends at a known time and does
 // not come back with the load.
 func (t *Term) withColdness(now time.Time, listed fulmarcatalog.Target, target fulmarassign.Target) fulmarassign.Target {
+	if t.snapshot.Routes == nil {
+		return target
+	}
 	service, _ := t.snapshot.Routes.Service(listed.Service)
 	rate, cold := t.deps.Coldness.RateOf(listed, service, now)
 	if !cold {
