Bound what callers may have held without refusing them for what need not be

Cause, found in review: bytes that were held for another send counted against the whole part of a caller, so that 13 uploads of one address had each further body of it refused, however short; so did answers that their callers had not read. A body of unknown length reserved 64 KiB until its request was answered. Without a stated memory, long bodies were held without a bound. A send that was reading retained bytes when they were dropped would have skipped some (not reachable: it always ended before).

Change: optional bytes take half of a caller's part, which is half of the budget; answers count for no caller; bodies up to 4 KiB are always read; the reservation for a body of unknown length is cut to its length; nothing optional is held without a bound; dropping retained bytes revokes a reader behind them; bodies are released once their request has its answer.

--- a/internal/fulmarbody/body.go
+++ b/internal/fulmarbody/body.go
@@ -161,6 +161,9 @@
 // forgetLocked is Forget for a caller that holds mu.
 func (b *Body) forgetLocked() {
 	b.lost = true
+	if b.reader != nil && b.reader.read < b.retained {
+		b.reader = nil // it would go on behind the bytes that are no longer retained
+	}
 	if b.memory != nil {
 		b.memory.Release(int64(len(b.chunks) * chunkSize))
 	}
--- a/internal/fulmarbody/retain_test.go
+++ b/internal/fulmarbody/retain_test.go
@@ -128,6 +128,23 @@
 		g.Expect(err).To(MatchError(fulmarbody.ErrConsumed))
 	})
 
+	// Guards against a hole in the body of a send that was reading what another one had read before.
+	t.Run("forgotten while it is read again", func(t *testing.T) {
+		g := NewWithT(t)
+		b := read(g, &boundedMemory{left: 1 << 20})
+		first, err := b.Open()
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadFull(first, make([]byte, len(text)-10))
+		g.Expect(err).NotTo(HaveOccurred())
+		second, err := b.Open()
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadFull(second, make([]byte, fulmarbody.PrefixLimit+1000))
+		g.Expect(err).NotTo(HaveOccurred())
+		b.Forget()
+		_, err = io.ReadAll(second)
+		g.Expect(err).To(MatchError(fulmarbody.ErrRevoked))
+	})
+
 	// Guards against a hole when a send is replaced while it waits for bytes of the caller.
 	t.Run("read that is under way when the next send begins", func(t *testing.T) {
 		g := NewWithT(t)
--- a/internal/fulmarhttpserver/conn.go
+++ b/internal/fulmarhttpserver/conn.go
@@ -227,6 +227,7 @@
 	}
 	payload.Retain(retention{c})
 	r.Payload = payload
+	c.trimReservation(r)
 	return nil
 }
 
@@ -278,10 +279,11 @@
 	}
 	defer context.AfterFunc(c.server.requests, func() { cancel(ErrInterrupted) })()
 	a := c.server.handler.Serve(ctx, r)
+	r.Payload.Forget() // nothing of it is sent any more
 	if a != nil && len(a.Body) > 0 {
 		n := int64(len(a.Body))
-		c.server.memory.Add(c.caller, n)
-		defer c.server.memory.Release(c.caller, n)
+		c.server.memory.Add(n)
+		defer c.server.memory.Add(-n)
 	}
 	<-previous
 	c.writeAnswer(r.Request, number, a)
--- a/internal/fulmarhttpserver/message.go
+++ b/internal/fulmarhttpserver/message.go
@@ -18,7 +18,8 @@
 	ReceivedAt    time.Time // time when the head was complete
 	RemoteAddress string
 
-	held int64 // bytes of the body for which memory is reserved, without those that Payload retains
+	held  int64 // bytes of the body for which memory is reserved, without those that Payload retains
+	short int64 // bytes of a short body, which are counted without a reservation
 }
 
 // Answer is the answer to a request. If Status is zero, the connection ends with a reset in its place.
--- a/internal/fulmarhttpserver/server.go
+++ b/internal/fulmarhttpserver/server.go
@@ -25,8 +25,8 @@
 	Reserve(caller string, n int64) bool
 	// ReserveOptional is Reserve for bytes that the server can do without.
 	ReserveOptional(caller string, n int64) bool
-	// Add counts n bytes that are held for a caller already.
-	Add(caller string, n int64)
+	// Add counts n bytes that are held already; n is negative for those that are no longer held.
+	Add(n int64)
 	// Release ends the count of n bytes of a caller.
 	Release(caller string, n int64)
 }
--- a/pkg/fulmarreserve/budget.go
+++ b/pkg/fulmarreserve/budget.go
@@ -3,10 +3,10 @@
 import "sync"
 
 const (
-	// holderDivisor is the part of the budget that one holder may have. Four callers with the largest requests can be served at
-	// once, and a single one leaves most of the room to others.
-	holderDivisor = 4
-	// optionalDivisor is the part of the budget that optional reservations may fill, so that they never cause a refusal.
+	// holderDivisor is the part of the budget that one holder may have, which leaves as much to the others.
+	holderDivisor = 2
+	// optionalDivisor is the part of the budget, and of that of one holder, that optional reservations may fill, so that they never
+	// cause a refusal by themselves.
 	optionalDivisor = 2
 )
 
@@ -19,32 +19,35 @@
 	holders map[string]int64 // bytes by holder, without those that hold none
 }
 
-// New returns a budget of total bytes, which admits any number if total is zero.
+// New returns a budget of total bytes. If total is zero, it admits any number of bytes that must be held, and none that need not be.
 func New(total int64) *Budget { return &Budget{total: total, holders: make(map[string]int64)} }
 
 // Reserve reserves n bytes for a holder and reports whether there was room.
-func (b *Budget) Reserve(holder string, n int64) bool { return b.reserve(holder, n, b.total) }
+func (b *Budget) Reserve(holder string, n int64) bool {
+	return b.reserve(holder, n, b.total, b.total/holderDivisor)
+}
 
-// ReserveOptional is Reserve for bytes whose absence costs a holder little. It leaves half of the budget to others.
+// ReserveOptional is Reserve for bytes whose absence costs a holder little. It leaves half of the room to others, and half of that of
+// the holder to what the holder must have.
 func (b *Budget) ReserveOptional(holder string, n int64) bool {
-	return b.reserve(holder, n, b.total/optionalDivisor)
+	return b.total > 0 && b.reserve(holder, n, b.total/optionalDivisor, b.total/holderDivisor/optionalDivisor)
 }
 
-func (b *Budget) reserve(holder string, n, limit int64) bool {
+func (b *Budget) reserve(holder string, n, limit, holderLimit int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.total > 0 && (b.used+n > limit || b.holders[holder]+n > b.total/holderDivisor) {
+	if b.total > 0 && (b.used+n > limit || b.holders[holder]+n > holderLimit) {
 		return false
 	}
 	b.add(holder, n)
 	return true
 }
 
-// Add counts n bytes that are held for a holder already, with room or not.
-func (b *Budget) Add(holder string, n int64) {
+// Add counts n bytes that are held already, with room or not, for no holder; n is negative for those that are no longer held.
+func (b *Budget) Add(n int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.add(holder, n)
+	b.used += n
 }
 
 // Release ends the count of n bytes of a holder.
