Mend what a review of hedges, restores and the check of routes found

Cause and change, each found by reading: an answer that was ready waited while the loop of a hedged request checked whether another target had ended (up to 400 ms) or asked for a permit (up to 150 ms); such requests are checked by the lists of targets alone, and cold targets get no hedges. A hedge could begin after the caller had left or the answer had come. A retry was counted for a hedge that was not sent. The settings' statement of a first start counted for as long as the process ran: a daemon that reached the store only after a restore would have granted keys at once; it counts for 5 s. The check of routes passed over unknown kinds and services that are defined twice.

Tests: two cases of TestCheck; the others need an interleaving that no test brings about yet.

--- a/internal/fulmarfollower/follower_test.go
+++ b/internal/fulmarfollower/follower_test.go
@@ -189,7 +189,7 @@
 		eras = c.Eras()
 	}
 	d := fulmarfollower.New(fulmarleader.Deps{
-		Eras: eras, FirstStart: true,
+		Eras: eras, FirstStartBefore: time.Now().Add(time.Hour),
 		ID: id, Address: id, Store: store, Registry: registry, Orders: orders, Views: views,
 		MaxGrantDuration: 10 * time.Second, MinLease: f.minLease, CPUShare: cpuShare, Metrics: noMetrics{}, Notices: fulmarnotice.New(), Crashes: fulmarcrash.New(), Log: slog.New(slog.DiscardHandler), Now: time.Now, Limits: limits, StoreForwarded: forwarded, EvacuationTime: evacuationTime,
 		Coldness: fulmarcoldness.New(fulmarwarmup.Rule{Over: 1.5, Slack: 8}, views, time.Now),
--- a/internal/fulmarfollower/largefleet_test.go
+++ b/internal/fulmarfollower/largefleet_test.go
@@ -375,7 +375,7 @@
 	}, func() []string { return d.views.Get().Contacts }, func() []string { return d.views.Get().Peers(m.id) }, eras, log)
 	deps := fulmarleader.Deps{
 		ID: m.id, Address: m.id, DC: m.dc, Store: d.store, Registry: registry, Orders: targetLinks{f, m}, Views: d.views,
-		MaxGrantDuration: 10 * time.Second, CPUShare: m.cpuShare, Metrics: noMetrics{}, Notices: d.notices, Crashes: d.crashes, Log: log, Now: time.Now, Limits: fulmarlimit.New(), StoreForwarded: d.store.Forwarding, EvacuationTime: evacuationTime, Eras: eras, FirstStart: true,
+		MaxGrantDuration: 10 * time.Second, CPUShare: m.cpuShare, Metrics: noMetrics{}, Notices: d.notices, Crashes: d.crashes, Log: log, Now: time.Now, Limits: fulmarlimit.New(), StoreForwarded: d.store.Forwarding, EvacuationTime: evacuationTime, Eras: eras, FirstStartBefore: time.Now().Add(time.Hour),
 	}
 	d.Follower = fulmarfollower.New(deps, noLoad{}, func(ctx context.Context, address string) (fulmarfollower.Leader, error) {
 		to, err := f.connect(ctx, m, address)
--- a/internal/fulmarforwarder/crash.go
+++ b/internal/fulmarforwarder/crash.go
@@ -98,7 +98,8 @@
 		return
 	}
 	s := unansweredSend{x.work(), t.Incarnation(), d.Clock()}
-	if ctx.Err() != nil || !d.Pool.Refuses(ctx, t.Address) {
+	// A hedged request is not kept waiting for the check: the answer of its other target may have come.
+	if x.hedged != "" || ctx.Err() != nil || !d.Pool.Refuses(ctx, t.Address) {
 		x.forwarder.unanswered.add(s)
 		return
 	}
--- a/internal/fulmarforwarder/hedge.go
+++ b/internal/fulmarforwarder/hedge.go
@@ -52,6 +52,9 @@
 		select {
 		case <-late:
 			late = nil
+			if len(done) > 0 || ctx.Err() != nil {
+				continue // the answer has come, or the caller has left, in the meantime
+			}
 			if s := x.newHedge(ctx); s != nil {
 				x.startSending(ctx, s, done)
 				pending = append(pending, s)
@@ -134,28 +137,40 @@
 		d.Metrics.Count("hedge.withheld_" + string(v))
 		return nil
 	}
-	firstTarget, reason := x.target, ""
+	firstTarget := x.target
+	s, reason := x.prepareHedge(ctx, now)
+	if s == nil {
+		x.target = firstTarget
+		d.Hedger.Return()
+		d.Metrics.Count("hedge.withheld_" + reason)
+		return nil
+	}
+	x.hedged = hedgeLost
+	d.Metrics.Count("hedge.sent")
+	return s
+}
+
+// prepareHedge is newHedge for a late request whose hedge the operator's limit permits. Without a send, it returns the reason.
+func (x *exchange) prepareHedge(ctx context.Context, now time.Time) (s *sending, reason string) {
+	d := &x.forwarder.deps
 	t, ok := x.chooseHedge(ctx)
 	if !ok {
-		reason = withheldTarget
-	} else if !d.RetryBudget.AllowRetry(now, x.service.Name, x.view.Daemons) {
+		return nil, withheldTarget
+	}
+	body, err := x.request.Payload.Open()
+	if err != nil {
 		d.Balancer.Release(t.ID)
-		reason = withheldBudget
-	}
-	if reason == "" {
-		if body, err := x.request.Payload.Open(); err == nil {
-			if s, ok := x.newSending(t, body); ok {
-				x.hedged = hedgeLost
-				d.Metrics.Count("hedge.sent")
-				return s
-			}
-		}
-		reason = string(fulmarhedge.TooLate)
+		return nil, string(fulmarhedge.TooLate)
+	}
+	if !d.RetryBudget.AllowRetry(now, x.service.Name, x.view.Daemons) {
+		body.Close()
+		d.Balancer.Release(t.ID)
+		return nil, withheldBudget
+	}
+	if s, ok = x.newSending(t, body); !ok {
+		return nil, string(fulmarhedge.TooLate)
 	}
-	x.target = firstTarget
-	d.Hedger.Return()
-	d.Metrics.Count("hedge.withheld_" + reason)
-	return nil
+	return s, ""
 }
 
 // chooseHedge returns a target with a free slot for the second send of a late request, and counts the request as in flight there.
@@ -173,8 +188,9 @@
 	if !ok {
 		return t, false
 	}
+	// A request for a permit would let an answer wait that comes meanwhile, and take the permit of another one.
 	_, limited := d.Limits.Rate(t.ID)
-	if limited || t.IsWarmingUp(d.Clock()) || !d.Balancer.HasFreeSlot(d.Now(), fulmarbalancer.Candidate{ID: t.ID, Slots: t.Slots}) {
+	if limited || t.IsWarmingUp(d.Clock()) || x.isCold(t, d.Clock()) || !d.Balancer.HasFreeSlot(d.Now(), fulmarbalancer.Candidate{ID: t.ID, Slots: t.Slots}) {
 		d.Balancer.Release(t.ID)
 		return t, false
 	}
--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -28,7 +28,6 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarlink"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarmetric"
-	"github.com/fulmarbend/fulmarbend/internal/fulmarretention"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarsnapshot"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarallowance"
@@ -72,6 +71,9 @@
 	// over a weak link.
 	evacuationMargin = time.Second
 
+	// firstStartTime is the time within which a daemon reaches the store at the first start of the fleet.
+	firstStartTime = 5 * time.Second
+
 	memoryLimitDivisor = 4 // the heap may grow to memory/4 before the collector runs harder
 	gcPercent          = 200
 )
@@ -152,7 +154,10 @@
 	}
 	leaderDeps := fulmarleader.Deps{
 		ID: s.ID, Address: s.Listen.Peers, DC: s.DC, Store: f.forwardedStore, Registry: registry, EvacuationTime: f.evacuationTime,
-		Orders: p.NewOrders(f.orderPool), Views: f.views, MaxGrantDuration: s.MaxGrant, MinLease: s.MinLease, CPUShare: s.CPUShare, Metrics: metrics, Log: log, Now: fulmarclock.Now, Limits: f.targetLimits, Coldness: f.coldness, Notices: f.notices, Crashes: f.crashes, StoreForwarded: f.forwardedStore.Forwarding, Eras: f.eras, FirstStart: s.FirstStart,
+		Orders: p.NewOrders(f.orderPool), Views: f.views, MaxGrantDuration: s.MaxGrant, MinLease: s.MinLease, CPUShare: s.CPUShare, Metrics: metrics, Log: log, Now: fulmarclock.Now, Limits: f.targetLimits, Coldness: f.coldness, Notices: f.notices, Crashes: f.crashes, StoreForwarded: f.forwardedStore.Forwarding, Eras: f.eras,
+	}
+	if s.FirstStart {
+		leaderDeps.FirstStartBefore = fulmarclock.Now().Add(firstStartTime)
 	}
 	f.follower = fulmarfollower.New(leaderDeps, loads, func(ctx context.Context, address string) (fulmarfollower.Leader, error) {
 		return fulmarleaderrpc.Dial(ctx, address)
@@ -315,39 +320,6 @@
 	return began.Add(interruptAfter(f.currentSettings.Load().GracePeriod))
 }
 
-// sweep regularly closes expired idle connections and drops the data of targets that left the catalog.
-func (f *Daemon) sweep(ctx context.Context) {
-	recent := fulmarretention.New(time.Now(), targetRetention)
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case now := <-ticker.C:
-			f.requestPool.CloseExpired(now)
-			f.crashes.Expire(fulmarclock.Now())
-			v := f.views.Get()
-			if v.Routes != nil {
-				f.hedger.Retain(v.Routes.Names())
-			}
-			c := v.Catalog
-			if c != nil {
-				f.forwarder.RecordEndedTargets(c)
-				f.evacuations.Update()
-			}
-			if c != nil && recent.Advance(now, c) {
-				f.balancer.Retain(recent.Has)
-				f.placer.Retain(recent.Has)
-				f.targetLimits.Retain(recent.Has)
-				f.coldness.Retain(recent.Has)
-				f.notices.Retain(recent.Has)
-				f.gate.Retain(recent.Has)
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // unreadyReason returns why the daemon is not ready for callers, or an empty string.
 func (f *Daemon) unreadyReason() string {
 	select {
--- a/internal/fulmarleader/restore.go
+++ b/internal/fulmarleader/restore.go
@@ -74,7 +74,7 @@
 func (t *Term) chooseBasis(now time.Time, s *fulmarsnapshot.Snapshot) {
 	r, era, writer := &t.recovery, t.lease.era, s.TablesWriter.Term
 	r.chosen, r.writers, r.mustWrite = true, []fulmarera.Revision{t.lease.revision, writer}, writer.Era() != era.Era
-	start := fulmarrecovery.Start{Era: era, Writer: writer, Memory: r.Memory, Led: r.Led, LeaseTTL: t.deps.LeaseTTL(), MaxHold: t.timing().MaxHoldTime(), First: t.deps.FirstStart}
+	start := fulmarrecovery.Start{Era: era, Writer: writer, Memory: r.Memory, Led: r.Led, LeaseTTL: t.deps.LeaseTTL(), MaxHold: t.timing().MaxHoldTime(), First: era.Since.Before(t.deps.FirstStartBefore)}
 	switch r.basis, r.heldUntil = start.Choose(now); r.basis {
 	case fulmarrecovery.Remembered:
 		r.writers = append(r.writers, r.Memory.Writers...)
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -82,8 +82,10 @@
 	Crashes          *fulmarcrash.Board         // requests under which targets have ended
 	Publisher        *fulmarpublisher.Publisher // of Views; the follower that leads sets it
 	Eras             *fulmarera.Tracker         // of the store; nil for a store without eras
-	FirstStart       bool                       // the fleet starts for the first time
-	StoreForwarded   func() bool                // reports whether calls to the store are forwarded through other daemons
+	// FirstStartBefore is the time by which a daemon learns the era of its store at the first start of the fleet; zero if the fleet has
+	// started before. If a daemon reaches the store later, others may have granted keys in an era that it has not seen.
+	FirstStartBefore time.Time
+	StoreForwarded   func() bool // reports whether calls to the store are forwarded through other daemons
 	// FindGrantLapse returns the time at which all grants of an earlier term have lapsed; ok is false if no daemon
 	// knows it. It may ask the daemon at address, which led in that term.
 	FindGrantLapse func(ctx context.Context, term fulmarera.Revision, address string) (latest time.Time, ok bool)
--- a/pkg/fulmarroute/kind.go
+++ b/pkg/fulmarroute/kind.go
@@ -13,3 +13,16 @@
 
 // Repeatable reports whether a request may be executed again.
 func (k Kind) Repeatable() bool { return k == Idempotent || k == LargeAnswer }
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	switch k {
+	case AtMostOnce:
+		return "at most once"
+	case Idempotent:
+		return "idempotent"
+	case LargeAnswer:
+		return "idempotent with large answers"
+	}
+	return "unknown"
+}
--- a/pkg/fulmarroutecheck/check.go
+++ b/pkg/fulmarroutecheck/check.go
@@ -50,6 +50,9 @@
 		if i := strings.LastIndexByte(r.Host, ':'); i >= 0 && !strings.HasSuffix(r.Host, "]") {
 			f.add(fulmarfinding.Unreachable, entry, "host %q has a port, which is removed from the host of each request", r.Host)
 		}
+		if r.Kind == fulmarroute.UnknownKind {
+			f.add(fulmarfinding.Contradiction, entry, "its kind is not known, so that its requests are never repeated")
+		}
 		if strings.ContainsAny(r.Prefix, "?# \t\r\n") {
 			f.add(fulmarfinding.Unreachable, entry, "prefix %q has characters that no path of a request has", r.Prefix)
 		}
@@ -69,8 +72,13 @@
 			named[p.Service] = true
 		}
 	}
+	seen := make(map[string]bool, len(c.Services))
 	for _, s := range c.Services {
 		entry := "service " + s.Name
+		if seen[s.Name] {
+			f.add(fulmarfinding.Contradiction, entry, "it is defined twice; only the last definition counts")
+		}
+		seen[s.Name] = true
 		if !named[s.Name] {
 			f.add(fulmarfinding.Unreachable, entry, "no route names it")
 		}
--- a/pkg/fulmarroutecheck/check_test.go
+++ b/pkg/fulmarroutecheck/check_test.go
@@ -60,6 +60,10 @@
 		{"objective above the timeout", fulmarfinding.Contradiction, "route a", func(c *fulmarroute.Config) { c.Routes[0].LatencyObjective = time.Minute }},
 		{"no objective", fulmarfinding.Contradiction, "route a", func(c *fulmarroute.Config) { c.Routes[0].LatencyObjective = 0 }},
 		{"negative priority", fulmarfinding.Contradiction, "route a", func(c *fulmarroute.Config) { c.Routes[0].Priority = -1 }},
+		{"unknown kind", fulmarfinding.Contradiction, "route a", func(c *fulmarroute.Config) { c.Routes[0].Kind = fulmarroute.UnknownKind }},
+		{"service defined twice", fulmarfinding.Contradiction, "service t", func(c *fulmarroute.Config) {
+			c.Services = append(c.Services, fulmarroute.Service{Name: "t"})
+		}},
 		{"slow keys without keys", fulmarfinding.Contradiction, "service t", func(c *fulmarroute.Config) { c.Services[1].WarmupTime = time.Second }},
 		{"rate of cold targets without coldness", fulmarfinding.Contradiction, "service s", func(c *fulmarroute.Config) { c.Services[0].ColdRate = 5 }},
 		{"head that may take longer than a connection", fulmarfinding.Contradiction, "limits", func(c *fulmarroute.Config) { c.Limits.HeaderTimeout = time.Minute }},
--- a/pkg/fulmarroutecheck/diff.go
+++ b/pkg/fulmarroutecheck/diff.go
@@ -25,7 +25,7 @@
 		for _, p := range r.Parts {
 			parts = append(parts, fmt.Sprintf("%s %g", p.Service, p.Weight))
 		}
-		out[routeEntry(r)] = fmt.Sprintf("%s%s to %s, kind %d, timeout %v, objective %v, priority %d, attempts %d",
+		out[routeEntry(r)] = fmt.Sprintf("%s%s to %s, kind %v, timeout %v, objective %v, priority %d, attempts %d",
 			r.Host, r.Prefix, strings.Join(parts, " + "), r.Kind, r.Timeout, r.LatencyObjective, r.Priority, r.Attempts)
 	}
 	return out
