Test late first starts and hedges to cold targets

Change: TestStoreReachedAfterFirstStart plays a daemon that reaches a store of a later era 6 s after its start; with the statement of a first start counted without an end, as before, its case 'too late' fails. TestNoHedge has the case of a target that stated its coldness in an answer; it fails without the check of isCold.

--- a/internal/fulmarfollower/follower_test.go
+++ b/internal/fulmarfollower/follower_test.go
@@ -1,6 +1,7 @@
 package fulmarfollower_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -113,6 +114,8 @@
 
 	minLease time.Duration                // shortest lease that the store grants, zero for none
 	loads    fulmarfollower.LoadCollector // of all daemons; nil for no load
+
+	firstStartTime time.Duration // within which daemons reach the store at the first start; zero for an hour
 }
 
 // inProcessLeader passes the reports of a daemon to a Follower in the same process.
@@ -189,7 +192,7 @@
 		eras = c.Eras()
 	}
 	d := fulmarfollower.New(fulmarleader.Deps{
-		Eras: eras, FirstStartBefore: time.Now().Add(time.Hour),
+		Eras: eras, FirstStartBefore: time.Now().Add(cmp.Or(f.firstStartTime, time.Hour)),
 		ID: id, Address: id, Store: store, Registry: registry, Orders: orders, Views: views,
 		MaxGrantDuration: 10 * time.Second, MinLease: f.minLease, CPUShare: cpuShare, Metrics: noMetrics{}, Notices: fulmarnotice.New(), Crashes: fulmarcrash.New(), Log: slog.New(slog.DiscardHandler), Now: time.Now, Limits: limits, StoreForwarded: forwarded, EvacuationTime: evacuationTime,
 		Coldness: fulmarcoldness.New(fulmarwarmup.Rule{Over: 1.5, Slack: 8}, views, time.Now),
--- a/internal/fulmarfollower/restore_test.go
+++ b/internal/fulmarfollower/restore_test.go
@@ -293,3 +293,36 @@
 		})
 	}
 }
+
+// Guards against a daemon that reaches a restored store long after its start and takes the missing tables for those of a first start:
+// it would grant keys at once that others may hold until their grants run out.
+func TestStoreReachedAfterFirstStart(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		away    time.Duration // until the store answers
+		granted bool          // 3 s later
+	}{
+		{"in time", time.Second, true},
+		{"too late", 6 * time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			simulate(t, func(ctx context.Context, _ *testing.T, g *WithT, store *fulmarmemory.Store) {
+				store.SetEra(4)
+				client := fulmarmemory.NewClient(store).WithEras(fulmarera.New(noEvents{}, time.Now))
+				client.SetFault(fulmarmemory.Rejected)
+				f := &fleet{firstStartTime: 5 * time.Second}
+				views := f.start(ctx, "a", client)
+				hasOwner := func() bool {
+					span, ok := views.Get().Owners["board"].Find(0)
+					return ok && span.Ready
+				}
+				time.Sleep(c.away)
+				client.SetFault(fulmarmemory.NoFault)
+				time.Sleep(3 * time.Second)
+				g.Expect(hasOwner()).To(Equal(c.granted))
+				time.Sleep(20 * time.Second) // the grants of others run out within 10 s
+				g.Expect(hasOwner()).To(BeTrue())
+			})
+		})
+	}
+}
--- a/internal/fulmarforwarder/hedge_test.go
+++ b/internal/fulmarforwarder/hedge_test.go
@@ -9,10 +9,14 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarcoldness"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarforwarder"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarallowance"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarhedge"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarwarmup"
 )
 
 // counts counts events by name.
@@ -153,6 +157,23 @@
 		f.deps.Limits.Record(fulmarlimit.Statement{Target: "owner", Limited: true, Rate: 5, ReceivedAt: time.Now()})
 		expectNoHedge(t, f, c, "/k/1", x)
 	})
+	// Guards against an answer that waits for the permit of a second send, and against a permit that a hedge takes from another request.
+	t.Run("cold target", func(t *testing.T) {
+		x := newTarget(t, "x", noAnswer)
+		f, c := hedging(t, true, x)
+		f.views.Update(func(v *fulmarview.View) {
+			config := v.Routes.Config()
+			config.Version++
+			config.Services = []fulmarroute.Service{{Name: "free"}, {Name: "keyed", Keyed: true, ColdRate: 5.4}}
+			v.Routes, _ = fulmarroute.New(config)
+		})
+		f.deps.Coldness = fulmarcoldness.New(fulmarwarmup.Rule{Over: 1.5, Slack: 8}, f.views, time.Now)
+		owner, _ := f.views.Get().Catalog.Target("owner") // by its entry, it is warm
+		f.deps.Coldness.Record(owner.Incarnation(), time.Now(), time.Minute)
+		f.forwarder = fulmarforwarder.New(f.deps)
+		expectNoHedge(t, f, c, "/k/1", x)
+		NewWithT(t).Expect(c.of("hedge.withheld_target")).To(Equal(1))
+	})
 	t.Run("retry limit of the fleet", func(t *testing.T) {
 		x := newTarget(t, "x", noAnswer)
 		f, c := hedging(t, true, x)
