--- a/internal/fulmaradmission/gate.go
+++ b/internal/fulmaradmission/gate.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarbatch"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
@@ -148,7 +149,7 @@
 	for {
 		select {
 		case first := <-g.pending:
-			g.ask(ctx, g.collect(first))
+			g.ask(ctx, fulmarbatch.Collect(first, g.pending))
 		case <-ctx.Done():
 			return
 		}
@@ -158,19 +159,6 @@
 	}
 }
 
-// collect returns all requests that wait now.
-func (g *Gate) collect(first pending) []pending {
-	list := []pending{first}
-	for {
-		select {
-		case p := <-g.pending:
-			list = append(list, p)
-		default:
-			return list
-		}
-	}
-}
-
 // ask asks the leader for permits and hands them out.
 func (g *Gate) ask(ctx context.Context, list []pending) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/fulmarchooser/chooser.go
+++ b/internal/fulmarchooser/chooser.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarbatch"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarclock"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarleaderrpc"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
@@ -136,7 +137,7 @@
 		var list []pending
 		select {
 		case p := <-c.pending:
-			list = c.collect(p)
+			list = fulmarbatch.Collect(p, c.pending)
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
@@ -148,19 +149,6 @@
 	}
 }
 
-// collect returns all requests that wait now.
-func (c *Chooser) collect(first pending) []pending {
-	list := []pending{first}
-	for {
-		select {
-		case p := <-c.pending:
-			list = append(list, p)
-		default:
-			return list
-		}
-	}
-}
-
 // exchange states what has changed at the targets, and hands out the targets that the leader chooses.
 func (c *Chooser) exchange(ctx context.Context, list []pending) {
 	c.followLeader()
--- a/internal/fulmarcoldness/coldness.go
+++ b/internal/fulmarcoldness/coldness.go
@@ -32,12 +32,12 @@
 	return max(t.AsOf(now).WarmupLeft, c.said.Left(t.Incarnation(), now))
 }
 
-// taken returns the rate that a target takes as it is cold at now; ok is false if it is not or takes any rate.
-func (c *Coldness) taken(t fulmarcatalog.Target, service fulmarroute.Service, now time.Time) (rate float64, ok bool) {
-	return service.ColdRate, service.ColdRate > 0 && c.Left(t, now) > 0
+// IsCold reports whether a target of the service is cold at now and takes only the service's ColdRate meanwhile.
+func (c *Coldness) IsCold(t fulmarcatalog.Target, service fulmarroute.Service, now time.Time) bool {
+	return service.ColdRate > 0 && c.Left(t, now) > 0
 }
 
-// takenBy is taken for the target with the given id in the view.
+// takenBy returns the rate that the target with the given id in the view takes as it is cold; ok is false if it takes any rate.
 func (c *Coldness) takenBy(id string) (rate float64, ok bool) {
 	if c == nil {
 		return 0, false
@@ -51,7 +51,7 @@
 		return 0, false
 	}
 	service, _ := view.Routes.Service(t.Service)
-	return c.taken(t, service, c.now())
+	return service.ColdRate, c.IsCold(t, service, c.now())
 }
 
 // Rate implements fulmarrate.Source: it returns the rate of permits.
@@ -65,11 +65,10 @@
 
 // RateOf is Rate for a target that need not be in the view.
 func (c *Coldness) RateOf(t fulmarcatalog.Target, service fulmarroute.Service, now time.Time) (perSecond float64, limited bool) {
-	rate, cold := c.taken(t, service, now)
-	if !cold {
+	if !c.IsCold(t, service, now) {
 		return 0, false
 	}
-	return c.rule.PermitRate(rate), true
+	return c.rule.PermitRate(service.ColdRate), true
 }
 
 // turns is the source of the rates that daemons without a leader divide into turns.
--- a/internal/fulmarevacuationmonitor/monitor.go
+++ b/internal/fulmarevacuationmonitor/monitor.go
@@ -63,7 +63,7 @@
 	}
 	now := m.now()
 	out := make(map[string]Status)
-	for _, t := range view.Catalog.Targets() {
+	for t := range view.Catalog.All() {
 		if !t.Evacuated {
 			continue
 		}
--- a/internal/fulmarforwarder/limit.go
+++ b/internal/fulmarforwarder/limit.go
@@ -109,7 +109,7 @@
 
 // isCold reports whether the target is cold and takes only some requests a second.
 func (x *exchange) isCold(t fulmarcatalog.Target, clock time.Time) bool {
-	return x.service.ColdRate > 0 && x.forwarder.deps.Coldness.Left(t, clock) > 0
+	return x.forwarder.deps.Coldness.IsCold(t, x.service, clock)
 }
 
 // recordRefusal records that a target does not admit the request, and after which time it may admit others.
--- a/internal/fulmarleader/cold.go
+++ b/internal/fulmarleader/cold.go
@@ -40,7 +40,7 @@
 		}
 		cold := 0
 		for _, target := range t.snapshot.Catalog.Service(service.Name) {
-			if t.deps.Coldness.Left(target, now) > 0 {
+			if t.deps.Coldness.IsCold(target, service, now) {
 				cold++
 			}
 		}
--- a/pkg/fulmarbalancer/balancer.go
+++ b/pkg/fulmarbalancer/balancer.go
@@ -108,9 +108,14 @@
 	return best
 }
 
+// recency returns the weight of the last load report at now, 1 for a new one.
+func (t *target) recency(now time.Time) float64 {
+	return math.Exp(-now.Sub(t.loadAt).Seconds() / loadDecay.Seconds())
+}
+
 // expectedSeconds returns the expected response time of a new request in seconds, with all penalties.
 func (t *target) expectedSeconds(now time.Time, c Candidate) float64 {
-	recency := math.Exp(-now.Sub(t.loadAt).Seconds() / loadDecay.Seconds())
+	recency := t.recency(now)
 	others := t.othersLoad * recency
 	pending := float64(t.inFlight) + others
 	slots := float64(max(c.Slots, 1))
--- a/pkg/fulmarcatalog/catalog.go
+++ b/pkg/fulmarcatalog/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -102,6 +103,9 @@
 	return out
 }
 
+// All iterates over the targets in no particular order.
+func (c *Catalog) All() iter.Seq[Target] { return maps.Values(c.targets) }
+
 // AsOf returns the target with its times advanced to now.
 func (t Target) AsOf(now time.Time) Target {
 	passed := max(now.Sub(t.SeenAt), 0)
