--- a/internal/fulmarfollower/restore_test.go
+++ b/internal/fulmarfollower/restore_test.go
@@ -224,19 +224,6 @@
 			f.expect(8*time.Second, goal)
 		})
 	})
-	t.Run("store away for half a second", func(t *testing.T) {
-		restoreAfterMove(t, func(f *restoreFleet, copied fulmarmemory.Copy) {
-			for _, c := range f.clients {
-				c.SetFault(fulmarmemory.Rejected)
-			}
-			time.Sleep(500 * time.Millisecond)
-			f.store.Restore(copied)
-			for _, c := range f.clients {
-				c.SetFault(fulmarmemory.NoFault)
-			}
-			f.expect(8*time.Second, goal)
-		})
-	})
 	// Without the former leader's memory, keys wait until the grants have lapsed that it may have sent: 10 s and its lease.
 	const held = 13 * time.Second
 	t.Run("leader lost", func(t *testing.T) {
@@ -254,19 +241,27 @@
 			f.expect(20*time.Second, held)
 		})
 	})
-	t.Run("store away for two seconds", func(t *testing.T) {
-		restoreAfterMove(t, func(f *restoreFleet, copied fulmarmemory.Copy) {
-			for _, c := range f.clients {
-				c.SetFault(fulmarmemory.Rejected)
-			}
-			time.Sleep(2 * time.Second)
-			f.store.Restore(copied)
-			for _, c := range f.clients {
-				c.SetFault(fulmarmemory.NoFault)
-			}
-			f.expect(20*time.Second, held)
+	for _, c := range []struct {
+		name                string
+		away, wait, unowned time.Duration
+	}{
+		{"store away for half a second", 500 * time.Millisecond, 8 * time.Second, goal},
+		{"store away for two seconds", 2 * time.Second, 20 * time.Second, held},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			restoreAfterMove(t, func(f *restoreFleet, copied fulmarmemory.Copy) {
+				for _, client := range f.clients {
+					client.SetFault(fulmarmemory.Rejected)
+				}
+				time.Sleep(c.away)
+				f.store.Restore(copied)
+				for _, client := range f.clients {
+					client.SetFault(fulmarmemory.NoFault)
+				}
+				f.expect(c.wait, c.unowned)
+			})
 		})
-	})
+	}
 }
 
 // Guards against changes that come too late after a restore, as all daemons turn to the store or get complete states at once.
--- a/internal/fulmarforwarder/evacuation_test.go
+++ b/internal/fulmarforwarder/evacuation_test.go
@@ -49,17 +49,22 @@
 		}
 		g.Expect(sends(a)).To(BeZero())
 	})
-	t.Run("without a key, no other target", func(t *testing.T) {
-		g := NewWithT(t)
-		a := newTarget(t, "a")
-		f := start(t, false, a)
-		f.evacuate(t, 500*time.Millisecond, "a")
-		status, _ := f.serveAt(t, "/f/")
-		g.Expect(status).To(Equal(http.StatusOK))
-		f.later(500 * time.Millisecond)
-		f.expectRefusedAtOnce(t, "/f/")
-		g.Expect(sends(a)).To(Equal(1))
-	})
+	for _, c := range []struct{ name, path, target string }{
+		{"without a key, no other target", "/f/", "a"},
+		{"with a key, until the evacuation time has passed", "/k/", "owner"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			a := newTarget(t, "a")
+			f := start(t, false, a)
+			f.evacuate(t, 500*time.Millisecond, c.target)
+			status, _ := f.serveAt(t, c.path)
+			g.Expect(status).To(Equal(http.StatusOK))
+			f.later(500 * time.Millisecond)
+			f.expectRefusedAtOnce(t, c.path)
+			g.Expect(sends(a)).To(Equal(1))
+		})
+	}
 	t.Run("without a key, the other target fails", func(t *testing.T) {
 		g := NewWithT(t)
 		a, b := newTarget(t, "a"), newTarget(t, "b", closeConnection)
@@ -69,17 +74,6 @@
 		g.Expect(status).To(Equal(http.StatusBadGateway))
 		g.Expect(sends(a)).To(BeZero())
 	})
-	t.Run("with a key, until the evacuation time has passed", func(t *testing.T) {
-		g := NewWithT(t)
-		a := newTarget(t, "a")
-		f := start(t, false, a)
-		f.evacuate(t, 500*time.Millisecond, "owner")
-		status, _ := f.serveAt(t, "/k/")
-		g.Expect(status).To(Equal(http.StatusOK))
-		f.later(500 * time.Millisecond)
-		f.expectRefusedAtOnce(t, "/k/")
-		g.Expect(sends(a)).To(Equal(1))
-	})
 	t.Run("with a key, the leader moves it", func(t *testing.T) {
 		g := NewWithT(t)
 		a := newTarget(t, "a")
--- a/internal/fulmarhttpserver/benchmark_test.go
+++ b/internal/fulmarhttpserver/benchmark_test.go
@@ -36,6 +36,25 @@
 	return float64(m.HeapInuse + m.StackInuse)
 }
 
+// serveCallers starts a server with the memory of total bytes for bodies, and returns it with its address. stop waits for its end.
+func serveCallers(b *testing.B, h fulmarhttpserver.Handler, l fulmarhttpserver.Limits, total int64) (s *fulmarhttpserver.Server, address string, stop func()) {
+	b.Helper()
+	s = fulmarhttpserver.New(h, func() fulmarhttpserver.Limits { return l }, fulmarreserve.New(total), slog.New(slog.DiscardHandler))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(b.Context())
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ctx, listener) }()
+	return s, listener.Addr().String(), func() {
+		cancel()
+		if err := <-served; err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // BenchmarkConnection measures the memory of a connection that waits for a request, and of one with a request in flight. The
 // callers' ends, which are in the same process, count as well.
 func BenchmarkConnection(b *testing.B) {
@@ -48,18 +67,12 @@
 		b.Run(c.name, func(b *testing.B) {
 			for b.Loop() {
 				h := make(waitingHandler)
-				s := fulmarhttpserver.New(h, func() fulmarhttpserver.Limits { return limits }, fulmarreserve.New(0), slog.New(slog.DiscardHandler))
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
-				if err != nil {
-					b.Fatal(err)
-				}
-				ctx, cancel := context.WithCancel(b.Context())
-				served := make(chan error, 1)
-				go func() { served <- s.Serve(ctx, listener) }()
+				s, address, stop := serveCallers(b, h, limits, 0)
 				before := memoryInUse()
 				callers := make([]net.Conn, connections)
 				for i := range callers {
-					if callers[i], err = net.Dial("tcp", listener.Addr().String()); err == nil {
+					var err error
+					if callers[i], err = net.Dial("tcp", address); err == nil {
 						_, err = io.WriteString(callers[i], c.text)
 					}
 					if err != nil {
@@ -74,10 +87,7 @@
 				for _, conn := range callers {
 					conn.Close()
 				}
-				cancel()
-				if err := <-served; err != nil {
-					b.Fatal(err)
-				}
+				stop()
 			}
 		})
 	}
@@ -94,19 +104,12 @@
 			body := make([]byte, size)
 			for b.Loop() {
 				h := make(waitingHandler)
-				s := fulmarhttpserver.New(h, func() fulmarhttpserver.Limits { return large }, fulmarreserve.New(total), slog.New(slog.DiscardHandler))
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
-				if err != nil {
-					b.Fatal(err)
-				}
-				ctx, cancel := context.WithCancel(b.Context())
-				served := make(chan error, 1)
-				go func() { served <- s.Serve(ctx, listener) }()
+				_, address, stop := serveCallers(b, h, large, total)
 				before := memoryInUse()
 				for i := range uploads {
 					// Each caller has an address of its own.
 					d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, byte(1+i/200), byte(1+i%200))}}
-					c, err := d.DialContext(ctx, "tcp", listener.Addr().String())
+					c, err := d.DialContext(b.Context(), "tcp", address)
 					if err != nil {
 						b.Fatal(err)
 					}
@@ -114,16 +117,13 @@
 						defer c.Close()
 						_, _ = fmt.Fprintf(c, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)
 						_, _ = c.Write(body)
-						<-ctx.Done()
+						<-h
 					}()
 				}
 				time.Sleep(time.Second) // longer than the server takes to read what it holds
 				b.ReportMetric((memoryInUse()-before)/uploads, "B/upload")
 				close(h)
-				cancel()
-				if err := <-served; err != nil {
-					b.Fatal(err)
-				}
+				stop()
 			}
 		})
 	}
--- a/internal/fulmartransport/status_test.go
+++ b/internal/fulmartransport/status_test.go
@@ -1,10 +1,9 @@
 package fulmartransport_test
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -12,35 +11,19 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmartransport"
 )
 
-// rawServer answers each request with the text, until the test ends.
+// rawServer answers each connection with the text, until the test ends.
 func rawServer(t *testing.T, text string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for {
-					if _, err := http.ReadRequest(r); err != nil {
-						return
-					}
-					if _, err := io.WriteString(c, text); err != nil {
-						return
-					}
-				}
-			}()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
 		}
-	}()
-	return "http://" + l.Addr().String()
+		defer c.Close()
+		_, _ = io.WriteString(c, text)
+	}))
+	t.Cleanup(s.Close)
+	return s.URL
 }
 
 // Guards against an answer whose status is none, which was recorded and returned as that of the target. The request may have run.
