--- a/review/rig2/firstreport.go
+++ b/review/rig2/firstreport.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand"
 	"os"
-	"strings"
 	"sync"
 	"time"
 )
@@ -122,11 +121,7 @@
 	}
 	crashes := r.crashed()
 	for _, d := range r.daemons {
-		text, _ := os.ReadFile(d.log)
-		if i := strings.Index(string(text), "\npanic: "); i >= 0 {
-			lines := strings.Split(string(text)[i+1:], "\n")
-			r.note("log of %s:\n    %s", d.name, strings.Join(lines[:min(len(lines), 18)], "\n    "))
-		}
+		r.notePanic(d)
 	}
 	r.note("processes that ended by themselves: %d", len(crashes))
 	for _, c := range crashes {
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -218,6 +219,18 @@
 	return append([]string{}, r.crashes...)
 }
 
+// notePanic copies the begin of a panic in the log of a daemon to the record.
+func (r *rig) notePanic(d *daemon) {
+	text, err := os.ReadFile(d.log)
+	if err != nil {
+		return
+	}
+	if i := strings.Index(string(text), "\npanic: "); i >= 0 {
+		lines := strings.Split(string(text)[i+1:], "\n")
+		r.note("log of %s:\n    %s", d.name, strings.Join(lines[:min(len(lines), 18)], "\n    "))
+	}
+}
+
 // restartCrashed starts the processes again that ended by themselves, after a short delay, as the platform does.
 func (r *rig) restartCrashed() {
 	for _, d := range r.daemons {
