--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-var cases = map[string]func(record string, trouble bool) int{"first-report": firstReport, "huge-limit": hugeLimitCase}
+var cases = map[string]func(record string, trouble bool) int{"first-report": firstReport, "huge-limit": hugeLimitCase, "kept-hold": keptHold}
 
 // timeLimit is the longest time that a case may run.
 const timeLimit = 118 * time.Second
--- a/review/rig2/upstream.go
+++ b/review/rig2/upstream.go
@@ -17,6 +17,7 @@
 	from, to int
 	fence    int64
 	until    time.Time
+	late     bool // the grant was carried out late
 }
 
 // upstream is a stand-in of one upstream.
@@ -41,6 +42,7 @@
 	releases  int
 	ended     chan struct{}
 	server    *http.Server
+	ignores   func(r *http.Request) bool // orders that get no answer in time
 	intercept func(u *upstream, w http.ResponseWriter, r *http.Request) bool
 }
 
@@ -77,6 +79,9 @@
 		w.WriteHeader(421)
 		return
 	}
+	if u.ignores != nil && u.ignores(r) {
+		u.carryOutLate(r, 2500*time.Millisecond)
+	}
 	switch r.URL.Path {
 	case "/fulmarbend/grant":
 		u.grant(w, r)
@@ -122,10 +127,52 @@
 	for k := o.From; k <= o.Target; k++ {
 		u.fences[k] = o.Fence
 	}
-	u.holds = append(without(u.holds, o.From, o.Target), hold{o.From, o.Target, o.Fence, arrived.Add(time.Duration(o.HoldMs) * time.Millisecond)})
+	u.apply(o, arrived, false)
+}
+
+// apply takes the keys of a grant for its time. The time of an earlier grant is not shortened: only a release takes keys away. mu is held.
+func (u *upstream) apply(o order, arrived time.Time, late bool) {
+	var kept []hold
+	for _, h := range u.holds {
+		if h.until.After(time.Now()) {
+			kept = append(kept, h)
+		}
+	}
+	u.holds = append(kept, hold{o.From, o.Target, o.Fence, arrived.Add(time.Duration(o.HoldMs) * time.Millisecond), late})
 	u.rig.granted(u, o, arrived)
 }
 
+// carryOutLate leaves an order unanswered and carries it out after a delay; a grant's time counts from its arrival.
+func (u *upstream) carryOutLate(r *http.Request, delay time.Duration) {
+	arrived := time.Now()
+	var o order
+	if json.NewDecoder(r.Body).Decode(&o) == nil {
+		isGrant := r.URL.Path == "/fulmarbend/grant"
+		time.AfterFunc(delay, func() {
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			if !isGrant {
+				u.holds = without(u.holds, o.From, o.Target)
+				return
+			}
+			for k := o.From; k <= o.Target; k++ {
+				if u.fences[k] > o.Fence {
+					return
+				}
+			}
+			for k := o.From; k <= o.Target; k++ {
+				u.fences[k] = o.Fence
+			}
+			u.apply(o, arrived, true)
+		})
+	}
+	select {
+	case <-r.Context().Done():
+	case <-time.After(delay):
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func without(list []hold, from, to int) []hold {
 	var out []hold
 	for _, h := range list {
