--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -52,6 +52,7 @@
 	onGrant  func(u *upstream, o order, at time.Time)
 	version  int
 	bounds   map[string]any
+	reserved net.Listener // keeps other rigs off the addresses
 }
 
 // live are the processes of all daemons that have not been waited for.
@@ -90,10 +91,8 @@
 	}
 	for i := range 200 {
 		r.net = fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 1+i)
-		l, err := net.Listen("tcp", r.net+".250:8541")
-		if err == nil {
-			l.Close()
-			break
+		if r.reserved, err = net.Listen("tcp", r.net+".250:8541"); err == nil {
+			break // nobody else uses these addresses while it is open
 		}
 	}
 	return r, nil
@@ -370,4 +369,7 @@
 		os.RemoveAll(r.dir)
 	}
 	r.record.Close()
+	if r.reserved != nil {
+		r.reserved.Close()
+	}
 }
