Keep grants of another connection that may be under way

Callers: none seen. Found by reading, on the path of the last fault: two targets could hold a key.

Cause: Ledger.Answered let any answered grant replace the answered ones within its range that expire no later. Both answers may be copies of earlier ones. If the later grant was never handled, as its connection was closed behind the answer to a grant before it, the earlier one, on a lost connection, could be applied after the keys had been released and granted to another target.

Change: a grant replaces those that are not applied later, and those of its own connection, which the target handles in their order. Others with lower fences are superseded by it, and settled by a repeated release or a certain answer.

Test that failed before: TestScheduler, 'keeps grants under way behind an announced close'.

--- a/pkg/fulmarledger/ledger.go
+++ b/pkg/fulmarledger/ledger.go
@@ -68,9 +68,10 @@
 }
 
 // Answered records that the target has answered the grant, as known at now, and whether it has certainly applied it. The grant
-// replaces answered grants within its range that expire no later. The target refuses grants in its range with lower fences from then
-// on, or, if the grant isn't certain, from AllHandled. It may have applied them before, and then holds their keys until they expire:
-// no grant ends an earlier one.
+// replaces those within its range that expire no later, unless they may be applied after it: the target handles the grants of a
+// connection in their order, but those of another connection at any time. The target refuses grants in its range with lower fences
+// from then on, or, if the grant isn't certain, from AllHandled. It may have applied them before, and then holds their keys until
+// they expire: no grant ends an earlier one.
 func (l *Ledger) Answered(now time.Time, target string, id GrantID, connection int64, certain bool) {
 	list := l.entries[target]
 	i := indexOf(list, id)
@@ -83,7 +84,7 @@
 	var kept []entry
 	for _, old := range list {
 		switch {
-		case old.id == id || (old.answered || old.certain) && old.endsWith(e):
+		case old.id == id || old.endsWith(e) && (old.certain || old.answered && old.connection == connection):
 		case old.pending() && old.fence < e.fence && !old.settledBy(connection):
 			kept = appendOutside(kept, old, e.from, e.to)
 			if from, to := max(old.from, e.from), min(old.to, e.to); from <= to {
--- a/pkg/fulmarorder/scheduler_test.go
+++ b/pkg/fulmarorder/scheduler_test.go
@@ -121,6 +121,32 @@
 		h.expectNoOrder(incarnationB)
 	})
 
+	// Guards against a second owner of the keys: the last answers of two connections may be copies of earlier ones, so that the grant of
+	// the first connection is under way, and the one of the second, which would have made the target refuse it, was not handled.
+	t.Run("keeps grants under way behind an announced close", func(t *testing.T) {
+		h := newHarness(t, fulmarrange.New())
+		two := fulmarrange.New().WithOwner(0, 99, incarnationA).WithOwner(100, 200, incarnationA)
+		h.Commit(two)
+		for _, r := range [][2]int{{0, 99}, {100, 200}} {
+			h.expectOrder(incarnationA, fulmarorder.Grant, r[0], r[1], "", nil)
+		}
+		underWay := h.now.Add(modelGrantTTL)
+		h.now = h.now.Add(modelTiming.RenewInterval)
+		h.expectOrder(incarnationA, fulmarorder.Grant, 0, 99, "", fulmarorder.ErrUnanswered)
+		h.Commit(two.WithRenewedFence(0, 99).WithRenewedFence(100, 200))
+		h.now = h.now.Add(2 * modelTiming.RetryInterval)
+		h.expectOrder(incarnationA, fulmarorder.Grant, 0, 99, "", nil)
+		h.closing = true
+		h.expectOrder(incarnationA, fulmarorder.Grant, 100, 200, "", nil)
+		h.Commit(h.Table().WithOwner(100, 200, incarnationB))
+		h.expectOrder(incarnationA, fulmarorder.Release, 100, 200, "", nil)
+		h.expectNoOrder(incarnationB)
+		h.now = underWay
+		h.expectNoOrder(incarnationB)
+		h.now = underWay.Add(modelGrantTTL / 20)
+		h.expectOrder(incarnationB, fulmarorder.Grant, 100, 200, "", nil)
+	})
+
 	// The target has handled all grants of the connection, but may have applied one to keys that it had released before.
 	t.Run("repeats the release of each range", func(t *testing.T) {
 		h := newHarness(t, fulmarrange.New())
