Tests of what a leader's schedulers start from after a restore

Change: TestFencesAfterRestore and TestTargetLostAfterRestore, with daemons, leases and elections: a target is lost after a restore, and its keys go to another one. No product code changes.

--- a/internal/fulmarfollower/restore_test.go
+++ b/internal/fulmarfollower/restore_test.go
@@ -287,6 +287,36 @@
 	}
 }
 
+// replaceTarget lets a target be lost and another one start.
+func (f *restoreFleet) replaceTarget(lost, next string) {
+	f.Helper()
+	f.cut(lost)
+	f.store.Remove("targets/" + lost)
+	f.store.Set("targets/"+next, encode(f.T, target(next, false)))
+}
+
+// Guards against a leader that gives fences out again which the stored tables do not name: the next owner of the keys of a lost target
+// got a fence that this one had.
+func TestFencesAfterRestore(t *testing.T) {
+	restoreAfterMove(t, func(f *restoreFleet, copied fulmarmemory.Copy) {
+		f.clients["a"].SetFault(fulmarmemory.NoResponse)
+		f.store.Restore(copied)
+		f.stopLead()
+		f.replaceTarget("y", "z")
+		f.expect(40*time.Second, 13*time.Second) // 10 s and the lease of the former leader
+	})
+}
+
+// Guards against a leader that waits 10 s for grants of its former term, of which it remembers that they lapse within 2 s.
+func TestTargetLostAfterRestore(t *testing.T) {
+	restoreAfterMove(t, func(f *restoreFleet, copied fulmarmemory.Copy) {
+		f.store.Restore(copied)
+		time.Sleep(100 * time.Millisecond)
+		f.replaceTarget("y", "z")
+		f.expect(20*time.Second, limits["gives the lease up"])
+	})
+}
+
 // Guards against changes that come too late after a restore, as all daemons turn to the store or get complete states at once.
 func TestLargeFleetRestored(t *testing.T) {
 	for _, n := range []int{30, 295} {
