A nil catalogue has no targets

Callers: in a fleet of more than 32 daemons, a daemon that had just been started was elected and ended with a panic when another one reported its load, 20 ms to 1.3 s later; keys without an owner waited for the next election.

Cause: a nil Catalog stands for targets that are not known yet. RecordReport, recordLeaving and fulmarchooser's candidates are reached by calls of other daemons in that time.

Change: all methods take a nil Catalog for an empty one.

--- a/internal/fulmarchooser/chooser_test.go
+++ b/internal/fulmarchooser/chooser_test.go
@@ -103,6 +103,18 @@
 	change(f)
 }
 
+// Guards against a panic of a daemon that leads before it knows any targets, when another one asks it to choose.
+func TestPlaceBeforeFirstView(t *testing.T) {
+	g := NewWithT(t)
+	c := fulmarchooser.New(fulmarchooser.Deps{
+		ID: "a", Views: fulmarview.New(), Placer: fulmarplacement.New(rand.NewPCG(1, 2)), Leader: func() (string, bool) { return "a", true },
+		Now: time.Now, Clock: time.Now,
+	})
+	answer, err := c.Place(t.Context(), &fulmarleaderrpc.PlacementRequest{Daemon: "b", Services: []string{"s"}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.Targets).To(Equal([]string{""}))
+}
+
 func TestChooser(t *testing.T) {
 	run := func(name string, test func(g Gomega, f *fleet)) {
 		t.Run(name, func(t *testing.T) {
--- a/internal/fulmarfollower/largefleet_test.go
+++ b/internal/fulmarfollower/largefleet_test.go
@@ -364,6 +364,14 @@
 	return f
 }
 
+// steadyLoad is a LoadCollector with a request of each of some targets in every report, also of daemons that know no targets yet: callers
+// keep connections over a change of leader.
+type steadyLoad struct{}
+
+func (steadyLoad) Collect() (map[string][]fulmarleaderrpc.KeyCount, []fulmarleaderrpc.TargetLoad) {
+	return nil, []fulmarleaderrpc.TargetLoad{{Target: "t1", Answered: 1, ResponseTime: 20 * time.Millisecond}, {Target: "t2", Answered: 1, ResponseTime: 20 * time.Millisecond}}
+}
+
 // start starts a daemon on a machine, or starts it again.
 func (f *largeFleet) start(ctx context.Context, m *machine) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -377,7 +385,7 @@
 		ID: m.id, Address: m.id, DC: m.dc, Store: d.store, Registry: registry, Orders: targetLinks{f, m}, Views: d.views,
 		MaxGrantDuration: 10 * time.Second, CPUShare: m.cpuShare, Metrics: noMetrics{}, Notices: d.notices, Crashes: d.crashes, Log: log, Now: time.Now, Limits: fulmarlimit.New(), StoreForwarded: d.store.Forwarding, EvacuationTime: evacuationTime, Eras: eras, FirstStartBefore: time.Now().Add(time.Hour),
 	}
-	d.Follower = fulmarfollower.New(deps, noLoad{}, func(ctx context.Context, address string) (fulmarfollower.Leader, error) {
+	d.Follower = fulmarfollower.New(deps, steadyLoad{}, func(ctx context.Context, address string) (fulmarfollower.Leader, error) {
 		to, err := f.connect(ctx, m, address)
 		return simulatedLink{fleet: f, from: d, to: to}, err
 	})
--- a/pkg/fulmarcatalog/catalog.go
+++ b/pkg/fulmarcatalog/catalog.go
@@ -62,7 +62,7 @@
 	return a == b
 }
 
-// Catalog is an immutable set of targets.
+// Catalog is an immutable set of targets. A nil Catalog has none: it stands for targets that are not known yet.
 type Catalog struct {
 	targets  map[string]Target
 	services map[string][]Target // by service, sorted by id
@@ -85,26 +85,39 @@
 	return c
 }
 
+// byID returns the targets by id; the caller must not modify them.
+func (c *Catalog) byID() map[string]Target {
+	if c == nil {
+		return nil
+	}
+	return c.targets
+}
+
 // Target returns the target with the given id.
 func (c *Catalog) Target(id string) (Target, bool) {
-	t, ok := c.targets[id]
+	t, ok := c.byID()[id]
 	return t, ok
 }
 
 // Service returns the targets of a service sorted by id; the caller must not modify them.
-func (c *Catalog) Service(name string) []Target { return c.services[name] }
+func (c *Catalog) Service(name string) []Target {
+	if c == nil {
+		return nil
+	}
+	return c.services[name]
+}
 
 // Targets returns all targets in no particular order.
 func (c *Catalog) Targets() []Target {
-	out := make([]Target, 0, len(c.targets))
-	for _, t := range c.targets {
+	out := make([]Target, 0, len(c.byID()))
+	for _, t := range c.byID() {
 		out = append(out, t)
 	}
 	return out
 }
 
 // All iterates over the targets in no particular order.
-func (c *Catalog) All() iter.Seq[Target] { return maps.Values(c.targets) }
+func (c *Catalog) All() iter.Seq[Target] { return maps.Values(c.byID()) }
 
 // AsOf returns the target with its times advanced to now.
 func (t Target) AsOf(now time.Time) Target {
@@ -121,15 +134,15 @@
 }
 
 // Len returns the number of targets.
-func (c *Catalog) Len() int { return len(c.targets) }
+func (c *Catalog) Len() int { return len(c.byID()) }
 
 // Equivalent reports whether both catalogues are equal for routing, which ignores the times of targets.
 func (c *Catalog) Equivalent(o *Catalog) bool {
-	if len(c.targets) != len(o.targets) {
+	if len(c.byID()) != len(o.byID()) {
 		return false
 	}
-	for id, t := range c.targets {
-		u, ok := o.targets[id]
+	for id, t := range c.byID() {
+		u, ok := o.byID()[id]
 		if !ok || !equivalent(t, u) {
 			return false
 		}
@@ -139,13 +152,13 @@
 
 // Diff returns the targets that are new or differ from those of old, and the ids that are no longer present.
 func (c *Catalog) Diff(old *Catalog) (changed []Target, gone []string) {
-	for id, t := range c.targets {
-		if u, ok := old.targets[id]; !ok || !equivalent(t, u) {
+	for id, t := range c.byID() {
+		if u, ok := old.byID()[id]; !ok || !equivalent(t, u) {
 			changed = append(changed, t)
 		}
 	}
-	for id := range old.targets {
-		if _, ok := c.targets[id]; !ok {
+	for id := range old.byID() {
+		if _, ok := c.byID()[id]; !ok {
 			gone = append(gone, id)
 		}
 	}
@@ -154,8 +167,8 @@
 
 // Joined returns the targets whose incarnations old does not have, in no particular order.
 func (c *Catalog) Joined(old *Catalog) (out []Target) {
-	for id, t := range c.targets {
-		if u, ok := old.targets[id]; !ok || u.Born != t.Born {
+	for id, t := range c.byID() {
+		if u, ok := old.byID()[id]; !ok || u.Born != t.Born {
 			out = append(out, t)
 		}
 	}
@@ -168,7 +181,7 @@
 func (c *Catalog) WithLeaving(now, asOf time.Time, since map[fulmarrange.Incarnation]time.Time) *Catalog {
 	var changed []Target
 	for incarnation, at := range since {
-		t, ok := c.targets[incarnation.ID]
+		t, ok := c.byID()[incarnation.ID]
 		if !ok || t.Born != incarnation.Born || t.Leaving {
 			continue
 		}
@@ -184,7 +197,8 @@
 
 // With returns a catalog in which the changed targets are added or replaced and those with the ids gone are removed.
 func (c *Catalog) With(changed []Target, gone []string) *Catalog {
-	targets := maps.Clone(c.targets)
+	targets := make(map[string]Target, c.Len()+len(changed))
+	maps.Copy(targets, c.byID())
 	for _, id := range gone {
 		delete(targets, id)
 	}
--- a/pkg/fulmarcatalog/changes.go
+++ b/pkg/fulmarcatalog/changes.go
@@ -5,13 +5,13 @@
 	if c == old {
 		return nil
 	}
-	for id, t := range c.targets {
-		if u, ok := old.targets[id]; !ok || !equivalent(t, u) {
+	for id, t := range c.byID() {
+		if u, ok := old.byID()[id]; !ok || !equivalent(t, u) {
 			ids = append(ids, id)
 		}
 	}
-	for id := range old.targets {
-		if _, ok := c.targets[id]; !ok {
+	for id := range old.byID() {
+		if _, ok := c.byID()[id]; !ok {
 			ids = append(ids, id)
 		}
 	}
--- a/pkg/fulmarcatalog/evacuation.go
+++ b/pkg/fulmarcatalog/evacuation.go
@@ -23,7 +23,7 @@
 		return t
 	}
 	// A target that starts in an evacuated data centre is not in the former catalog, and gets no requests at all.
-	if old, ok := former.targets[t.ID]; ok && old.Born == t.Born {
+	if old, ok := former.byID()[t.ID]; ok && old.Born == t.Born {
 		t.EvacuatedFor = now.Sub(formerTime)
 		if old.Evacuated {
 			t.EvacuatedFor = old.EvacuatedFor + now.Sub(old.SeenAt)
@@ -35,7 +35,7 @@
 // withEvacuatedDCs returns the data centres, and those of which the catalog knows that they are evacuated.
 func (c *Catalog) withEvacuatedDCs(dcs map[string]bool) map[string]bool {
 	out := maps.Clone(dcs)
-	for _, t := range c.targets {
+	for _, t := range c.byID() {
 		if t.Evacuated && !out[t.DC] {
 			if out == nil {
 				out = make(map[string]bool, 1)
--- a/pkg/fulmarcatalog/read.go
+++ b/pkg/fulmarcatalog/read.go
@@ -34,7 +34,7 @@
 		list = append(list, t.withEvacuation(now, evacuated[t.DC], former, formerTime))
 	}
 	if afterOutage {
-		for id, t := range former.targets {
+		for id, t := range former.byID() {
 			if !present[id] && !t.Leaving {
 				list = append(list, t.AsOf(now).withEvacuation(now, evacuated[t.DC], former, formerTime))
 				retained++
@@ -52,7 +52,7 @@
 	if former == nil {
 		return unknownTime
 	}
-	old, ok := former.targets[t.ID]
+	old, ok := former.byID()[t.ID]
 	switch {
 	case !ok:
 		return unknownTime
--- a/pkg/fulmarcatalog/read_test.go
+++ b/pkg/fulmarcatalog/read_test.go
@@ -1,6 +1,7 @@
 package fulmarcatalog_test
 
 import (
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -33,6 +34,37 @@
 	return c
 }
 
+// Guards against panics of daemons that are asked for targets before they know any.
+var _ = Describe("nil Catalog", func() {
+	var unknown *fulmarcatalog.Catalog
+	known := fulmarcatalog.New([]fulmarcatalog.Target{target("a", false)})
+
+	It("has no targets", func() {
+		_, ok := unknown.Target("a")
+		Expect(ok).To(BeFalse())
+		Expect(unknown.Service("board")).To(BeEmpty())
+		Expect(unknown.Targets()).To(BeEmpty())
+		Expect(slices.Collect(unknown.All())).To(BeEmpty())
+		Expect(unknown.Len()).To(BeZero())
+	})
+
+	It("is compared as an empty one", func() {
+		Expect(unknown.Equivalent(fulmarcatalog.New(nil))).To(BeTrue())
+		Expect(known.Equivalent(unknown)).To(BeFalse())
+		changed, gone := known.Diff(unknown)
+		Expect(changed).To(HaveLen(1))
+		Expect(gone).To(BeEmpty())
+		Expect(known.Joined(unknown)).To(HaveLen(1))
+		Expect(unknown.ChangedIDs(known)).To(Equal([]string{"a"}))
+	})
+
+	It("is changed as an empty one", func() {
+		leaving := map[fulmarrange.Incarnation]time.Time{target("a", false).Incarnation(): start}
+		Expect(unknown.WithLeaving(start, start, leaving).Len()).To(BeZero())
+		expectIDs(unknown.With([]fulmarcatalog.Target{target("a", false)}, []string{"b"}), "a")
+	})
+})
+
 var _ = Describe("Read", func() {
 	var first *fulmarcatalog.Catalog
 	BeforeEach(func() {
