Turns bound nothing at limits that no daemon can reach

Callers: while a target stated a limit of 2^63 - 1 requests a second, the loss of the leader ended all other daemons within 0.2 s; 27 to 32 requests that had been passed on were cut.

Cause: without a leader a daemon divides a limit into turns. The period of a turn, in whole nanoseconds, rounds to zero from 2e9 requests a second for each daemon on, and Rotation.Take divides by it. From half of that on it is one nanosecond, whose first half is empty: every request was refused.

Change: a period of less than a microsecond admits every request, as no daemon sends a million requests a second. All daemons together stay below half of such a limit.

Tests that failed before: TestLimitThatBoundsNothing (refusals and a panic), TestHugeLimitWithoutLeader in fulmaradmission (panic).

--- a/internal/fulmaradmission/gate_test.go
+++ b/internal/fulmaradmission/gate_test.go
@@ -40,6 +40,26 @@
 // Count implements fulmaradmission.Metrics.
 func (*scriptedLeader) Count(string) {}
 
+// Guards against a panic of all daemons that lose their leader while a target states a limit that is none in effect.
+func TestHugeLimitWithoutLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		leader, limits := scriptedLeader{err: errors.New("no leader")}, fulmarlimit.New()
+		limits.Record(fulmarlimit.Statement{Target: "x", Limited: true, Rate: 1 << 63, ReceivedAt: time.Now()})
+		gate := fulmaradmission.New(fulmaradmission.Deps{
+			Limits: limits, Rates: limits, ColdRates: fulmarrate.Table{}, TurnRates: limits, Leader: &leader, Rotation: fulmarrotation.New("d"), Daemons: func() int { return 5 },
+			Metrics: &leader, Log: slog.New(slog.DiscardHandler), Now: time.Now,
+		})
+		go gate.Run(ctx)
+		for range 2 { // the second one uses that the leader does not answer
+			_, ok := gate.Admit(ctx, fulmarpermit.Request{Target: "x", MaxWait: 50 * time.Millisecond})
+			g.Expect(ok).To(BeTrue())
+		}
+	})
+}
+
 // Guards against requests for a hot key that are sent without a permit of the leader, and against ones that are refused because
 // there is no leader: only it knows what the target can do.
 func TestBoundedKey(t *testing.T) {
--- a/pkg/fulmarrotation/rotation.go
+++ b/pkg/fulmarrotation/rotation.go
@@ -15,6 +15,9 @@
 	maxTurn = 500 * time.Millisecond
 	// minRate is the least rate to which a limit is taken to amount, in requests per second; see fulmarpermit.
 	minRate = 0.25
+	// minPeriod is the least time between two turns of a daemon that bounds its requests: no daemon sends a million of them in a
+	// second. A target may state any limit, and the period of the highest ones rounds to zero.
+	minPeriod = time.Microsecond
 )
 
 // use is the latest turn at a target that a daemon has used.
@@ -37,6 +40,9 @@
 // daemons is the number of daemons that share the limit. Daemons have their turns at different times.
 func (r *Rotation) Take(now time.Time, target string, rate float64, daemons int) bool {
 	period := time.Duration(float64(time.Second) * float64(max(daemons, 1)) / (share * max(rate, minRate)))
+	if period < minPeriod {
+		return true
+	}
 	length := min(maxTurn, period/2)
 	phase := float64(xxhash.Sum64String(r.id+"\x00"+target)) / math.MaxUint64
 	since := now.UnixNano() + int64(phase*float64(period))
--- a/pkg/fulmarrotation/rotation_test.go
+++ b/pkg/fulmarrotation/rotation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -53,3 +54,31 @@
 	g.Expect(taken).To(BeNumerically("~", 10, 1), "a request every 10 s")
 	r.Retain(func(string) bool { return false })
 }
+
+// Guards against a panic, and against refusals, where targets state a limit that no daemon can reach: the period of its turns is too
+// short to be measured.
+func TestLimitThatBoundsNothing(t *testing.T) {
+	for _, rate := range []float64{4e7, 2e9, 4e9, 1 << 63, math.MaxFloat64} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			g := NewWithT(t)
+			r := fulmarrotation.New("d")
+			for i := range 100 {
+				g.Expect(r.Take(time.Unix(1000, int64(i)), "x", rate, 5)).To(BeTrue())
+			}
+		})
+	}
+}
+
+// Guards against daemons whose turns end beyond some limit that still binds them.
+func TestHighLimit(t *testing.T) {
+	g := NewWithT(t)
+	const rate, daemons = 1e6, 5
+	r := fulmarrotation.New("d")
+	taken := 0
+	for at := time.Duration(0); at < time.Second/10; at += time.Microsecond {
+		if r.Take(time.Unix(1000, 0).Add(at), "x", rate, daemons) {
+			taken++
+		}
+	}
+	g.Expect(taken).To(BeNumerically("<=", rate/2/daemons/10+1))
+}
