A release ends only grants that were certain when it began

Callers: none seen.

Cause: a target answers a release when its work on the keys has ended, up to 4 s later. Ledger.Released took the answer for the end of all certain grants of the keys. The keys may have been granted to the target again by then, over a new connection, whose first answer is certain; or a grant that was under way when the release arrived was applied after it, and an announced close of its connection made it certain before the answer came.

Change: releases have ids like grants, and each certain grant remembers the last order that had begun when it became certain. A release ends those that were certain when it began. If others were settled while the target worked, the release is repeated; none is repeated to a target that owns the keys again.

Tests that failed before: TestScheduler, 'keeps grants that follow a release which is answered late' and 'repeats a release during which a grant was settled'.

--- a/internal/fulmarleader/worker.go
+++ b/internal/fulmarleader/worker.go
@@ -138,7 +138,7 @@
 
 // nextOrder returns the order that is due now and marks it as being sent. If none is due, ok is false and wait is the
 // time until the next check.
-func (t *Term) nextOrder(w *worker) (o fulmarorder.Order, entry fulmarledger.GrantID, wait time.Duration, ok bool) {
+func (t *Term) nextOrder(w *worker) (o fulmarorder.Order, entry fulmarledger.OrderID, wait time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.deps.Now()
@@ -159,7 +159,7 @@
 }
 
 // sendOrder sends an order and records its outcome.
-func (t *Term) sendOrder(w *worker, o fulmarorder.Order, entry fulmarledger.GrantID) {
+func (t *Term) sendOrder(w *worker, o fulmarorder.Order, entry fulmarledger.OrderID) {
 	timeout := grantTimeout
 	if o.Kind == fulmarorder.Release && !o.AfterGrants {
 		timeout = releaseTimeout
--- a/pkg/fulmarledger/ledger.go
+++ b/pkg/fulmarledger/ledger.go
@@ -11,12 +11,12 @@
 // resetDelay covers the time between the reset of a connection and its effect on bytes already in transit.
 const resetDelay = 50 * time.Millisecond
 
-// GrantID identifies a grant in a ledger.
-type GrantID int64
+// OrderID identifies a grant or a release in a ledger. Later orders have greater ids.
+type OrderID int64
 
 // entry is a grant that may be in force.
 type entry struct {
-	id        GrantID
+	id        OrderID
 	from, to  int
 	fence     int64
 	ttl       time.Duration
@@ -27,7 +27,8 @@
 	// certain means that the target does not apply the grant later: it has applied it, or never will. Otherwise the grant may still be
 	// under way, as it was not answered, or its answer may be the copy of an earlier one of its connection.
 	certain    bool
-	connection int64 // on which the answer was received
+	settledAt  OrderID // the last order that had begun when the grant became certain
+	connection int64   // on which the answer was received
 	// supersededBy is a connection on which a grant of all these keys with a greater fence was answered, but not for certain, or
 	// zero. The target refuses this grant from then on if it has applied that one.
 	supersededBy int64
@@ -41,6 +42,9 @@
 	return e.from >= other.from && e.to <= other.to && !e.expires.After(other.expires)
 }
 
+// settle records that the target does not apply the grant later, as known when the order at was the last one that had begun.
+func (e *entry) settle(at OrderID) { e.certain, e.supersededBy, e.settledAt = true, 0, at }
+
 // settledBy reports whether the grant has been decided once the target has handled all grants of the connection.
 func (e entry) settledBy(connection int64) bool {
 	return connection != 0 && (e.answered && e.connection == connection || e.supersededBy == connection)
@@ -48,7 +52,7 @@
 
 // Ledger holds the grants that may be in force; it is not safe for concurrent use.
 type Ledger struct {
-	lastID  GrantID
+	lastID  OrderID
 	entries map[string][]entry
 }
 
@@ -61,18 +65,24 @@
 }
 
 // Begin records that a grant of a range of keys is about to be sent. Both bounds are inclusive.
-func (l *Ledger) Begin(target string, from, to int, fence int64, ttl time.Duration) GrantID {
+func (l *Ledger) Begin(target string, from, to int, fence int64, ttl time.Duration) OrderID {
 	l.lastID++
 	l.entries[target] = append(l.entries[target], entry{id: l.lastID, from: from, to: to, fence: fence, ttl: ttl, inFlight: true})
 	return l.lastID
 }
 
+// BeginRelease records that a release is about to be sent.
+func (l *Ledger) BeginRelease() OrderID {
+	l.lastID++
+	return l.lastID
+}
+
 // Answered records that the target has answered the grant, as known at now, and whether it has certainly applied it. The grant
 // replaces those within its range that expire no later, unless they may be applied after it: the target handles the grants of a
 // connection in their order, but those of another connection at any time. The target refuses grants in its range with lower fences
 // from then on, or, if the grant isn't certain, from AllHandled. It may have applied them before, and then holds their keys until
 // they expire: no grant ends an earlier one.
-func (l *Ledger) Answered(now time.Time, target string, id GrantID, connection int64, certain bool) {
+func (l *Ledger) Answered(now time.Time, target string, id OrderID, connection int64, certain bool) {
 	list := l.entries[target]
 	i := indexOf(list, id)
 	if i < 0 {
@@ -80,7 +90,7 @@
 	}
 	e := list[i]
 	e.inFlight, e.answered, e.expires = false, true, latestExpiry(now, e.ttl)
-	e.connection, e.certain = connection, certain
+	e.connection, e.certain, e.settledAt = connection, certain, l.lastID
 	var kept []entry
 	for _, old := range list {
 		switch {
@@ -107,12 +117,12 @@
 	if old.endsWith(by) {
 		return dst
 	}
-	old.certain, old.supersededBy = true, 0
+	old.settle(by.settledAt)
 	return append(dst, old)
 }
 
 // Refused records that the target did not apply the grant and will not.
-func (l *Ledger) Refused(target string, id GrantID) {
+func (l *Ledger) Refused(target string, id OrderID) {
 	list := l.entries[target]
 	if i := indexOf(list, id); i >= 0 {
 		l.entries[target] = append(list[:i], list[i+1:]...)
@@ -120,19 +130,20 @@
 }
 
 // Unanswered records that the call ended at now without an answer and that its connection was reset.
-func (l *Ledger) Unanswered(now time.Time, target string, id GrantID) {
+func (l *Ledger) Unanswered(now time.Time, target string, id OrderID) {
 	list := l.entries[target]
 	if i := indexOf(list, id); i >= 0 {
 		list[i].inFlight, list[i].expires = false, latestExpiry(now, list[i].ttl)
 	}
 }
 
-// AllHandled records that the target has handled all grants that were sent on the connection, and has refused none of them.
-func (l *Ledger) AllHandled(target string, connection int64) {
+// AllHandled records that the target has handled all grants that were sent on the connection before a release that it has answered
+// there, and has refused none of them.
+func (l *Ledger) AllHandled(target string, connection int64, release OrderID) {
 	list := l.entries[target]
 	for i := range list {
-		if list[i].settledBy(connection) {
-			list[i].certain, list[i].supersededBy = true, 0
+		if list[i].id < release && list[i].settledBy(connection) {
+			list[i].settle(release - 1)
 		}
 	}
 }
@@ -140,18 +151,20 @@
 // ConnectionEnded records that the target handles no further grant of the connection: it has applied the answered ones, or never
 // will.
 func (l *Ledger) ConnectionEnded(target string, connection int64) {
-	for i, e := range l.entries[target] {
-		if e.answered && e.connection == connection {
-			l.entries[target][i].certain = true
+	list := l.entries[target]
+	for i := range list {
+		if list[i].answered && list[i].connection == connection && !list[i].certain {
+			list[i].settle(l.lastID)
 		}
 	}
 }
 
-// Released records that the target answered a release of the keys. Grants that it may apply later are kept.
-func (l *Ledger) Released(target string, from, to int) {
+// Released records that the target answered a release of the keys. A target answers when its work on the keys has ended, so grants
+// that it may have applied since the release began are kept, and so are those that it may apply later.
+func (l *Ledger) Released(target string, from, to int, release OrderID) {
 	var out []entry
 	for _, e := range l.entries[target] {
-		if !e.certain {
+		if !e.certain || e.settledAt >= release {
 			out = append(out, e)
 			continue
 		}
@@ -225,6 +238,14 @@
 	})
 }
 
+// MayHoldSettled reports whether the target may hold any of the keys at now under a grant that it does not apply later, so that a
+// release ends it.
+func (l *Ledger) MayHoldSettled(now time.Time, target string, from, to int) bool {
+	return slices.ContainsFunc(l.entries[target], func(e entry) bool {
+		return e.to >= from && e.from <= to && e.certain && e.expires.After(now)
+	})
+}
+
 // HasPendingAfter reports whether any target may still apply a grant that expires after at, assuming that calls in flight
 // end at now.
 func (l *Ledger) HasPendingAfter(now, at time.Time) bool {
@@ -313,7 +334,7 @@
 }
 
 // indexOf returns the index of a grant in the list, or -1.
-func indexOf(list []entry, id GrantID) int {
+func indexOf(list []entry, id OrderID) int {
 	for i := range list {
 		if list[i].id == id {
 			return i
--- a/pkg/fulmarorder/safety_test.go
+++ b/pkg/fulmarorder/safety_test.go
@@ -80,6 +80,16 @@
 	to          *modelTarget
 }
 
+// workingRelease is a release that a target answers later, when its work on the keys has ended.
+type workingRelease struct {
+	at        time.Time
+	scheduler *fulmarorder.Scheduler
+	order     fulmarorder.Order
+	entry     fulmarledger.OrderID
+	reply     fulmarorder.Reply
+	to        *modelTarget
+}
+
 // model runs a scheduler against targets under faults.
 type model struct {
 	t         *rapid.T
@@ -96,6 +106,7 @@
 	// connections is the number of connections that were opened.
 	connections int64
 	outcomes    *rapid.Generator[int] // of orders
+	working     []workingRelease
 	restorable
 }
 
@@ -130,6 +141,39 @@
 
 func (m *model) advance(d time.Duration) {
 	end := m.now.Add(d)
+	for {
+		i := m.nextWorking()
+		if i < 0 || m.working[i].at.After(end) {
+			break
+		}
+		w := m.working[i]
+		m.working = append(m.working[:i], m.working[i+1:]...)
+		m.applyLate(w.at)
+		m.now = w.at
+		var err error
+		if m.targets[w.order.Incarnation.ID] != w.to {
+			w.reply, err = fulmarorder.Reply{}, fulmarorder.ErrUnanswered
+		}
+		w.scheduler.EndSend(m.now, w.order, w.entry, w.reply, err)
+	}
+	m.applyLate(end)
+	m.now = end
+	m.check()
+}
+
+// nextWorking returns the index of the release that is answered next, or -1.
+func (m *model) nextWorking() int {
+	next := -1
+	for i, w := range m.working {
+		if next < 0 || w.at.Before(m.working[next].at) {
+			next = i
+		}
+	}
+	return next
+}
+
+// applyLate makes targets handle the delayed grants up to end.
+func (m *model) applyLate(end time.Time) {
 	for i := 0; i < len(m.late); {
 		l := m.late[i]
 		if l.at.After(end) {
@@ -141,8 +185,6 @@
 		m.handle(l)
 		m.check()
 	}
-	m.now = end
-	m.check()
 }
 
 // handle makes a target handle a delayed grant, unless its process has ended.
@@ -218,6 +260,13 @@
 	}
 	c.orders++
 	reply := fulmarorder.Reply{Handover: "x", Connection: c.number, Certain: c.orders == 1 || o.Kind == fulmarorder.Release}
+	if outcome == 8 && o.Kind == fulmarorder.Release && !o.AfterGrants {
+		t.release(m.now, o)
+		at := m.now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(m.t, "work")) * time.Millisecond)
+		m.working = append(m.working, workingRelease{at, m.scheduler, o, entry, reply, t})
+		m.check()
+		return true
+	}
 	closing := outcome == 9 && (o.Kind == fulmarorder.Grant || m.pendingOn(c) == 0)
 	err := m.send(t, c, o, outcome, closing)
 	reply.Closing = closing
@@ -448,8 +497,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			l := fulmarledger.New()
 			l.Answered(now, "a", l.Begin("a", 0, 10, 1, time.Second), 1, false)
-			l.AllHandled("a", c.connection)
-			l.Released("a", 0, 10)
+			release := l.BeginRelease()
+			l.AllHandled("a", c.connection, release)
+			l.Released("a", 0, 10, release)
 			if free, _ := l.Free(now, "a", 5, 5); free != c.free {
 				t.Fatalf("keys are free: %t", free)
 			}
--- a/pkg/fulmarorder/scheduler.go
+++ b/pkg/fulmarorder/scheduler.go
@@ -32,7 +32,7 @@
 type orderStatus struct {
 	notBefore time.Time // earliest time of the next attempt
 	done      bool      // the target confirmed the grant or release
-	repeated  bool      // a release was repeated on the connection of the grants
+	repeated  bool      // a release was repeated
 	handover  string    // data returned by a release for the next owner
 	inFlight  bool      // sent and not yet completed
 }
--- a/pkg/fulmarorder/scheduler_test.go
+++ b/pkg/fulmarorder/scheduler_test.go
@@ -47,6 +47,16 @@
 	return fulmarorder.Reply{Handover: handover, Connection: h.connections, Certain: !o.RequireKnownConnection || o.Kind == fulmarorder.Release, Closing: h.closing}
 }
 
+// grantDue sends the grants that are due to a target, and expects one of the given keys among them.
+func (h *harness) grantDue(target fulmarrange.Incarnation, from, to int) {
+	found := false
+	for o, _, ok := h.Next(h.now, target); ok; o, _, ok = h.Next(h.now, target) {
+		found = found || o.From == from && o.To == to
+		h.EndSend(h.now, o, h.BeginSend(o), h.reply(o, ""), nil)
+	}
+	h.g.ExpectWithOffset(1, found).To(BeTrue(), "the keys are not granted")
+}
+
 // expectNoOrder expects that no order is due for the target.
 func (h *harness) expectNoOrder(target fulmarrange.Incarnation) {
 	_, _, ok := h.Next(h.now, target)
@@ -147,6 +157,59 @@
 		h.expectOrder(incarnationB, fulmarorder.Grant, 100, 200, "", nil)
 	})
 
+	// Guards against a second owner of the keys: a target answers a release when its work on the keys has ended, and may have been granted
+	// them again by then.
+	t.Run("keeps grants that follow a release which is answered late", func(t *testing.T) {
+		h := newHarness(t, fulmarrange.New())
+		one := fulmarrange.New().WithOwner(100, 200, incarnationA)
+		h.Commit(one)
+		h.expectOrder(incarnationA, fulmarorder.Grant, 100, 200, "", nil)
+		away := one.WithOwner(100, 200, incarnationB)
+		h.Commit(away)
+		release, _, ok := h.Next(h.now, incarnationA)
+		h.g.Expect(ok && release.Kind == fulmarorder.Release).To(BeTrue())
+		entry := h.BeginSend(release)
+		h.now = h.now.Add(modelGrantTTL * 11 / 10) // the former grant has lapsed
+		again := away.WithOwner(100, 200, incarnationA)
+		h.Commit(again)
+		h.expectOrder(incarnationA, fulmarorder.Grant, 100, 200, "", fulmarorder.ErrUnsent) // the connection is lost
+		h.Commit(again.WithRenewedFence(100, 200))
+		h.now = h.now.Add(2 * modelTiming.RetryInterval)
+		h.expectOrder(incarnationA, fulmarorder.Grant, 100, 200, "", nil)
+		h.EndSend(h.now, release, entry, h.reply(release, "token"), nil)
+		h.expectNoOrder(incarnationA)
+		next := fulmarrange.Incarnation{ID: "c", Born: 1}
+		h.Commit(h.Table().WithOwner(100, 200, next))
+		h.expectOrder(incarnationA, fulmarorder.Release, 100, 200, "", fulmarorder.ErrUnanswered)
+		h.expectNoOrder(next)
+		h.now = h.now.Add(modelGrantTTL * 11 / 10)
+		h.expectOrder(next, fulmarorder.Grant, 100, 200, "", nil)
+	})
+
+	// Guards against a second owner of the keys: the grant under way may be applied between the release and the last answer of its
+	// connection, which shows that it is not under way any more.
+	t.Run("repeats a release during which a grant was settled", func(t *testing.T) {
+		h := newHarness(t, fulmarrange.New())
+		h.Commit(owned)
+		for range 2 {
+			h.expectOrder(incarnationA, fulmarorder.Grant, 0, fulmarrange.MaxKey, "", nil)
+			h.now = h.now.Add(modelTiming.RenewInterval)
+		}
+		h.Commit(owned.WithOwner(100, 200, incarnationB))
+		release, _, ok := h.Next(h.now, incarnationA)
+		h.g.Expect(ok && release.Kind == fulmarorder.Release).To(BeTrue())
+		entry := h.BeginSend(release)
+		h.closing = true
+		h.grantDue(incarnationA, 0, 99)
+		h.closing = false
+		h.EndSend(h.now, release, entry, h.reply(release, "token"), nil)
+		h.expectNoOrder(incarnationB)
+		repeated := h.expectOrder(incarnationA, fulmarorder.Release, 100, 200, "later", nil)
+		h.g.Expect([]bool{repeated.AfterGrants, repeated.RequireKnownConnection}).To(Equal([]bool{false, false}))
+		o := h.expectOrder(incarnationB, fulmarorder.Grant, 100, 200, "", nil)
+		h.g.Expect(o.Handover).To(Equal("later"), "the data of the last release hold")
+	})
+
 	// The target has handled all grants of the connection, but may have applied one to keys that it had released before.
 	t.Run("repeats the release of each range", func(t *testing.T) {
 		h := newHarness(t, fulmarrange.New())
--- a/pkg/fulmarorder/sending.go
+++ b/pkg/fulmarorder/sending.go
@@ -51,10 +51,8 @@
 				continue
 			}
 			st := b.status(orderKey{Release, p, s.From, s.To})
-			if repeat == nil && b.mustRepeat(now, target, p, s, st) {
-				repeat = &Order{
-					Kind: Release, Incarnation: target, From: s.From, To: s.To, Fence: p.Fence, RequireKnownConnection: true, AfterGrants: true,
-				}
+			if repeat == nil {
+				repeat = b.repeatedRelease(now, target, p, s, st)
 			}
 			if !b.mayRelease(target, st) {
 				continue
@@ -101,10 +99,23 @@
 	return o, wait, best != nil
 }
 
-// mustRepeat reports whether an answered release must be repeated on the connection of the target's grants: the target may apply
-// one of them after the release that it has answered on another connection.
-func (b *Scheduler) mustRepeat(now time.Time, target fulmarrange.Incarnation, prior fulmarrange.Claim, s fulmarrange.Segment, st *orderStatus) bool {
-	return st.done && !st.inFlight && !st.repeated && prior.Incarnation == target && b.ledger.SettledBy(now, target.ID, b.connections[target], s.From, s.To)
+// repeatedRelease returns the release that must follow an answered one, or nil if none is due. A target may apply grants after the
+// release: those that are under way on their connection, behind which the release is repeated, or those that were settled while it
+// was answered.
+func (b *Scheduler) repeatedRelease(now time.Time, target fulmarrange.Incarnation, prior fulmarrange.Claim, s fulmarrange.Segment, st *orderStatus) *Order {
+	if !st.done || st.inFlight || st.repeated || prior.Incarnation != target {
+		return nil
+	}
+	if grant := b.orders[orderKey{Grant, s.Owner, s.From, s.To}]; s.Owner.Incarnation == target && grant != nil && (grant.done || grant.inFlight) {
+		return nil // the target owns the keys again
+	}
+	behind := b.ledger.SettledBy(now, target.ID, b.connections[target], s.From, s.To)
+	if !behind && !b.ledger.MayHoldSettled(now, target.ID, s.From, s.To) {
+		return nil
+	}
+	return &Order{
+		Kind: Release, Incarnation: target, From: s.From, To: s.To, Fence: prior.Fence, RequireKnownConnection: behind, AfterGrants: behind,
+	}
 }
 
 // handover returns the data that the most recent holder of the segment passed on to its new owner.
@@ -121,20 +132,20 @@
 	return orderKey{o.Kind, fulmarrange.Claim{Incarnation: o.Incarnation, Fence: o.Fence}, o.From, o.To}
 }
 
-// BeginSend records that the order is about to be sent. The result identifies a grant in the ledger and is passed to
-// EndSend; it is zero for a release.
-func (b *Scheduler) BeginSend(o Order) fulmarledger.GrantID {
+// BeginSend records that the order is about to be sent. The result identifies it in the ledger and is passed to
+// EndSend.
+func (b *Scheduler) BeginSend(o Order) fulmarledger.OrderID {
 	b.status(b.keyOf(o)).inFlight = true
 	if o.Kind == Grant {
 		return b.ledger.Begin(o.Incarnation.ID, o.From, o.To, o.Fence, o.TTL)
 	}
 	b.releases[o.Incarnation]++
-	return 0
+	return b.ledger.BeginRelease()
 }
 
 // EndSend records at now the result of an order: a reply, or one of the errors of this package. It reports whether
 // routing must be updated.
-func (b *Scheduler) EndSend(now time.Time, o Order, entry fulmarledger.GrantID, reply Reply, err error) bool {
+func (b *Scheduler) EndSend(now time.Time, o Order, entry fulmarledger.OrderID, reply Reply, err error) bool {
 	b.recordGrants(now, o, entry, reply, err)
 	if o.Kind == Release {
 		if b.releases[o.Incarnation]--; b.releases[o.Incarnation] <= 0 {
@@ -174,6 +185,7 @@
 		return false
 	}
 	changed := !st.done
+	st.repeated = st.repeated || o.Kind == Release && !changed
 	st.done, st.handover, st.notBefore = true, reply.Handover, now
 	if o.Kind == Grant {
 		st.handover = ""
@@ -184,7 +196,7 @@
 }
 
 // recordGrants records at now what the result of an order says of the grants of its target.
-func (b *Scheduler) recordGrants(now time.Time, o Order, entry fulmarledger.GrantID, reply Reply, err error) {
+func (b *Scheduler) recordGrants(now time.Time, o Order, entry fulmarledger.OrderID, reply Reply, err error) {
 	id := o.Incarnation.ID
 	switch {
 	case o.Kind == Grant && err == nil:
@@ -196,9 +208,9 @@
 		b.ledger.Refused(id, entry)
 	case err == nil:
 		if o.AfterGrants {
-			b.ledger.AllHandled(id, reply.Connection)
+			b.ledger.AllHandled(id, reply.Connection, entry)
 		}
-		b.ledger.Released(id, o.From, o.To)
+		b.ledger.Released(id, o.From, o.To, entry)
 	}
 	if o.Kind == Release && !o.AfterGrants {
 		return
