--- a/pkg/fulmarorder/sending.go
+++ b/pkg/fulmarorder/sending.go
@@ -132,8 +132,7 @@
 	return orderKey{o.Kind, fulmarrange.Claim{Incarnation: o.Incarnation, Fence: o.Fence}, o.From, o.To}
 }
 
-// BeginSend records that the order is about to be sent. The result identifies it in the ledger and is passed to
-// EndSend.
+// BeginSend records that the order is about to be sent. The result identifies it in the ledger and is passed to EndSend.
 func (b *Scheduler) BeginSend(o Order) fulmarledger.OrderID {
 	b.status(b.keyOf(o)).inFlight = true
 	if o.Kind == Grant {
