--- a/pkg/fulmarorder/scheduler_test.go
+++ b/pkg/fulmarorder/scheduler_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarledger"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarorder"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
 )
@@ -47,6 +48,13 @@
 	return fulmarorder.Reply{Handover: handover, Connection: h.connections, Certain: !o.RequireKnownConnection || o.Kind == fulmarorder.Release, Closing: h.closing}
 }
 
+// beginRelease expects a release to be due and sends it, without its answer.
+func (h *harness) beginRelease(target fulmarrange.Incarnation) (fulmarorder.Order, fulmarledger.OrderID) {
+	o, _, ok := h.Next(h.now, target)
+	h.g.ExpectWithOffset(1, ok && o.Kind == fulmarorder.Release).To(BeTrue(), "no release is due")
+	return o, h.BeginSend(o)
+}
+
 // grantDue sends the grants that are due to a target, and expects one of the given keys among them.
 func (h *harness) grantDue(target fulmarrange.Incarnation, from, to int) {
 	found := false
@@ -166,9 +174,7 @@
 		h.expectOrder(incarnationA, fulmarorder.Grant, 100, 200, "", nil)
 		away := one.WithOwner(100, 200, incarnationB)
 		h.Commit(away)
-		release, _, ok := h.Next(h.now, incarnationA)
-		h.g.Expect(ok && release.Kind == fulmarorder.Release).To(BeTrue())
-		entry := h.BeginSend(release)
+		release, entry := h.beginRelease(incarnationA)
 		h.now = h.now.Add(modelGrantTTL * 11 / 10) // the former grant has lapsed
 		again := away.WithOwner(100, 200, incarnationA)
 		h.Commit(again)
@@ -196,9 +202,7 @@
 			h.now = h.now.Add(modelTiming.RenewInterval)
 		}
 		h.Commit(owned.WithOwner(100, 200, incarnationB))
-		release, _, ok := h.Next(h.now, incarnationA)
-		h.g.Expect(ok && release.Kind == fulmarorder.Release).To(BeTrue())
-		entry := h.BeginSend(release)
+		release, entry := h.beginRelease(incarnationA)
 		h.closing = true
 		h.grantDue(incarnationA, 0, 99)
 		h.closing = false
