--- a/review/rig3/consumer.go
+++ b/review/rig3/consumer.go
@@ -27,6 +27,8 @@
 	leaves   func() time.Duration // how long it waits at this moment, zero for its deadline
 	record   *record
 	address  net.IP // each consumer has its own
+	header   string // further header lines
+	once     bool   // it doesn't retry
 
 	conn   net.Conn
 	reader *bufio.Reader
@@ -67,7 +69,7 @@
 			c.on = c.first
 		}
 		status, retryAfter, left := c.attempt(end)
-		if left || status == http.StatusOK {
+		if left || c.once || status == http.StatusOK {
 			return
 		}
 		if retryAfter > 0 {
@@ -125,7 +127,7 @@
 	if err := c.conn.SetDeadline(time.Now().Add(wait)); err != nil {
 		return 0, 0, err
 	}
-	_, err = fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s\r\n", c.path, host, id, budget.Milliseconds(), key)
+	_, err = fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s%s\r\n", c.path, host, id, budget.Milliseconds(), key, c.header)
 	if err != nil {
 		return 0, 0, err
 	}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -68,13 +68,18 @@
 
 // consume starts a consumer.
 func (g *rig) consume(c *consumer) {
+	g.prepare(c)
+	g.group.Add(1)
+	go c.run(g.stopped, &g.group)
+}
+
+// prepare makes a consumer ready to send requests.
+func (g *rig) prepare(c *consumer) {
 	g.consumers++
 	c.daemons, c.record, c.address = g.fleet.daemons, g.record, net.IPv4(127, 0, byte(1+g.consumers/200), byte(1+g.consumers%200))
 	if c.leaves == nil {
 		c.leaves = func() time.Duration { return 0 }
 	}
-	g.group.Add(1)
-	go c.run(g.stopped, &g.group)
 }
 
 // check checks the rule CONFIG for the requests of the last span, all of it steady.
@@ -105,7 +110,7 @@
 func main() {
 	runtime.LockOSThread() // the daemons end with the thread that has started them
 	program := flag.String("program", "target/fulmarbend", "path of the daemon")
-	name := flag.String("case", "", "restarts, release or zones")
+	name := flag.String("case", "", "restarts, release, zones or caller")
 	path := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	keep := flag.Bool("keep", false, "keep the logs of the daemons")
 	flag.Parse()
@@ -113,7 +118,7 @@
 }
 
 func play(program, name, path string, keep bool) int {
-	cases := map[string]func(*rig) (int, error){"restarts": playRestarts, "release": playRelease, "zones": playZones}
+	cases := map[string]func(*rig) (int, error){"restarts": playRestarts, "release": playRelease, "zones": playZones, "caller": playCaller}
 	run, ok := cases[name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/rig3/record.go
+++ b/review/rig3/record.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -16,6 +17,7 @@
 	out      *bufio.Writer
 	requests []*request
 	runs     map[string]int
+	ended    []time.Time // when requests have crashed upstreams
 }
 
 // request is one consumer attempt.
@@ -70,6 +72,37 @@
 	r.write("ran       %s at %s", id, upstream)
 }
 
+// crashed notes that a request has crashed an upstream.
+func (r *record) crashed(id, upstream string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = append(r.ended, time.Now())
+	r.write("crashed   %s by %s", upstream, id)
+}
+
+// crashes returns the number of upstreams that requests have crashed.
+func (r *record) crashes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.ended)
+}
+
+// retriesAfterThird returns when the third upstream crashed, since the start, and the number of requests with ids of the prefix that
+// were sent later than ContactMs after that and have reached upstreams.
+func (r *record) retriesAfterThird(prefix string) (third time.Duration, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ended) < 3 {
+		return 0, 0
+	}
+	for _, x := range r.requests {
+		if strings.HasPrefix(x.id, prefix) && x.at.Sub(r.ended[2]) > contact && r.runs[x.id] > 0 {
+			n++
+		}
+	}
+	return r.ended[2].Sub(r.began).Round(time.Millisecond), n
+}
+
 // tally counts the requests that were sent from one time to another and are settled.
 type tally struct {
 	addedSent, addedServed, firstSent, firstServed int
--- a/review/rig3/upstream.go
+++ b/review/rig3/upstream.go
@@ -23,6 +23,8 @@
 	zone        string
 	keyed       bool
 	work        func(path string) time.Duration
+	deadly      func(r *http.Request) bool // reports whether the request crashes the upstream that runs it; may be nil
+	crashed     sync.Once
 	born        int64
 	listener    net.Listener
 	server      *http.Server
@@ -324,6 +326,13 @@
 		u.mu.Unlock()
 	}()
 	u.record.ran(id, u.id)
+	if u.deadly != nil && u.deadly(r) {
+		go u.crashed.Do(func() {
+			u.record.crashed(id, u.id)
+			u.crash()
+		})
+		panic(http.ErrAbortHandler)
+	}
 	select {
 	case <-time.After(u.work(r.URL.Path)):
 	case <-r.Context().Done(): // the caller has left
