Take a reset during an upload for no end of an answer

Callers saw: a part of an answer as the complete one (MIXED). A target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports the loss of a connection once. The write of the upload got ECONNRESET; the read of the answer's body then got io.EOF, which is the end of a body without a length. fulmarlink goes on reading after a failed write, as a target may have answered early.

Change: fulmarconn.Conn remembers the error of a write that found the connection lost, and returns it from reads in place of io.EOF. EPIPE is the error of a reset that follows the target's own end of the connection, so an answer that ends with an orderly close is still whole. A read waits for a write under way only on a connection that is closed in both directions, on which writes return at once.

--- /dev/null
+++ b/internal/fulmarconn/conn.go
@@ -0,0 +1,71 @@
+package fulmarconn
+
+import (
+	"io"
+	"net"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// tcpClose is the state of a TCP connection that has ended in both directions, as after a reset (TCP_CLOSE in tcp(7)). One whose
+// peer has only ended its own direction is in another state.
+const tcpClose = 7
+
+// Conn is a TCP connection whose reads return io.EOF only if the peer has ended its direction; see net.Conn for the rest.
+type Conn struct {
+	net.Conn
+	writing sync.Mutex // held during each write
+	lost    error      // of the first write that found the connection lost; guarded by writing
+}
+
+// New returns a Conn that takes over c.
+func New(c net.Conn) *Conn { return &Conn{Conn: c} }
+
+// Write records the error if it finds the connection lost.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	// EPIPE is the error of a reset that follows the end of the peer's direction, so that all that it has sent was received.
+	var code syscall.Errno
+	if c.lost == nil && errors.As(err, &code) && code != syscall.EPIPE {
+		c.lost = errors.Wrap(err, "fulmarconn: connection lost during a write")
+	}
+	return n, err
+}
+
+// Read returns the error of a write that found the connection lost in place of io.EOF.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) && c.isClosed() {
+		// A write under way returns at once on such a connection, and may have got the error.
+		c.writing.Lock()
+		defer c.writing.Unlock()
+		if c.lost != nil {
+			return n, c.lost
+		}
+	}
+	return n, err
+}
+
+// isClosed reports whether the connection has ended in both directions, or its state is unknown. While a connection whose peer has
+// only ended its own direction is open, a write may wait for the peer.
+func (c *Conn) isClosed() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := true
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = infoErr != nil || info.State == tcpClose
+	})
+	return closed || err != nil
+}
--- a/internal/fulmarlink/conn.go
+++ b/internal/fulmarlink/conn.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarconn"
 	"github.com/fulmarbend/fulmarbend/internal/fulmaridset"
 )
 
@@ -29,6 +30,7 @@
 // conn is a connection to a target.
 type conn struct {
 	net.Conn
+	tcp         *net.TCPConn     // the same without the checks of Conn
 	number      int64            // counts the connections of the pool
 	lane        string           // of the requests that it may carry
 	exchanges   int              // requests sent on it, with the current one
@@ -74,12 +76,13 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := c.(*net.TCPConn).SyscallConn()
+	tcp := c.(*net.TCPConn)
+	raw, err := tcp.SyscallConn()
 	if err != nil {
 		c.Close()
 		return nil, err
 	}
-	out := &conn{Conn: c, raw: raw, readLimit: noReadLimit, carried: fulmaridset.New(maxRequests), tokens: fulmaridset.New(maxRequests)}
+	out := &conn{Conn: fulmarconn.New(tcp), tcp: tcp, raw: raw, readLimit: noReadLimit, carried: fulmaridset.New(maxRequests), tokens: fulmaridset.New(maxRequests)}
 	return out, nil
 }
 
@@ -128,9 +131,7 @@
 
 // reset closes the connection and drops the data that was not sent yet.
 func (c *conn) reset() {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		_ = t.SetLinger(0) // the connection is closed below in any case
-	}
+	_ = c.tcp.SetLinger(0) // the connection is closed below in any case
 	c.Close()
 }
 
