Take a reset during an upload for no end of an answer in serve

Callers saw: nothing of this kind was reported of serve. A part of an answer without a length was relayed, and recorded for an at-most-once request, as the whole one.

An answer of 400 or more is read while the request is still being written, so that the read and the write wait for the same error.

Change: the connections of fulmartransport are those of fulmarconn. They serve orders, grants and the hops between daemons.

An answer that the target ends with an orderly close during the upload is delivered as before (200).

--- a/internal/fulmartransport/transport.go
+++ b/internal/fulmartransport/transport.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarconn"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarstatus"
 )
 
@@ -52,7 +53,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &sealableConn{Conn: c}, nil
+			return &sealableConn{Conn: fulmarconn.New(c)}, nil
 		},
 		MaxConnsPerHost:        connections,
 		MaxIdleConnsPerHost:    connections,
