Take an answer with a field name that is none for no answer

Callers saw: an answer in whose head the name of a field held a space. The line itself was dropped when the answer was passed on. Where it was to give the length or the coding of the body ("Content-Length : 2"), the caller got a body framed otherwise, or none until the deadline.

Cause: net/http keeps such a field under its name as it stands, and fulmarlink checked only the status of what net/http accepts.

Change: fulmarlink checks the names in each head, interim ones too (fulmarhead). As with a status that is none, the request counts as sent without an answer, and the connection is closed.

Evidence, before the change: five cases of TestAnswers (fulmarlink) failed, all with a space. Those with a tab, CR, NUL, DEL and another control byte in a name, and with a space before the first name, passed, as net/http rejects them. TestFieldNameThatIsNone (fulmarforwarder) failed in 12 of its 20 cases: the caller got 200 and 500 in place of 502. The cases of TestAnswers have a time limit now, as one of them waited without an end.

--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -329,24 +329,40 @@
 	}
 }
 
+// expectNoAnswer checks that an answer of both targets is none: the request may have run, and is sent again only if it is idempotent.
+func expectNoAnswer(t *testing.T, name, answer string) {
+	t.Helper()
+	for _, c := range []struct {
+		kind       string
+		idempotent bool
+		sends      int
+	}{{"not idempotent", false, 1}, {"idempotent", true, 2}} {
+		t.Run(name+", "+c.kind, func(t *testing.T) {
+			g := NewWithT(t)
+			x, y := newTarget(t, "x", answer), newTarget(t, "y", answer)
+			a := start(t, c.idempotent, x, y).forwarder.Serve(t.Context(), request(t, "/f/1", "body"))
+			expectStatus(g, a, http.StatusBadGateway)
+			g.Expect(a.Header).NotTo(HaveKey(names.Signature), "the status is not the target's")
+			g.Expect(sends(x, y)).To(Equal(c.sends))
+		})
+	}
+}
+
 // Guards against an answer whose status is none: 999 was returned to the caller, and behind 000 the request waited for its
 // deadline.
 func TestStatusThatIsNone(t *testing.T) {
 	for _, status := range []string{"000", "099", "600", "999"} {
-		for _, c := range []struct {
-			kind       string
-			idempotent bool
-			sends      int
-		}{{"not idempotent", false, 1}, {"idempotent", true, 2}} {
-			t.Run(status+", "+c.kind, func(t *testing.T) {
-				g := NewWithT(t)
-				answer := "HTTP/1.1 " + status + " x\r\nSign: s\r\nContent-Length: 0\r\nId: one\r\n\r\n"
-				x, y := newTarget(t, "x", answer), newTarget(t, "y", answer)
-				a := start(t, c.idempotent, x, y).forwarder.Serve(t.Context(), request(t, "/f/1", "body"))
-				expectStatus(g, a, http.StatusBadGateway)
-				g.Expect(a.Header).NotTo(HaveKey(names.Signature), "the status is not the target's")
-				g.Expect(sends(x, y)).To(Equal(c.sends))
-			})
+		expectNoAnswer(t, status, "HTTP/1.1 "+status+" x\r\nSign: s\r\nContent-Length: 0\r\nId: one\r\n\r\n")
+	}
+}
+
+// Guards against an answer with a field whose name is none: it was returned to the caller, with a body that was cut or framed
+// otherwise than the target had meant.
+func TestFieldNameThatIsNone(t *testing.T) {
+	for _, field := range []string{"Bad Name: x", "Bad : x", "Bad\tName: x", "Bad\x01Name: x", "Transfer-Encoding : chunked"} {
+		for _, status := range []string{"200", "500"} {
+			answer := "HTTP/1.1 " + status + " x\r\nSign: s\r\nId: one\r\n" + field + "\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+			expectNoAnswer(t, fmt.Sprintf("%q, %s", field, status), answer)
 		}
 	}
 }
--- a/internal/fulmarlink/pool_test.go
+++ b/internal/fulmarlink/pool_test.go
@@ -153,16 +153,31 @@
 		{"status 099", "HTTP/1.1 099 x\r\nId: ID\r\nContent-Length: 0\r\n\r\n" + okAnswer, "", true, 2},
 		{"status 600", "HTTP/1.1 600 x\r\nId: ID\r\nContent-Length: 2\r\n\r\nno", "", true, 2},
 		{"status 999", "HTTP/1.1 999 x\r\nId: ID\r\nContent-Length: 2\r\n\r\nno", "", true, 2},
+		// Guards against a line that is no header field and was passed on, or that was to frame the body and did not.
+		{"space in a field name", "HTTP/1.1 200 x\r\nId: ID\r\nBad Name: x\r\nContent-Length: 2\r\n\r\nok", "", true, 2},
+		{"space behind a field name", "HTTP/1.1 200 x\r\nId: ID\r\nBad : x\r\nContent-Length: 2\r\n\r\nok", "", true, 2},
+		{"space behind the name of the length", "HTTP/1.1 200 x\r\nId: ID\r\nConnection: close\r\nContent-Length : 2\r\n\r\nokno", "", true, 2},
+		{"space behind the name of the coding", "HTTP/1.1 200 x\r\nId: ID\r\nContent-Length: 12\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "", true, 2},
+		{"space in a field name of an interim answer", "HTTP/1.1 103 x\r\nBad Name: x\r\n\r\n" + okAnswer, "", true, 2},
+		{"tab in a field name", "HTTP/1.1 200 x\r\nId: ID\r\nBad\tName: x\r\nContent-Length: 2\r\n\r\nok", "", true, 2},
+		{"control byte in a field name", "HTTP/1.1 200 x\r\nId: ID\r\nBad\x01Name: x\r\nContent-Length: 2\r\n\r\nok", "", true, 2},
+		{"NUL in a field name", "HTTP/1.1 200 x\r\nId: ID\r\nBad\x00: x\r\nContent-Length: 2\r\n\r\nok", "", true, 2},
+		{"DEL in a field name", "HTTP/1.1 200 x\r\nId: ID\r\nBad\x7f: x\r\nContent-Length: 2\r\n\r\nok", "", true, 2},
+		{"CR in a field name", "HTTP/1.1 200 x\r\nId: ID\r\nBad\rName: x\r\nContent-Length: 2\r\n\r\nok", "", true, 2},
+		{"first line that starts with a space", "HTTP/1.1 200 x\r\n Bad: x\r\nId: ID\r\nContent-Length: 2\r\n\r\nok", "", true, 2},
 		{"only answers to other requests", strings.Repeat("HTTP/1.1 200 x\r\nId: old\r\nContent-Length: 0\r\n\r\n", 20), "", true, 2},
 		{"chunk cut off", "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok", "", true, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			s, p := startTarget(t, c.answer), newPool(t)
+			ctx, cancel := context.WithTimeout(t.Context(), answerTimeout)
+			defer cancel()
 			for _, id := range []string{"one", "two"} {
-				a, err := p.Do(t.Context(), s.Addr().String(), request(id, "body"))
+				a, err := p.Do(ctx, s.Addr().String(), request(id, "body"))
 				if c.broken {
 					g.Expect(err).To(MatchError(fulmarlink.ErrBroken))
+					g.Expect(ctx.Err()).NotTo(HaveOccurred())
 					continue
 				}
 				expectBody(g, a, err, c.body)
--- a/internal/fulmarlink/receive.go
+++ b/internal/fulmarlink/receive.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarhead"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarstatus"
 )
 
@@ -42,6 +43,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := fulmarhead.Fields(resp.Header).Check(); err != nil {
+			return nil, err
+		}
 		code := fulmarstatus.Code(resp.StatusCode)
 		if code.IsFinal() {
 			return resp, nil
