Take an answer with a field name that is none for no answer in serve

Callers saw: nothing of this kind was reported of serve. An answer with a space in the name of a field was served, and recorded for an at-most-once request; with "Content-Length : 1" or "Transfer-Encoding : chunked" its body was framed without that line.

Change: fulmartransport checks the names in the head beside the status. The connection is closed, and the request may have run.

Evidence, before the change: four of seven cases of TestFieldNameThatIsNone (fulmartransport) and four of eight of the table in fulmardispatch failed, all with a space. Those with a tab or another control byte, and those of status 000 in the dispatcher, passed.

--- a/internal/fulmartransport/transport.go
+++ b/internal/fulmartransport/transport.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fulmarbend/fulmarbend/internal/fulmarconn"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarhead"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarstatus"
 )
 
@@ -106,11 +107,12 @@
 		r.Body = body
 	}
 	resp, err := t.http.RoundTrip(r)
-	if err == nil && !fulmarstatus.Code(resp.StatusCode).IsFinal() {
-		// Bytes of a server in trouble: what follows on the connection may be no answer either.
-		u.close()
-		_ = resp.Body.Close()
-		err = errors.Errorf("status %d is none", resp.StatusCode)
+	if err == nil {
+		if err = checkHead(resp); err != nil {
+			// Bytes of a server in trouble: what follows on the connection may be no answer either.
+			u.close()
+			_ = resp.Body.Close()
+		}
 	}
 	if err == nil && body != nil && resp.StatusCode < http.StatusBadRequest {
 		if err = body.awaitSent(r.Context()); err != nil {
@@ -126,6 +128,14 @@
 	return nil, errors.Wrap(err, "fulmartransport: request failed and may have been sent")
 }
 
+// checkHead returns an error for a head that is none although net/http accepts it.
+func checkHead(resp *http.Response) error {
+	if !fulmarstatus.Code(resp.StatusCode).IsFinal() {
+		return errors.Errorf("status %d is none", resp.StatusCode)
+	}
+	return fulmarhead.Fields(resp.Header).Check()
+}
+
 // disableResend keeps net/http from retrying the request: it never resends a body without GetBody, and it recognises
 // an idempotency header only under its canonical name.
 func disableResend(r *http.Request) {
