Take a response of the store with a field name that is none for none

Callers saw: nothing of this kind was reported. A write to the store that may have been applied counted as refused, or as in conflict, by a response in whose head the name of a field held a space.

A write counts as unanswered, a read as failed.

--- a/internal/fulmarstore/client.go
+++ b/internal/fulmarstore/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarhead"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarstatus"
 )
 
@@ -136,6 +137,9 @@
 		return response{}, newCallError(unansweredError(r.mutates && sent.Load()), err)
 	}
 	defer resp.Body.Close()
+	if err := fulmarhead.Fields(resp.Header).Check(); err != nil {
+		return response{}, newCallError(unansweredError(r.mutates), err)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodySize+1))
 	if err == nil && len(body) > maxBodySize {
 		err = ErrTooLarge
--- a/internal/fulmarstore/client_test.go
+++ b/internal/fulmarstore/client_test.go
@@ -32,14 +32,16 @@
 // abortConnection closes the connection without a response, as if the response were lost.
 func abortConnection(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
-// statusZero answers with the status 000, as a server in trouble may.
-func statusZero(w http.ResponseWriter, _ *http.Request) {
-	c, _, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		panic(err)
+// raw returns a handler that sends the bytes and closes the connection.
+func raw(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, text) // a client that has gone needs no answer
 	}
-	defer c.Close()
-	_, _ = io.WriteString(c, "HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n") // a client that has gone needs no answer
 }
 
 // blockUntilCanceled blocks until the client cancels the request. It reads the body first, because the server detects
@@ -92,7 +94,10 @@
 		Entry("lost response", http.HandlerFunc(abortConnection), fulmarstore.ErrAmbiguous),
 		Entry("timeout of the response", http.HandlerFunc(blockUntilCanceled), fulmarstore.ErrAmbiguous),
 		Entry("server error", response(500, "No cluster leader"), fulmarstore.ErrAmbiguous),
-		Entry("status that is none", http.HandlerFunc(statusZero), fulmarstore.ErrAmbiguous),
+		Entry("status that is none", raw("HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n"), fulmarstore.ErrAmbiguous),
+		Entry("field name that is none", raw("HTTP/1.1 200 x\r\nBad Name: x\r\nContent-Length: 4\r\n\r\ntrue"), fulmarstore.ErrAmbiguous),
+		Entry("rate limit with a field name that is none", raw("HTTP/1.1 429 x\r\nBad : x\r\nContent-Length: 0\r\n\r\n"), fulmarstore.ErrAmbiguous),
+		Entry("part of a body without a length", raw("HTTP/1.1 200 x\r\n\r\ntr"), fulmarstore.ErrAmbiguous),
 		Entry("rate limit", response(429, ""), fulmarstore.ErrUnavailable),
 		Entry("forbidden", response(403, "ACL"), &fulmarstore.StatusError{Status: 403, Text: "ACL"}),
 		Entry("truncated body", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
