Take an answer with a line that starts with white space for no answer

Callers saw: an answer in whose head a line starts with a space or a tab, as a field whose name begins with it: the line was passed on as a part of the value before it. A signature, for example, was no longer the target's.

Cause: net/http joins such a line to the one before. RFC 9112 (section 5.2) permits that, and permits to answer with 502; no server may send it. The header does not show it, so that the check of the names cannot find it.

Change: fulmarlink scans the bytes of each head while they are read.

serve still joins such lines: its answers carry no signature, and net/http does not show them.

--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -359,7 +359,7 @@
 // Guards against an answer with a field whose name is none: it was returned to the caller, with a body that was cut or framed
 // otherwise than the target had meant.
 func TestFieldNameThatIsNone(t *testing.T) {
-	for _, field := range []string{"Bad Name: x", "Bad : x", "Bad\tName: x", "Bad\x01Name: x", "Transfer-Encoding : chunked"} {
+	for _, field := range []string{"Bad Name: x", "Bad : x", "Bad\tName: x", "Bad\x01Name: x", "Transfer-Encoding : chunked", "Good: x\r\n Bad: x"} {
 		for _, status := range []string{"200", "500"} {
 			answer := "HTTP/1.1 " + status + " x\r\nSign: s\r\nId: one\r\n" + field + "\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n"
 			expectNoAnswer(t, fmt.Sprintf("%q, %s", field, status), answer)
--- a/internal/fulmarlink/conn.go
+++ b/internal/fulmarlink/conn.go
@@ -43,6 +43,7 @@
 	sendStopped atomic.Bool      // nothing more of the current request is to be sent
 	tokens      *fulmaridset.Set // values of the token header of all answers
 	readLimit   int              // bytes that may still be read, noReadLimit for any number
+	head        headScanner      // of the head that is being read
 }
 
 // noReadLimit permits any number of bytes to be read.
@@ -54,8 +55,9 @@
 		return 0, errHeadTooLarge
 	}
 	n, err := c.Conn.Read(b[:min(len(b), c.readLimit)])
-	if c.readLimit != noReadLimit {
+	if c.readLimit != noReadLimit { // reading a head
 		c.readLimit -= n
+		c.head.scan(b[:n])
 	}
 	return n, err
 }
--- a/internal/fulmarlink/receive.go
+++ b/internal/fulmarlink/receive.go
@@ -39,10 +39,17 @@
 	c.readLimit = maxAnswerHead
 	defer func() { c.readLimit = noReadLimit }()
 	for range maxInterimAnswers {
+		c.head = headScanner{}
+		if buffered, err := c.reader.Peek(c.reader.Buffered()); err == nil {
+			c.head.scan(buffered)
+		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
+		if c.head.folded {
+			return nil, errors.New("fulmarlink: line of the head starts with white space")
+		}
 		if err := fulmarhead.Fields(resp.Header).Check(); err != nil {
 			return nil, err
 		}
