Proxy of tests: pass on a reset during an upload as a reset

Cause: as in, in the proxy between the servers of a test: a write to a server got its reset, and the read from it ended orderly, so that the peer saw an orderly close. A soak could not tell a cut answer from a whole one.

Change: the proxy copies between connections of fulmarconn.

--- a/internal/fulmarnetwork/network.go
+++ b/internal/fulmarnetwork/network.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarconn"
 )
 
 // Mode is the state of the connections between two servers.
@@ -186,15 +188,16 @@
 			cancel()
 		}
 	}()
+	caller, server := fulmarconn.New(in), fulmarconn.New(out)
 	var group sync.WaitGroup
 	group.Go(func() {
-		if !n.copy(ctx, p, out, in, nil) {
+		if !n.copy(ctx, p, server, caller, nil) {
 			n.waitForExit(ctx, ended)
 			cancel()
 		}
 	})
 	group.Go(func() {
-		if !n.copy(ctx, p, in, out, ended) {
+		if !n.copy(ctx, p, caller, server, ended) {
 			n.waitForExit(ctx, ended)
 			cancel()
 		}
@@ -258,11 +261,11 @@
 // which must not overtake the data. Data that waits is lost if its sender resets
 // the connection meanwhile. If src is a server, ended is closed when its
 // process has ended; otherwise ended is nil.
-func (n *Network) copy(ctx context.Context, p serverPair, dst, src net.Conn, ended <-chan struct{}) bool {
+func (n *Network) copy(ctx context.Context, p serverPair, dst, src *fulmarconn.Conn, ended <-chan struct{}) bool {
 	buffer := make([]byte, bufferSize)
 	for {
 		k, err := src.Read(buffer)
-		if err != nil && !errors.Is(err, io.EOF) || !n.waitOpen(ctx, p) || isReset(src) {
+		if err != nil && !errors.Is(err, io.EOF) || !n.waitOpen(ctx, p) || isReset(src.Conn) {
 			return false
 		}
 		if _, writeErr := dst.Write(buffer[:k]); writeErr != nil {
@@ -272,7 +275,7 @@
 			if ended != nil {
 				n.waitForExit(ctx, ended)
 			}
-			t, ok := dst.(*net.TCPConn)
+			t, ok := dst.Conn.(*net.TCPConn)
 			return ok && t.CloseWrite() == nil
 		}
 	}
--- a/internal/fulmarnetwork/network_test.go
+++ b/internal/fulmarnetwork/network_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarconn"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarnetwork"
 )
 
@@ -89,6 +90,34 @@
 		Consistently(received, "300ms").ShouldNot(Receive())
 	}, Entry("a new one", false), Entry("a kept one", true))
 
+	// Guards against a reset that arrives as an orderly close, as a write to the server has got the error: a test of answers that are cut
+	// short would find no fault in them.
+	It("passes on that a server has reset a connection during an upload", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			time.Sleep(100 * time.Millisecond) // until the buffers are full
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}()
+		address, err := freeAddress()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n.Forward("t", address, l.Addr().String(), make(chan struct{}))).To(Succeed())
+		conn, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		c := fulmarconn.New(conn)
+		go func() { _, _ = c.Write(make([]byte, 64<<20)) }() // ends with the connection
+		Expect(c.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		_, err = c.Read(make([]byte, 1))
+		Expect(err).NotTo(MatchError(io.EOF))
+	})
+
 	// Guards against a server that has ended but still seems to accept connections.
 	It("refuses connections to a server that has ended", func() {
 		close(ended)
