Incident: broken answers reach clients

TestAnswerEndsDuringUpload resets the connection behind the orderly close, as the rest of an upload would do: it passed with an EPIPE that counts as a lost connection, and fails with it now.

--- a/internal/fulmarforwarder/reset_test.go
+++ b/internal/fulmarforwarder/reset_test.go
@@ -16,12 +16,20 @@
 // Guards against a caller that gets a part of an answer as the whole one, as the target reset the connection while the caller was
 // still sending a long body, and against one that does not get an answer without a length that the target ended.
 func TestAnswerEndsDuringUpload(t *testing.T) {
-	const size, first, answer = 512 << 10, 256 << 10, "a part"
+	const (
+		size, first = 512 << 10, 256 << 10 // of the body, and of what is sent before the answer ends
+		answer      = "a part"
+		settleTime  = 20 * time.Millisecond // lets what the target has sent arrive
+	)
 	reset := func(c *net.TCPConn) {
 		_ = c.SetLinger(0)
 		_ = c.Close()
 	}
-	closeOrderly := func(c *net.TCPConn) { _ = c.CloseWrite() }
+	closeOrderly := func(c *net.TCPConn) {
+		_ = c.CloseWrite()
+		time.Sleep(settleTime)
+		reset(c) // as the rest of the request would do
+	}
 	for _, c := range []struct {
 		name   string
 		end    func(*net.TCPConn)
@@ -35,7 +43,7 @@
 			ended := make(chan struct{})
 			x := largeTarget(t, "x", largeHead("Connection: close"), func(conn net.Conn) {
 				_, _ = io.WriteString(conn, answer)
-				time.Sleep(20 * time.Millisecond) // lets the answer arrive
+				time.Sleep(settleTime)
 				c.end(conn.(*net.TCPConn))
 				close(ended)
 			})
