Link, transport: say what is no answer in the package comments

Cause: reading the diff: the package comments name what the packages make of late and repeated answers, and not what they make of broken ones.

Change: package comments; a clearer name in a test; TestAnswerReset also checks that the reset is noticed, and not the deadline.

--- a/internal/fulmarlink/doc.go
+++ b/internal/fulmarlink/doc.go
@@ -9,4 +9,8 @@
 // request, not one send of it, and a target may repeat an answer. So no connection
 // carries an id twice: it remembers those that it has carried, and is closed when
 // its memory is full. A connection is reused only after a complete exchange.
+//
+// Targets in trouble send bytes that net/http takes for an answer although they are
+// none: a status that is none, a field name that is none, or a part of a body
+// without a length before a reset. The exchange then ends with ErrBroken.
 package fulmarlink
--- a/internal/fulmarlink/reset_test.go
+++ b/internal/fulmarlink/reset_test.go
@@ -21,8 +21,8 @@
 	settleTime = 50 * time.Millisecond
 )
 
-// resetting returns a target that answers a request before it has read its body, and ends the answer by end.
-func resetting(t *testing.T, answer string, end func(c *net.TCPConn)) string {
+// endingTarget returns the address of a target that answers a request before it has read its body, and ends the answer by end.
+func endingTarget(t *testing.T, answer string, end func(c *net.TCPConn)) string {
 	t.Helper()
 	return earlyTarget(t, func(c net.Conn, _ *http.Request) {
 		_, _ = io.WriteString(c, answer)
@@ -65,12 +65,14 @@
 		} {
 			t.Run(u.name+", "+c.name, func(t *testing.T) {
 				g := NewWithT(t)
-				address := resetting(t, c.answer, func(conn *net.TCPConn) {
+				address := endingTarget(t, c.answer, func(conn *net.TCPConn) {
 					_ = conn.SetLinger(0)
 					_ = conn.Close()
 				})
+				began := time.Now()
 				_, body, err := upload(t, address, u.length)
 				g.Expect(err).To(HaveOccurred(), body)
+				g.Expect(time.Since(began)).To(BeNumerically("<", answerTimeout/2), "the reset is noticed, not the deadline")
 			})
 		}
 	}
@@ -86,7 +88,7 @@
 		}{{"in memory", part}, {"streamed", strings.Repeat(part, 100)}} {
 			t.Run(u.name+", "+c.name, func(t *testing.T) {
 				g := NewWithT(t)
-				address := resetting(t, "HTTP/1.1 200 x\r\nId: one\r\n\r\n"+c.body, func(conn *net.TCPConn) {
+				address := endingTarget(t, "HTTP/1.1 200 x\r\nId: one\r\n\r\n"+c.body, func(conn *net.TCPConn) {
 					_ = conn.CloseWrite()
 					time.Sleep(settleTime)
 					_ = conn.Close()
--- a/internal/fulmartransport/doc.go
+++ b/internal/fulmartransport/doc.go
@@ -11,6 +11,9 @@
 // request. RoundTrip sends the request to its end before it returns an answer
 // below 400, and reads nothing of the body after it has returned.
 //
+// A reset is no end of an answer without a length, also if the request was still
+// being sent, and a head with a status or a field name that is none is no answer.
+//
 // net/http takes the bytes that follow a request on a kept connection for its
 // answer, also if they are an answer too many to an earlier request.
 // RoundTripWithID gives each request an id and accepts only an answer that repeats
