Connections: allocate nothing in a write that succeeds

Cause: reading the diff: each write allocated the variable for the number of an error, also without an error ("moved to heap: code" of the compiler).

Change: the error is looked at only if there is one, in a function of its own. Behaviour is the same.

--- a/internal/fulmarconn/conn.go
+++ b/internal/fulmarconn/conn.go
@@ -29,14 +29,19 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(b)
-	// EPIPE is the error of a reset that follows the end of the peer's direction, so that all that it has sent was received.
-	var code syscall.Errno
-	if c.lost == nil && errors.As(err, &code) && code != syscall.EPIPE {
+	if err != nil && c.lost == nil && isLoss(err) {
 		c.lost = errors.Wrap(err, "fulmarconn: connection lost during a write")
 	}
 	return n, err
 }
 
+// isLoss reports whether the error of a write is that of a lost connection, and not that of a deadline or of a close here. EPIPE is
+// the error of a reset that follows the end of the peer's direction, so that all that it has sent was received.
+func isLoss(err error) bool {
+	var code syscall.Errno
+	return errors.As(err, &code) && code != syscall.EPIPE
+}
+
 // Read returns the error of a write that found the connection lost in place of io.EOF.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
