Leader: ask lost targets with probes, and give them keys again

Cause: a streak of failed orders ended only with an answered one. A target with a streak owns no keys, and orders are derived from keys, so it was sent none. The streak was kept by id, so a process that started again inherited it.

Change: pkg/fulmarreach judges targets by incarnation. The leader asks a lost one with a probe, the release of a key that it cannot hold: a release is never refused, and no key is given away. The target gets keys again when it has answered for a second; the time doubles, up to 8 s, for one that is lost again within 20 s. Probes of all targets are at most 400 a second. FailureStreak and its two subtests moved to fulmarreach.State and TestLoss, which make the same checks (count, time, unsent, one unanswered order).

--- a/internal/fulmarleader/plan.go
+++ b/internal/fulmarleader/plan.go
@@ -125,15 +125,12 @@
 	keeping := t.keepingKeys(now, service, s)
 	for _, target := range t.snapshot.Catalog.Service(service) {
 		incarnation := target.Incarnation()
-		failures := s.orders.FailureStreak(now, incarnation)
-		limit := unansweredTimeout
-		if failures.LastUnsent {
-			limit = unreachableTimeout
-		}
-		reachable := (failures.Elapsed < limit || failures.Count < minFailedOrders) && !t.silence.IsLost(now, target.DC)
+		state := s.reach.State(now, incarnation)
+		reachable := state.Reachable && !t.silence.IsLost(now, target.DC)
 		if s.reachable[incarnation] != reachable {
 			s.reachable[incarnation] = reachable
-			t.deps.Log.Info("reachability of target changed", "target", incarnation.ID, "reachable", reachable, "failures", failures.Count, "since", failures.Elapsed, "unsent", failures.LastUnsent)
+			t.deps.Log.Info("reachability of target changed", "target", incarnation.ID, "reachable", reachable,
+				"failures", state.Failures, "since", state.Failing, "unsent", state.Unsent, "trial", state.Trial)
 		}
 		unanswered := s.orders.HasUnansweredGrant(now, incarnation)
 		// A leaving target with unanswered grants stays eligible, and so keeps its keys, until it answers a grant of this
--- a/internal/fulmarleader/term.go
+++ b/internal/fulmarleader/term.go
@@ -24,6 +24,7 @@
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarpermit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrate"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarreach"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrecovery"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrelay"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarsilence"
@@ -41,12 +42,7 @@
 	retryInterval      = 100 * time.Millisecond
 	priorRemovalDelay  = 100 * time.Millisecond // batches the removal of prior owners from the tables
 	workerRetention    = 5 * time.Second        // after a target was last listed: it can still be told to release keys
-	unreachableTimeout = 250 * time.Millisecond // time of failing orders after which a target loses its keys
-	minFailedOrders    = 2
-	// unansweredTimeout replaces unreachableTimeout for a target that can be reached but does not answer orders. It
-	// may have accepted them, so its keys could not be granted to another target earlier anyway.
-	unansweredTimeout = 1500 * time.Millisecond
-	targetRetention   = time.Minute // how long data of a target that is no longer listed is kept
+	targetRetention    = time.Minute            // how long data of a target that is no longer listed is kept
 	// extendGrantsAfter is the time without an answer of the store after which grants are extended, so that keys keep
 	// their owners while the store is down and no leader can be elected.
 	extendGrantsAfter  = 550 * time.Millisecond
@@ -100,7 +96,8 @@
 	rates         *fulmarassign.Rates
 	responseTimes *fulmarassign.ServiceTimes
 	obsoleteSince time.Time // when prior owners became removable; zero if there are none
-	reachable     map[fulmarrange.Incarnation]bool
+	reach         *fulmarreach.Board
+	reachable     map[fulmarrange.Incarnation]bool    // as logged last
 	hotKeyRates   map[fulmarrange.Incarnation]float64 // requests a second that the targets of single keys can do, if they are asked for more
 }
 
@@ -289,6 +286,7 @@
 	t.permits.Retain(t.recentTargets.Has)
 	for _, s := range t.services {
 		s.responseTimes.Retain(t.recentTargets.Has)
+		s.reach.Retain(t.recentTargets.Has)
 		maps.DeleteFunc(s.reachable, func(life fulmarrange.Incarnation, _ bool) bool { return !t.recentTargets.Has(life.ID) })
 	}
 }
@@ -308,7 +306,7 @@
 		}
 		t.services[svc.Name] = &keyedService{
 			orders: t.newScheduler(now, table), rates: fulmarassign.NewRates(now),
-			responseTimes: fulmarassign.NewServiceTimes(), reachable: make(map[fulmarrange.Incarnation]bool),
+			responseTimes: fulmarassign.NewServiceTimes(), reach: fulmarreach.New(), reachable: make(map[fulmarrange.Incarnation]bool),
 		}
 	}
 }
--- a/internal/fulmarleader/worker.go
+++ b/internal/fulmarleader/worker.go
@@ -128,7 +128,7 @@
 			if w.rest(wait) {
 				return
 			}
-		case order.Kind == fulmarorder.Release && !order.AfterGrants:
+		case order.Kind == fulmarorder.Release && !order.AfterGrants && !order.Probe:
 			t.group.Go(func() { t.sendOrder(w, order, entry) })
 		default:
 			t.sendOrder(w, order, entry)
@@ -147,6 +147,9 @@
 	}
 	book, silent := t.services[w.target.Service].orders, t.silence.IsSilent(now, w.target.DC)
 	o, wait, ok = book.Next(now, w.target.Incarnation())
+	if !ok {
+		o, wait, ok = t.nextProbe(now, w, wait)
+	}
 	if ok && silent && !t.silence.MayProbe(now, w.target.DC) {
 		// A grant that is not sent does not delay the next owner of the keys.
 		return o, 0, silentCheckInterval, false
@@ -158,10 +161,25 @@
 	return o, entry, wait, ok
 }
 
+// nextProbe returns the probe that is due for a target to which no other order is due before wait. An unlisted target cannot be given
+// keys, so it is not asked. The caller holds mu.
+func (t *Term) nextProbe(now time.Time, w *worker, wait time.Duration) (o fulmarorder.Order, until time.Duration, ok bool) {
+	s, target := t.services[w.target.Service], w.target.Incarnation()
+	untilProbe, lost := s.reach.UntilProbe(now, target)
+	if listed, isListed := t.snapshot.Catalog.Target(target.ID); !lost || !isListed || listed.Incarnation() != target {
+		return o, wait, false
+	}
+	if untilProbe > 0 {
+		return o, min(wait, untilProbe), false
+	}
+	o, ok = s.orders.Probe(now, target)
+	return o, wait, ok
+}
+
 // sendOrder sends an order and records its outcome.
 func (t *Term) sendOrder(w *worker, o fulmarorder.Order, entry fulmarledger.OrderID) {
 	timeout := grantTimeout
-	if o.Kind == fulmarorder.Release && !o.AfterGrants {
+	if o.Kind == fulmarorder.Release && !o.AfterGrants && !o.Probe {
 		timeout = releaseTimeout
 	}
 	ctx, cancel := context.WithTimeout(w.ctx, timeout)
@@ -179,8 +197,12 @@
 		t.deps.Metrics.Count("order.answer_uncertain")
 	}
 	book := t.services[w.target.Service].orders
-	t.recordOutcome(began, now, w.target.DC, err)
+	t.recordOutcome(began, now, w, o, err)
 	changed := book.EndSend(now, o, entry, reply, err)
+	if o.Probe {
+		t.deps.Metrics.Count("order.probe")
+		return
+	}
 	if err != nil || changed || o.AfterGrants {
 		t.deps.Log.Info("order to target completed or failed", "kind", o.Kind.String(), "target", o.Incarnation.ID, "from", o.From, "to", o.To,
 			"fence", o.Fence, "hold", o.TTL, "after_grants", o.AfterGrants, "connection", reply.Connection, "certain", reply.Certain, "took", now.Sub(began), "error", err)
--- a/pkg/fulmarorder/history_test.go
+++ b/pkg/fulmarorder/history_test.go
@@ -69,6 +69,7 @@
 func (m *model) actions() []action {
 	return []action{
 		{"order", 11, true, func(id string) { m.order(id) }},
+		{"probe", 2, false, m.probe},
 		{"wait", 3, true, func(string) { m.wait(600 * time.Millisecond) }},
 		{"lead", 4, true, func(string) { m.lead() }},
 		{"move", 2, true, m.writing(m.move)},
--- a/pkg/fulmarorder/order.go
+++ b/pkg/fulmarorder/order.go
@@ -67,4 +67,7 @@
 	// AfterGrants sends a release on the connection of the grants in place of one of its own. The target handles the orders of a
 	// connection one after the other, so the answer proves that it has handled all grants that were sent on it before.
 	AfterGrants bool
+	// Probe marks a release of keys that the target does not hold. It changes nothing, and its answer shows that the target answers
+	// orders.
+	Probe bool
 }
--- a/pkg/fulmarorder/scheduler.go
+++ b/pkg/fulmarorder/scheduler.go
@@ -49,11 +49,12 @@
 	// false for those that may have been granted keys over another connection: a new incarnation may have
 	// replaced them since.
 	answered    map[fulmarrange.Incarnation]bool
-	connections map[fulmarrange.Incarnation]int64 // on which grants were answered last, while they are known to be open
-	grantTTL    time.Duration                     // duration of the grants that are sent now
-	renew       time.Duration                     // time between renewals of a grant
-	renewals    int                               // number of answered grants, which spreads the next ones
-	failures    map[string]failureStreak
+	connections map[fulmarrange.Incarnation]int64                 // on which grants were answered last, while they are known to be open
+	grantTTL    time.Duration                                     // duration of the grants that are sent now
+	renew       time.Duration                                     // time between renewals of a grant
+	renewals    int                                               // number of answered grants, which spreads the next ones
+	failures    map[fulmarrange.Incarnation]backoff               // of those that have not answered the last order
+	probes      int                                               // number of probes so far
 	releases    map[fulmarrange.Incarnation]int                   // number of releases in flight
 	owned       map[fulmarrange.Incarnation][]fulmarrange.Segment // by owner: the segments of table, in their order
 	leaving     map[string][]fulmarrange.Segment                  // by target: those of which it is a prior owner
@@ -65,7 +66,7 @@
 	b := &Scheduler{
 		timing: t, ledger: fulmarledger.New(), orders: make(map[orderKey]*orderStatus),
 		answered: make(map[fulmarrange.Incarnation]bool), connections: make(map[fulmarrange.Incarnation]int64), grantTTL: t.GrantTTL, renew: t.RenewInterval,
-		failures: make(map[string]failureStreak), releases: make(map[fulmarrange.Incarnation]int),
+		failures: make(map[fulmarrange.Incarnation]backoff), releases: make(map[fulmarrange.Incarnation]int),
 	}
 	b.setTable(table)
 	// The previous sender may have extended grants to current owners after it wrote the table, but not grants to
@@ -279,4 +280,7 @@
 }
 
 // Expire drops grants that have expired at now.
-func (b *Scheduler) Expire(now time.Time) { b.ledger.Expire(now) }
+func (b *Scheduler) Expire(now time.Time) {
+	b.ledger.Expire(now)
+	b.forgetFailures(now)
+}
--- a/pkg/fulmarorder/sending.go
+++ b/pkg/fulmarorder/sending.go
@@ -134,6 +134,9 @@
 
 // BeginSend records that the order is about to be sent. The result identifies it in the ledger and is passed to EndSend.
 func (b *Scheduler) BeginSend(o Order) fulmarledger.OrderID {
+	if o.Probe {
+		return b.ledger.BeginRelease()
+	}
 	b.status(b.keyOf(o)).inFlight = true
 	if o.Kind == Grant {
 		return b.ledger.Begin(o.Incarnation.ID, o.From, o.To, o.Fence, o.TTL)
@@ -145,21 +148,18 @@
 // EndSend records at now the result of an order: a reply, or one of the errors of this package. It reports whether
 // routing must be updated.
 func (b *Scheduler) EndSend(now time.Time, o Order, entry fulmarledger.OrderID, reply Reply, err error) bool {
+	if o.Probe {
+		b.recordResult(now, o, err)
+		return false
+	}
 	b.recordGrants(now, o, entry, reply, err)
 	if o.Kind == Release {
 		if b.releases[o.Incarnation]--; b.releases[o.Incarnation] <= 0 {
 			delete(b.releases, o.Incarnation)
 		}
 	}
+	b.recordResult(now, o, err)
 	ended := errors.Is(err, ErrTargetEnded)
-	if ended {
-		b.ledger.TargetEnded(o.Incarnation.ID)
-	}
-	if err == nil || errors.Is(err, ErrRefused) {
-		delete(b.failures, o.Incarnation.ID)
-	} else {
-		b.recordFailure(now, o.Incarnation, err)
-	}
 	st := b.orders[b.keyOf(o)]
 	if st == nil {
 		return false // a newer table no longer contains the order
@@ -194,6 +194,18 @@
 	return changed
 }
 
+// recordResult records at now what the result of an order says of the process of its target.
+func (b *Scheduler) recordResult(now time.Time, o Order, err error) {
+	if errors.Is(err, ErrTargetEnded) {
+		b.ledger.TargetEnded(o.Incarnation.ID)
+	}
+	if err == nil || errors.Is(err, ErrRefused) {
+		delete(b.failures, o.Incarnation)
+	} else {
+		b.recordFailure(now, o.Incarnation, err)
+	}
+}
+
 // recordGrants records at now what the result of an order says of the grants of its target.
 func (b *Scheduler) recordGrants(now time.Time, o Order, entry fulmarledger.OrderID, reply Reply, err error) {
 	id := o.Incarnation.ID
