Leader: ask the targets of a lost data centre with probes

Cause: fulmarsilence judges a data centre by the answers to orders. While it counts as lost its targets own no keys, so no order was due that MayProbe could permit, and no answer could end the silence. New targets came under it as well.

The first answer ends the silence; each target gets keys when it has answered for a second.

--- a/internal/fulmarfollower/returned_test.go
+++ b/internal/fulmarfollower/returned_test.go
@@ -128,18 +128,18 @@
 	return out
 }
 
-// returnOf runs a test with nine targets, three in each of three data centres, and checks that no probe names keys of its target.
-func returnOf(t *testing.T, test func(t *testing.T, g *WithT, f *failingTargets, store *fulmarmemory.Store, v *fulmarview.Holder)) {
+// returnOf runs a test with targets in three data centres, and checks that no probe names keys of its target.
+func returnOf(t *testing.T, targets int, test func(t *testing.T, g *WithT, f *failingTargets, store *fulmarmemory.Store, v *fulmarview.Holder)) {
 	t.Helper()
 	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
 		f := newFailingTargets()
 		store.Remove("targets/x")
-		for i := range 9 {
+		for i := range targets {
 			f.add(t, store, inDC(i, 1))
 		}
 		v := (&fleet{orders: f}).start(ctx, "a", fulmarmemory.NewClient(store))
 		time.Sleep(8 * time.Second)
-		g.Expect(owners(v)).To(HaveLen(9))
+		g.Expect(owners(v)).To(HaveLen(targets))
 		test(t, g, f, store, v)
 		g.Expect(f.broken).To(BeEmpty(), "probes of held keys")
 	})
@@ -160,7 +160,7 @@
 func TestReturnedTargets(t *testing.T) {
 	for name, err := range map[string]error{"unreachable": fulmarorder.ErrUnsent, "not answering orders": fulmarorder.ErrUnanswered} {
 		t.Run("each target in turn, "+name, func(t *testing.T) {
-			returnOf(t, func(_ *testing.T, g *WithT, f *failingTargets, _ *fulmarmemory.Store, v *fulmarview.Holder) {
+			returnOf(t, 9, func(_ *testing.T, g *WithT, f *failingTargets, _ *fulmarmemory.Store, v *fulmarview.Holder) {
 				for i := range 9 {
 					id := fmt.Sprint("t", i)
 					f.fail(id, err)
@@ -174,7 +174,7 @@
 		})
 	}
 	t.Run("each data centre in turn", func(t *testing.T) {
-		returnOf(t, func(_ *testing.T, g *WithT, f *failingTargets, _ *fulmarmemory.Store, v *fulmarview.Holder) {
+		returnOf(t, 9, func(_ *testing.T, g *WithT, f *failingTargets, _ *fulmarmemory.Store, v *fulmarview.Holder) {
 			for _, dc := range []string{"dc0", "dc1", "dc2"} {
 				f.fail(dc, fulmarorder.ErrUnsent)
 				time.Sleep(6 * time.Second)
@@ -186,7 +186,7 @@
 		})
 	})
 	t.Run("started again under the same id", func(t *testing.T) {
-		returnOf(t, func(t *testing.T, g *WithT, f *failingTargets, store *fulmarmemory.Store, v *fulmarview.Holder) {
+		returnOf(t, 9, func(t *testing.T, g *WithT, f *failingTargets, store *fulmarmemory.Store, v *fulmarview.Holder) {
 			for i := range 9 {
 				f.fail(fmt.Sprint("t", i), fulmarorder.ErrUnsent)
 				time.Sleep(4 * time.Second)
@@ -201,7 +201,7 @@
 		})
 	})
 	t.Run("all targets at once", func(t *testing.T) {
-		returnOf(t, func(_ *testing.T, g *WithT, f *failingTargets, _ *fulmarmemory.Store, v *fulmarview.Holder) {
+		returnOf(t, 9, func(_ *testing.T, g *WithT, f *failingTargets, _ *fulmarmemory.Store, v *fulmarview.Holder) {
 			for _, dc := range []string{"dc0", "dc1", "dc2"} {
 				f.fail(dc, fulmarorder.ErrUnsent)
 			}
@@ -215,9 +215,55 @@
 	})
 }
 
+// Guards against new targets that get no keys as long as the same daemon leads, as the former ones of their data centre fell silent: a
+// data centre that owns no keys is sent no order whose answer could end its silence.
+func TestNewTargetsOfSilentDataCentre(t *testing.T) {
+	const targets = 27 // enough for a data centre to count as silent
+	for name, dcs := range map[string][]string{"one": {"dc0"}, "in turn": {"dc0", "dc1", "dc2"}} {
+		t.Run(name, func(t *testing.T) {
+			returnOf(t, targets, func(t *testing.T, g *WithT, f *failingTargets, store *fulmarmemory.Store, v *fulmarview.Holder) {
+				for _, dc := range dcs {
+					f.fail(dc, fulmarorder.ErrUnanswered)
+					time.Sleep(entryLifetime)
+					for i := range targets {
+						if x := inDC(i, 1); x.DC == dc {
+							store.Remove("targets/" + x.ID)
+						}
+					}
+					time.Sleep(2 * time.Second)
+					f.fail(dc, nil)
+					for i := range targets {
+						if x := inDC(targets+i, 1); x.DC == dc {
+							f.add(t, store, x)
+						}
+					}
+					time.Sleep(trialBound)
+				}
+				g.Expect(owners(v)).To(HaveLen(targets))
+			})
+		})
+	}
+	// Guards against keys that are given to targets of a data centre whose power comes back for a moment.
+	t.Run("back for a moment", func(t *testing.T) {
+		returnOf(t, targets, func(t *testing.T, g *WithT, f *failingTargets, store *fulmarmemory.Store, v *fulmarview.Holder) {
+			f.fail("dc0", fulmarorder.ErrUnanswered)
+			time.Sleep(4 * time.Second)
+			f.add(t, store, inDC(targets, 1))
+			for range 5 {
+				time.Sleep(2 * time.Second)
+				f.fail("dc0", nil)
+				time.Sleep(900 * time.Millisecond)
+				f.fail("dc0", fulmarorder.ErrUnanswered)
+			}
+			g.Expect(f.count(f.grants, fmt.Sprint("t", targets))).To(BeZero())
+			g.Expect(owners(v)).To(HaveLen(targets * 2 / 3))
+		})
+	})
+}
+
 // Guards against keys that move to a target and away again each time that it comes back for a moment, and are not served meanwhile.
 func TestBriefReturns(t *testing.T) {
-	returnOf(t, func(_ *testing.T, g *WithT, f *failingTargets, _ *fulmarmemory.Store, _ *fulmarview.Holder) {
+	returnOf(t, 9, func(_ *testing.T, g *WithT, f *failingTargets, _ *fulmarmemory.Store, _ *fulmarview.Holder) {
 		grants := f.count(f.grants, "t0")
 		for range 10 {
 			f.fail("t0", fulmarorder.ErrUnsent)
@@ -232,7 +278,7 @@
 
 // Guards against probes of a target that is gone for good, or that serves its keys.
 func TestProbedTargets(t *testing.T) {
-	returnOf(t, func(_ *testing.T, g *WithT, f *failingTargets, store *fulmarmemory.Store, _ *fulmarview.Holder) {
+	returnOf(t, 9, func(_ *testing.T, g *WithT, f *failingTargets, store *fulmarmemory.Store, _ *fulmarview.Holder) {
 		f.fail("t0", fulmarorder.ErrUnsent)
 		time.Sleep(6 * time.Second)
 		g.Expect(f.count(f.asked, "t0 1")).To(BeNumerically("~", 6, 3), "one that lasts 0.3 s after a pause of 0.5 s")
--- a/internal/fulmarleader/plan.go
+++ b/internal/fulmarleader/plan.go
@@ -125,18 +125,21 @@
 	keeping := t.keepingKeys(now, service, s)
 	for _, target := range t.snapshot.Catalog.Service(service) {
 		incarnation := target.Incarnation()
+		if t.silence.IsLost(now, target.DC) {
+			// The target is asked with probes from now on, whose answers also end the silence of the data centre.
+			s.reach.RecordLoss(now, incarnation)
+		}
 		state := s.reach.State(now, incarnation)
-		reachable := state.Reachable && !t.silence.IsLost(now, target.DC)
-		if s.reachable[incarnation] != reachable {
-			s.reachable[incarnation] = reachable
-			t.deps.Log.Info("reachability of target changed", "target", incarnation.ID, "reachable", reachable,
+		if s.reachable[incarnation] != state.Reachable {
+			s.reachable[incarnation] = state.Reachable
+			t.deps.Log.Info("reachability of target changed", "target", incarnation.ID, "reachable", state.Reachable,
 				"failures", state.Failures, "since", state.Failing, "unsent", state.Unsent, "trial", state.Trial)
 		}
 		unanswered := s.orders.HasUnansweredGrant(now, incarnation)
 		// A leaving target with unanswered grants stays eligible, and so keeps its keys, until it answers a grant of this
 		// leader: that grant supersedes the unanswered ones. The same is true of evacuated targets.
 		mustLeave := target.Leaving || target.Evacuated && !keeping[incarnation]
-		if !reachable || mustLeave && (!unanswered || s.orders.IsAnswering(incarnation)) {
+		if !state.Reachable || mustLeave && (!unanswered || s.orders.IsAnswering(incarnation)) {
 			continue
 		}
 		candidate := fulmarassign.Target{
--- a/pkg/fulmarreach/board.go
+++ b/pkg/fulmarreach/board.go
@@ -137,6 +137,13 @@
 	b.put(now, target, r)
 }
 
+// RecordLoss records that a target is lost at now for another reason than its own orders, such as the loss of its data centre.
+func (b *Board) RecordLoss(now time.Time, target fulmarrange.Incarnation) {
+	if r := b.records[target]; !r.lost {
+		b.put(now, target, r.asLost(now))
+	}
+}
+
 // RecordGrant records that a target has taken keys at now. A target that holds keys is not lost, whatever it did before.
 func (b *Board) RecordGrant(now time.Time, target fulmarrange.Incarnation) {
 	r, ok := b.records[target]
--- a/pkg/fulmarreach/board_test.go
+++ b/pkg/fulmarreach/board_test.go
@@ -125,6 +125,18 @@
 		h.fail(time.Second, true)
 		h.g.Expect(h.State(h.now, targetA).Trial).To(Equal(time.Second), "long after the last return")
 	})
+	t.Run("after the loss of its data centre", func(t *testing.T) {
+		h := newHarness(t)
+		h.RecordLoss(h.now, targetA)
+		h.expectReachable(false, "lost")
+		wait, _ := h.UntilProbe(h.now, targetA)
+		h.now = h.now.Add(wait)
+		h.RecordLoss(h.now, targetA)
+		wait, _ = h.UntilProbe(h.now, targetA)
+		h.g.Expect(wait).To(BeZero(), "the loss that is known delays no probe")
+		h.answer(1200 * time.Millisecond)
+		h.expectReachable(true, "1.2 s after the first answer")
+	})
 	t.Run("a grant ends the judgement", func(t *testing.T) {
 		h := newHarness(t)
 		h.fail(time.Second, true)
