Forwarder: blame a request only for an end of its target that it can explain

Cause: a request without an answer counted as the cause of its target's end if the entry was gone within 8 s. Whether the target had said meanwhile that it leaves, had ended at all, or had run later requests was not asked. Requests whose callers leave are always without an answer.

Change: targets that have said that they leave, and those that have run a later request, drop their unanswered ones. A target whose entry is gone is asked with a health check. A connection that ends after the entry of its target is that of a target that leaves without saying so, unless its machine had stopped acknowledging data (fulmarlink.ErrUnacknowledged). The checks wait for answers, so they have a goroutine of their own. The stand-in of targets has a health check, as the protocol says.

--- a/internal/fulmarforwarder/crash.go
+++ b/internal/fulmarforwarder/crash.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
-	"slices"
+	"net/http"
 	"strings"
-	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarbend/fulmarbend/internal/fulmarlink"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcrash"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarfingerprint"
@@ -17,64 +20,6 @@
 // are alike otherwise.
 var credentials = []string{"Authorization", "Cookie"}
 
-const (
-	// endWindow is the time after a request without an answer in which the end of its target may be due to it. The entry of a
-	// target that has fallen silent is removed after three intervals between its heartbeats, which are about a second.
-	endWindow = 8 * time.Second
-	// maxUnanswered bounds the requests that are remembered for that.
-	maxUnanswered = 512
-)
-
-// unansweredSend is a request that a target has not answered.
-type unansweredSend struct {
-	work   uint64
-	target fulmarrange.Incarnation
-	at     time.Time
-}
-
-// unansweredSends holds the latest requests without an answer; it is safe for concurrent use.
-type unansweredSends struct {
-	mu    sync.Mutex
-	sends []unansweredSend // by time
-}
-
-func (u *unansweredSends) add(s unansweredSend) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.sends = append(u.sends[max(len(u.sends)+1-maxUnanswered, 0):], s)
-}
-
-// isEmpty reports whether no requests are remembered.
-func (u *unansweredSends) isEmpty() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return len(u.sends) == 0
-}
-
-// drop removes the requests with the given work.
-func (u *unansweredSends) drop(work uint64) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.sends = slices.DeleteFunc(u.sends, func(s unansweredSend) bool { return s.work == work })
-}
-
-// take removes and returns the requests for whose target ended returns true, and drops those before oldest.
-func (u *unansweredSends) take(ended func(unansweredSend) bool, oldest time.Time) (out []unansweredSend) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.sends = slices.DeleteFunc(u.sends, func(s unansweredSend) bool {
-		if s.at.Before(oldest) {
-			return true
-		}
-		if ended(s) {
-			out = append(out, s)
-			return true
-		}
-		return false
-	})
-	return out
-}
-
 // work returns the fingerprint of the request's content, which is the same when a caller sends the request again under
 // another id.
 func (x *exchange) work() uint64 {
@@ -90,20 +35,42 @@
 }
 
 // recordUnanswered records that a target has not answered the request that was sent to it. If the target's process has ended
-// meanwhile, the request may have crashed it. A target that falls silent is known to have ended only once its entry is gone;
-// see RecordEndedTargets.
+// meanwhile, the request may have crashed it. A target that falls silent is known to have ended only later; see
+// RecordEndedTargets.
 func (x *exchange) recordUnanswered(ctx context.Context, t fulmarcatalog.Target) {
-	d := &x.forwarder.deps
-	if t.Leaving || d.Notices.Get(t.Incarnation()).IsLeaving() {
+	f := x.forwarder
+	c, target := f.deps.Views.Get().Catalog, t.Incarnation()
+	if t.Leaving || f.hasLeft(c, target) {
 		return
 	}
-	s := unansweredSend{x.work(), t.Incarnation(), d.Clock()}
 	// A hedged request is not kept waiting for the check: the answer of its other target may have come.
-	if x.hedged != "" || ctx.Err() != nil || !d.Pool.Refuses(ctx, t.Address) {
-		x.forwarder.unanswered.add(s)
+	isOver := x.hedged != "" || ctx.Err() != nil
+	if _, isListed := c.Target(target.ID); !isListed && !isOver && !errors.Is(x.lastError, fulmarlink.ErrUnacknowledged) {
+		return // the target was alive until now, without an entry: it has left without saying so
+	}
+	s := unansweredSend{work: x.work(), target: target, at: f.deps.Clock(), address: t.Address, health: x.service.Health}
+	if isOver || !f.deps.Pool.Refuses(ctx, t.Address) {
+		f.unanswered.add(s)
 		return
 	}
-	x.forwarder.recordCrash(s, "id", x.id, "key", x.key, "cause", x.lastError)
+	f.recordCrash(s, "id", x.id, "key", x.key, "cause", x.lastError)
+}
+
+// hasLeft reports whether a target has said that it leaves. Its end is not due to a request then.
+func (f *Forwarder) hasLeft(c *fulmarcatalog.Catalog, target fulmarrange.Incarnation) bool {
+	if f.deps.Notices.Get(target).IsLeaving() {
+		return true
+	}
+	listed, ok := c.Target(target.ID)
+	return ok && listed.Incarnation() == target && listed.Leaving
+}
+
+// recordSurvival records that a target has run a request that was sent at the given time. Requests that it had left unanswered
+// before have not crashed it.
+func (f *Forwarder) recordSurvival(target fulmarrange.Incarnation, sentAt time.Time) {
+	if !f.unanswered.isEmpty() {
+		f.unanswered.drop(func(s unansweredSend) bool { return s.target == target && s.at.Before(sentAt) })
+	}
 }
 
 // recordCrash records that a target has ended during a request; fields are those of the line in the log.
@@ -114,16 +81,54 @@
 	f.deps.Log.Info("target ended during a request", fields...)
 }
 
-// RecordEndedTargets records which of the targets that have left requests without an answer are gone by now. It is to be
-// called regularly.
-func (f *Forwarder) RecordEndedTargets(c *fulmarcatalog.Catalog) {
+// RecordEndedTargets records which of the targets that have left requests without an answer have ended by now, unless they have said
+// that they leave. The entry of a target may also lapse while it serves, so one without an entry is asked. It is to be called
+// regularly, and waits for the answers.
+func (f *Forwarder) RecordEndedTargets(ctx context.Context, c *fulmarcatalog.Catalog) {
 	now := f.deps.Clock()
-	for _, s := range f.unanswered.take(func(s unansweredSend) bool {
+	f.unanswered.drop(func(s unansweredSend) bool { return s.at.Before(now.Add(-endWindow)) || f.hasLeft(c, s.target) })
+	gone := f.unanswered.take(func(s unansweredSend) bool {
 		listed, ok := c.Target(s.target.ID)
 		return !ok || listed.Incarnation() != s.target
-	}, now.Add(-endWindow)) {
-		f.recordCrash(s, "after", now.Sub(s.at))
+	})
+	var group errgroup.Group
+	group.SetLimit(maxInquiries)
+	for target, sends := range gone {
+		group.Go(func() error {
+			if _, replaced := c.Target(target.ID); !replaced && f.isAlive(ctx, sends[0]) {
+				f.deps.Metrics.Count("relay.target_unlisted")
+				f.deps.Log.Info("target without an entry answers", "target", target.ID, "born", target.Born, "unanswered", len(sends))
+				return nil
+			}
+			for _, s := range sends {
+				f.recordCrash(s, "after", now.Sub(s.at))
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// isAlive asks the target of a request whether it runs. A target answers a health check whatever its state, and another one at
+// its address says so.
+func (f *Forwarder) isAlive(ctx context.Context, s unansweredSend) bool {
+	if s.health == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
+	defer cancel()
+	a, err := f.deps.Pool.Do(ctx, s.address, &fulmarlink.Request{
+		Method: http.MethodGet, URI: s.health, Host: s.address, Lane: "health",
+		Header:     http.Header{http.CanonicalHeaderKey(f.deps.HeaderNames.ExpectedTarget): {s.target.ID}},
+		CloseAfter: func(int) bool { return true },
+	})
+	if err != nil {
+		return errors.Is(err, fulmarlink.ErrNoRoom)
+	}
+	if a.Remainder != nil {
+		a.Remainder.Close()
 	}
+	return a.Status != http.StatusMisdirectedRequest
 }
 
 // isCondemned reports whether the request is refused, as the targets that ran the same request have ended.
@@ -144,7 +149,8 @@
 func (x *exchange) clearSuspicion() {
 	d := &x.forwarder.deps
 	if unanswered := &x.forwarder.unanswered; !unanswered.isEmpty() {
-		unanswered.drop(x.work())
+		work := x.work()
+		unanswered.drop(func(s unansweredSend) bool { return s.work == work })
 	}
 	if d.Crashes.RecordAnswer(d.Clock(), x.work()) {
 		d.Log.Info("request answered after a target had ended during the same one", "id", x.id, "work", x.work())
--- a/internal/fulmarforwarder/crash_test.go
+++ b/internal/fulmarforwarder/crash_test.go
@@ -97,7 +97,7 @@
 		f.serveFrom(newTarget(t, "y"))
 		for range 2 {
 			expectStatus(g, f.forwarder.Serve(t.Context(), request(t, "/f/1", "")), http.StatusOK)
-			f.forwarder.RecordEndedTargets(f.views.Get().Catalog)
+			f.forwarder.RecordEndedTargets(t.Context(), f.views.Get().Catalog)
 		}
 	})
 	t.Run("connections end, but the targets live", func(t *testing.T) {
@@ -119,11 +119,11 @@
 	for n := range 3 {
 		f.serveFrom(newTarget(t, fmt.Sprint("silent", n), noAnswer))
 		expectStatus(g, f.forwarder.Serve(t.Context(), request(t, "/f/1", "")), http.StatusGatewayTimeout)
-		f.forwarder.RecordEndedTargets(f.views.Get().Catalog)
+		f.forwarder.RecordEndedTargets(t.Context(), f.views.Get().Catalog)
 	}
 	_, ok := f.deps.Crashes.Condemned(time.Now(), f.deps.Crashes.Records()[0].Work)
 	g.Expect(ok).To(BeFalse(), "the last target has not ended")
 	f.serveFrom(newTarget(t, "y"))
-	f.forwarder.RecordEndedTargets(f.views.Get().Catalog)
+	f.forwarder.RecordEndedTargets(t.Context(), f.views.Get().Catalog)
 	expectStatus(g, f.forwarder.Serve(t.Context(), request(t, "/f/1", "")), http.StatusServiceUnavailable)
 }
--- a/internal/fulmarforwarder/forwarder_test.go
+++ b/internal/fulmarforwarder/forwarder_test.go
@@ -190,7 +190,7 @@
 	}
 	routes, err := fulmarroute.New(fulmarroute.Config{
 		Version:  1,
-		Services: []fulmarroute.Service{{Name: "free"}, {Name: "keyed", Keyed: true}},
+		Services: []fulmarroute.Service{{Name: "free", Health: "/health"}, {Name: "keyed", Keyed: true, Health: "/health"}},
 		Routes: []fulmarroute.Route{
 			{
 				Name: "f", Host: "h", Prefix: "/f/", Kind: kind, Timeout: 400 * time.Millisecond,
--- a/internal/fulmarforwarder/send.go
+++ b/internal/fulmarforwarder/send.go
@@ -118,6 +118,7 @@
 		x.lastError = errors.New(said.shortfall())
 		return nil, res
 	}
+	x.forwarder.recordSurvival(t.Incarnation(), s.sentAt)
 	if a.Status < http.StatusInternalServerError {
 		d.Balancer.RecordServed(t.ID, now.Sub(s.started))
 		x.clearSuspicion()
--- a/internal/fulmarfrontdaemon/daemon.go
+++ b/internal/fulmarfrontdaemon/daemon.go
@@ -268,6 +268,7 @@
 		group.Go(func() error { return f.serveHTTP(base, f.settings.Listen.Metrics, f.metrics.Handler()) })
 	}
 	group.Go(func() error { f.sweep(base); return nil })
+	group.Go(func() error { f.recordEndedTargets(base); return nil })
 	f.log.Info("daemon started", "callers", f.settings.Listen.Callers, "dc", f.settings.DC)
 	<-stop.Done()
 	f.shutdown(resign)
--- a/internal/fulmarfrontdaemon/sweep.go
+++ b/internal/fulmarfrontdaemon/sweep.go
@@ -24,7 +24,6 @@
 			}
 			c := v.Catalog
 			if c != nil {
-				f.forwarder.RecordEndedTargets(c)
 				f.evacuations.Update()
 			}
 			if c != nil && recent.Advance(now, c) {
@@ -40,3 +39,12 @@
 		}
 	}
 }
+
+// recordEndedTargets regularly records which targets have ended under requests that they had not answered.
+func (f *Daemon) recordEndedTargets(ctx context.Context) {
+	for fulmarclock.Sleep(ctx, sweepInterval) {
+		if c := f.views.Get().Catalog; c != nil {
+			f.forwarder.RecordEndedTargets(ctx, c)
+		}
+	}
+}
--- a/internal/fulmarlink/pool.go
+++ b/internal/fulmarlink/pool.go
@@ -22,6 +22,9 @@
 	ErrNoRoom = errors.Wrap(ErrUnsent, "target accepts no more connections")
 	// ErrBroken means that the request was sent, at least in part, but no complete answer was received.
 	ErrBroken = errors.New("fulmarlink: no complete answer")
+	// ErrUnacknowledged means that the target's machine has stopped acknowledging data, so that the target may have fallen silent
+	// before. It is a case of ErrBroken.
+	ErrUnacknowledged = errors.Wrap(ErrBroken, "target acknowledges nothing")
 )
 
 const (
@@ -233,6 +236,9 @@
 		if c.usedAt.IsZero() && !errors.Is(err, os.ErrDeadlineExceeded) {
 			p.recordReset(address) // the first request of the connection met its end, not a deadline
 		}
+		if errors.Is(err, syscall.ETIMEDOUT) {
+			return nil, errors.Wrap(ErrUnacknowledged, err.Error())
+		}
 		return nil, errors.Wrap(ErrBroken, err.Error())
 	}
 	a.Place.Avoided = avoided
