Crashes: take the end of a target back if it runs a later request

Callers: work that three targets' ends were put down to was refused for ten minutes, also if one of these targets turned out to live: one that was out of reach while its entry had lapsed.

Cause: only an answer to the work ends its condemnation, and condemned work is not sent.

Change: Board.RecordLife. A target that runs a request which was sent after its recorded end has not ended; its end and those before it are taken back, which records merge as they do answers, so all daemons learn of it. An index of the ended targets keeps the cost for other answers to a lookup.

Evidence: TestCondemnationEnds fails without the call (503 for 200), TestLife tells a later request from an earlier one and the next incarnation.

--- a/internal/fulmarforwarder/crash.go
+++ b/internal/fulmarforwarder/crash.go
@@ -66,8 +66,12 @@
 }
 
 // recordSurvival records that a target has run a request that was sent at the given time. Requests that it had left unanswered
-// before have not crashed it.
+// before have not crashed it, nor has one that any daemon took for the cause of its end.
 func (f *Forwarder) recordSurvival(target fulmarrange.Incarnation, sentAt time.Time) {
+	if f.deps.Crashes.RecordLife(target, sentAt) {
+		f.deps.Metrics.Count("relay.target_end_withdrawn")
+		f.deps.Log.Info("target that had counted as ended runs requests", "target", target.ID, "born", target.Born)
+	}
 	if !f.unanswered.isEmpty() {
 		f.unanswered.drop(func(s unansweredSend) bool { return s.target == target && s.at.Before(sentAt) })
 	}
--- a/internal/fulmarforwarder/ended_test.go
+++ b/internal/fulmarforwarder/ended_test.go
@@ -119,3 +119,17 @@
 		})
 	}
 }
+
+// Guards against a request that stays condemned although one of the targets that count as ended runs requests.
+func TestCondemnationEnds(t *testing.T) {
+	f := start(t, false, newTarget(t, "x"))
+	for n := range 3 {
+		s := newTarget(t, fmt.Sprint("t", n), crashTarget)
+		f.list(s.entry("free"))
+		expectStatus(NewWithT(t), f.forwarder.Serve(t.Context(), request(t, "/f/1", "")), http.StatusBadGateway)
+	}
+	expectVerdict(t, f, http.StatusServiceUnavailable)
+	f.list(newTarget(t, "t0").entry("free")) // accepts connections again
+	expectStatus(NewWithT(t), f.forwarder.Serve(t.Context(), request(t, "/f/2", "")), http.StatusOK)
+	expectVerdict(t, f, http.StatusOK)
+}
--- a/pkg/fulmarcrash/board.go
+++ b/pkg/fulmarcrash/board.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
 )
 
 const (
@@ -27,6 +29,7 @@
 	generation atomic.Int64
 	size       atomic.Int64
 	changed    chan struct{}
+	ended      endedTargets
 }
 
 // entry is a record with the version of the board after its last change that all daemons are to learn of, 0 if there was none.
@@ -65,6 +68,28 @@
 	return true
 }
 
+// RecordLife records that a target has run a request that was sent at the given time, so that it has not ended before. It takes back
+// the crashes of the target up to then, with those before them, and reports whether there were any.
+func (b *Board) RecordLife(target fulmarrange.Incarnation, sentAt time.Time) (taken bool) {
+	if b.IsEmpty() {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.ended.has(target, b.generation.Load(), b.entries) {
+		return false
+	}
+	for work, e := range b.entries {
+		for _, c := range e.Crashes {
+			if c.Target == target && c.At.Before(sentAt) {
+				b.merge(Record{Work: work, AnsweredAt: c.At})
+				taken = true
+			}
+		}
+	}
+	return taken
+}
+
 // Merge adds what others know, and reports whether that changes a record of which all daemons are to learn.
 func (b *Board) Merge(records []Record) (changed bool) {
 	b.mu.Lock()
--- a/pkg/fulmarcrash/board_test.go
+++ b/pkg/fulmarcrash/board_test.go
@@ -82,6 +82,44 @@
 	})
 }
 
+// Guards against work that stays condemned although one of its targets turns out not to have ended.
+func TestLife(t *testing.T) {
+	condemned := func() *fulmarcrash.Board {
+		b := fulmarcrash.New()
+		for n := range 3 {
+			b.RecordCrash(work, crash(n, n))
+		}
+		return b
+	}
+	for _, c := range []struct {
+		name   string
+		target fulmarrange.Incarnation
+		sentAt time.Time
+		taken  bool
+	}{
+		{"a target that ran a later request", crash(0, 0).Target, at(1), true},
+		{"a target that ran an earlier request", crash(0, 0).Target, at(0), false},
+		{"the next incarnation of a target", fulmarrange.Incarnation{ID: "t0", Born: 2}, at(9), false},
+		{"another target", crash(7, 0).Target, at(9), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g, b := NewWithT(t), condemned()
+			before := b.Version()
+			g.Expect(b.RecordLife(c.target, c.sentAt)).To(Equal(c.taken))
+			expectCondemned(g, b, at(9), !c.taken)
+			g.Expect(b.Changes(before, b.Version())).To(HaveLen(map[bool]int{true: 1}[c.taken]), "others learn of it")
+			g.Expect(b.RecordLife(c.target, c.sentAt)).To(BeFalse(), "again")
+		})
+	}
+	t.Run("a crash that is learned later", func(t *testing.T) {
+		g, b := NewWithT(t), fulmarcrash.New()
+		b.RecordCrash(work, crash(0, 0))
+		g.Expect(b.RecordLife(crash(1, 0).Target, at(9))).To(BeFalse())
+		b.RecordCrash(work, crash(1, 1))
+		g.Expect(b.RecordLife(crash(1, 0).Target, at(9))).To(BeTrue())
+	})
+}
+
 // Guards against all requests at targets that end together being sent to all daemons.
 func TestShared(t *testing.T) {
 	g := NewWithT(t)
