--- a/internal/fulmarfollower/returned_test.go
+++ b/internal/fulmarfollower/returned_test.go
@@ -13,6 +13,7 @@
 	"github.com/fulmarbend/fulmarbend/internal/fulmarmemory"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarlimit"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarorder"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarrange"
 )
@@ -290,3 +291,34 @@
 		g.Expect(f.asked).To(HaveLen(1))
 	})
 }
+
+// Guards against a target that has stated a limit and gets no keys for good once others own all of its keys: only an answer to a request
+// ends the limit, and it is sent none.
+func TestLimitedTargetOwnsKeysAgain(t *testing.T) {
+	for _, rate := range []float64{0, 5} {
+		for name, restarted := range map[string]bool{"cut off": false, "started again under its id": true} {
+			t.Run(fmt.Sprint(name, ", limit of ", rate), func(t *testing.T) {
+				simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
+					f := newFailingTargets()
+					store.Remove("targets/x")
+					for i := range 9 {
+						f.add(t, store, inDC(i, 1))
+					}
+					v, limits := (&fleet{orders: f, loads: newEvenLoad()}).startWithLimits(ctx, "a", 0.5, fulmarmemory.NewClient(store))
+					time.Sleep(8 * time.Second)
+					g.Expect(owners(v)).To(HaveLen(9))
+					limits.Record(fulmarlimit.Statement{Target: "t0", Limited: true, Rate: rate, SentAt: time.Now(), ReceivedAt: time.Now()})
+					f.fail("t0", fulmarorder.ErrUnsent)
+					time.Sleep(6 * time.Second)
+					g.Expect(owners(v)).NotTo(ContainElement("t0"))
+					f.fail("t0", nil)
+					if restarted {
+						f.add(t, store, inDC(0, 2))
+					}
+					time.Sleep(20 * time.Second)
+					g.Expect(owners(v)).To(ContainElement("t0"))
+				})
+			})
+		}
+	}
+}
