Forwarder: recognise requests by their callers' addresses as well

Cause: callers were told apart by Authorization and Cookie only. Each answer to another caller of the path ended the suspicion, at all daemons.

Change: a request has two fingerprints, of its content and of that with its caller's address. Crashes and answers count for both, and either condemns. Daemons remember 131,072 fingerprints of answers in place of 65,536.

--- a/internal/fulmarforwarder/crash.go
+++ b/internal/fulmarforwarder/crash.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -20,18 +22,33 @@
 // are alike otherwise.
 var credentials = []string{"Authorization", "Cookie"}
 
-// work returns the fingerprint of the request's content, which is the same when a caller sends the request again under
-// another id.
-func (x *exchange) work() uint64 {
-	if x.fingerprint == 0 {
+// works are the fingerprints by which a request that crashes targets is recognised when it comes again.
+type works [2]uint64
+
+// works returns the fingerprints of the request: of its content, which is the same when a caller sends it again under another id,
+// and of its content and the address of its caller. Callers that send no credentials are told apart by their addresses only, and what
+// crashes targets may be a header that the others do not send; their answers say nothing of it then. An address may be that of many
+// callers, or change, so that the content counts as well.
+func (x *exchange) works() works {
+	if x.fingerprints == (works{}) {
 		r := x.request
 		fields := append(make([]string, 0, 4+len(credentials)), r.Method, strings.ToLower(r.Host), r.RequestURI, r.Header.Get(x.forwarder.deps.HeaderNames.Key))
 		for _, name := range credentials {
 			fields = append(fields, strings.Join(r.Header.Values(name), "\n"))
 		}
-		x.fingerprint = fulmarfingerprint.New(r.Payload.Prefix(), fields...)
+		content := fulmarfingerprint.New(r.Payload.Prefix(), fields...)
+		x.fingerprints = works{content, fulmarfingerprint.New(nil, strconv.FormatUint(content, 16), callerHost(r.RemoteAddress))}
+	}
+	return x.fingerprints
+}
+
+// callerHost returns the address of a caller without the port, which differs between its connections.
+func callerHost(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
 	}
-	return x.fingerprint
+	return host
 }
 
 // recordUnanswered records that a target has not answered the request that was sent to it. If the target's process has ended
@@ -48,7 +65,7 @@
 	if _, isListed := c.Target(target.ID); !isListed && !isOver && !errors.Is(x.lastError, fulmarlink.ErrUnacknowledged) {
 		return // the target was alive until now, without an entry: it has left without saying so
 	}
-	s := unansweredSend{work: x.work(), target: target, at: f.deps.Clock(), address: t.Address, health: x.service.Health}
+	s := unansweredSend{works: x.works(), target: target, at: f.deps.Clock(), address: t.Address, health: x.service.Health}
 	if isOver || !f.deps.Pool.Refuses(ctx, t.Address) {
 		f.unanswered.add(s)
 		return
@@ -79,9 +96,15 @@
 
 // recordCrash records that a target has ended during a request; fields are those of the line in the log.
 func (f *Forwarder) recordCrash(s unansweredSend, fields ...any) {
-	record := f.deps.Crashes.RecordCrash(s.work, fulmarcrash.Crash{Target: s.target, At: s.at})
+	crashes := 0
+	for _, work := range s.works {
+		if work != answered {
+			record := f.deps.Crashes.RecordCrash(work, fulmarcrash.Crash{Target: s.target, At: s.at})
+			crashes = max(crashes, len(record.Crashes))
+		}
+	}
 	f.deps.Metrics.Count("relay.target_ended")
-	fields = append(fields, "target", s.target.ID, "born", s.target.Born, "work", s.work, "crashes", len(record.Crashes))
+	fields = append(fields, "target", s.target.ID, "born", s.target.Born, "work", s.works[0], "of_caller", s.works[1], "crashes", crashes)
 	f.deps.Log.Info("target ended during a request", fields...)
 }
 
@@ -141,11 +164,13 @@
 	if d.Crashes.IsEmpty() {
 		return false
 	}
-	left, condemned := d.Crashes.Condemned(d.Clock(), x.work())
-	if condemned {
-		x.retryAfter = left
+	for _, work := range x.works() {
+		if left, condemned := d.Crashes.Condemned(d.Clock(), work); condemned {
+			x.retryAfter = left
+			return true
+		}
 	}
-	return condemned
+	return false
 }
 
 // clearSuspicion records that a target has answered the request, so that it is not one that crashes targets. That includes those
@@ -153,10 +178,11 @@
 func (x *exchange) clearSuspicion() {
 	d := &x.forwarder.deps
 	if unanswered := &x.forwarder.unanswered; !unanswered.isEmpty() {
-		work := x.work()
-		unanswered.drop(func(s unansweredSend) bool { return s.work == work })
+		unanswered.answer(x.works())
 	}
-	if d.Crashes.RecordAnswer(d.Clock(), x.work()) {
-		d.Log.Info("request answered after a target had ended during the same one", "id", x.id, "work", x.work())
+	for _, work := range x.works() {
+		if d.Crashes.RecordAnswer(d.Clock(), work) {
+			d.Log.Info("request answered after a target had ended during the same one", "id", x.id, "work", work)
+		}
 	}
 }
--- a/internal/fulmarforwarder/crash_test.go
+++ b/internal/fulmarforwarder/crash_test.go
@@ -127,3 +127,40 @@
 	f.forwarder.RecordEndedTargets(t.Context(), f.views.Get().Catalog)
 	expectStatus(g, f.forwarder.Serve(t.Context(), request(t, "/f/1", "")), http.StatusServiceUnavailable)
 }
+
+// serveFor serves a request of the caller with the given address.
+func serveFor(t *testing.T, f *fixture, address string, headers ...string) int {
+	t.Helper()
+	r := request(t, "/f/1", "", headers...)
+	r.RemoteAddress = address
+	return f.forwarder.Serve(t.Context(), r).Status
+}
+
+// Guards against a request that goes on crashing targets while others read the same path: what crashes the targets is a header that
+// they do not send, and each answer to them ended the suspicion.
+func TestCrashesOfOneCaller(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t, false, newTarget(t, "x"))
+	for n := range 3 {
+		f.serveFrom(newTarget(t, fmt.Sprint("others", n)))
+		g.Expect(serveFor(t, f, "10.0.0.2:1001")).To(Equal(http.StatusOK))
+		f.serveFrom(newTarget(t, fmt.Sprint("crashing", crashed.Add(1)), crashTarget))
+		g.Expect(serveFor(t, f, fmt.Sprint("10.0.0.1:", 2000+n), "Accept-Language", "xx")).To(Equal(http.StatusBadGateway))
+	}
+	f.serveFrom(newTarget(t, "y"))
+	g.Expect(serveFor(t, f, "10.0.0.2:1002")).To(Equal(http.StatusOK))
+	g.Expect(serveFor(t, f, "10.0.0.1:3000", "Accept-Language", "xx")).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(serveFor(t, f, "10.0.0.2:1003")).To(Equal(http.StatusOK), "another caller")
+}
+
+// Guards against a request that is recognised only while its caller keeps its address.
+func TestCrashesOfCallersWithChangingAddresses(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t, false, newTarget(t, "x"))
+	for n := range 3 {
+		f.serveFrom(newTarget(t, fmt.Sprint("crashing", crashed.Add(1)), crashTarget))
+		g.Expect(serveFor(t, f, fmt.Sprintf("10.0.0.%d:1000", n))).To(Equal(http.StatusBadGateway))
+	}
+	f.serveFrom(newTarget(t, "y"))
+	g.Expect(serveFor(t, f, "10.0.0.9:1000")).To(Equal(http.StatusServiceUnavailable))
+}
--- a/internal/fulmarforwarder/forwarder.go
+++ b/internal/fulmarforwarder/forwarder.go
@@ -135,7 +135,7 @@
 	coldRefusals int               // number of cold targets that had no room for the request
 	notAdmitted  map[string]Reason // by target: why it did not admit the request
 	bytes        int64             // of the answer's body; for a streamed answer those read from the target
-	fingerprint  uint64            // of the request's content; see exchange.work
+	fingerprints works             // of the request; see exchange.works
 }
 
 // Serve implements fulmarhttpserver.Handler.
--- a/internal/fulmarforwarder/unanswered.go
+++ b/internal/fulmarforwarder/unanswered.go
@@ -20,9 +20,12 @@
 	maxInquiries = 64
 )
 
+// answered replaces a fingerprint of a request that is under no suspicion any more.
+const answered = 0
+
 // unansweredSend is a request that a target has not answered.
 type unansweredSend struct {
-	work    uint64
+	works   works // answered where the same one has been answered since
 	target  fulmarrange.Incarnation
 	at      time.Time // when the daemon gave it up
 	address string    // of the target
@@ -55,6 +58,20 @@
 	u.sends = slices.DeleteFunc(u.sends, remove)
 }
 
+// answer records that a request has been answered. It removes the requests whose fingerprints have all been answered.
+func (u *unansweredSends) answer(w works) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for i := range u.sends {
+		for j, work := range w {
+			if u.sends[i].works[j] == work {
+				u.sends[i].works[j] = answered
+			}
+		}
+	}
+	u.sends = slices.DeleteFunc(u.sends, func(s unansweredSend) bool { return s.works == works{} })
+}
+
 // take removes the requests for which ended returns true, and returns them by target.
 func (u *unansweredSends) take(ended func(unansweredSend) bool) map[fulmarrange.Incarnation][]unansweredSend {
 	out := make(map[fulmarrange.Incarnation][]unansweredSend)
--- a/pkg/fulmarcrash/answers.go
+++ b/pkg/fulmarcrash/answers.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// answersSize is the number of answers that are remembered, in 1 MB: at 2,100 requests a second those of about half a minute.
+// answersSize is the number of answers that are remembered, in 2 MB: at 2,100 requests a second, with two fingerprints each, those of
+// about half a minute.
 // A request that crashes its target comes again after about two seconds, and the end of a silent target is known after 8 s at
 // most.
-const answersSize = 1 << 16
+const answersSize = 1 << 17
 
 // answers remembers when work was answered that is under no suspicion yet: the first crash may be known to another daemon
 // alone, or be known later. An answer takes the place of another one whose work has the same remainder; one that is forgotten
