Reach, leader, crashes: plainer names, no unused state

Cause: reading the diff: State.Answering was read by nobody, the unlisted target was looked up before it was known whether a probe is due, and two constants of different meaning were called minSilence.

Change: names, order and comments only; the tests of the packages pass.

--- a/internal/fulmarleader/silence.go
+++ b/internal/fulmarleader/silence.go
@@ -11,8 +11,8 @@
 // silentCheckInterval is the time after which a worker in a silent data centre looks again, unless an answer wakes it.
 const silentCheckInterval = 500 * time.Millisecond
 
-// minSilence is the time that an order must have waited for an answer before it counts as one to a silent data centre.
-const minSilence = 250 * time.Millisecond
+// minOrderWait is the time that an order must have waited for an answer before it counts as one to a silent data centre.
+const minOrderWait = 250 * time.Millisecond
 
 // recordOutcome records whether an order that was sent at the given time was answered by its target, and so by its data centre.
 // The caller holds mu.
@@ -41,7 +41,7 @@
 	silent := errors.Is(err, fulmarorder.ErrUnsent) || errors.Is(err, fulmarorder.ErrUnanswered) && !errors.Is(err, fulmarorder.ErrUncertain)
 	switch {
 	case silent && o.Probe:
-	case silent && now.Sub(sent) >= minSilence:
+	case silent && now.Sub(sent) >= minOrderWait:
 		wasSilent := t.silence.IsSilent(now, dc)
 		t.silence.RecordFailure(sent, now, dc)
 		if !wasSilent && t.silence.IsSilent(now, dc) {
--- a/internal/fulmarleader/worker.go
+++ b/internal/fulmarleader/worker.go
@@ -163,15 +163,18 @@
 
 // nextProbe returns the probe that is due for a target to which no other order is due before wait. An unlisted target cannot be given
 // keys, so it is not asked. The caller holds mu.
-func (t *Term) nextProbe(now time.Time, w *worker, wait time.Duration) (o fulmarorder.Order, until time.Duration, ok bool) {
+func (t *Term) nextProbe(now time.Time, w *worker, wait time.Duration) (o fulmarorder.Order, untilNext time.Duration, ok bool) {
 	s, target := t.services[w.target.Service], w.target.Incarnation()
 	untilProbe, lost := s.reach.UntilProbe(now, target)
-	if listed, isListed := t.snapshot.Catalog.Target(target.ID); !lost || !isListed || listed.Incarnation() != target {
+	if !lost {
 		return o, wait, false
 	}
 	if untilProbe > 0 {
 		return o, min(wait, untilProbe), false
 	}
+	if listed, ok := t.snapshot.Catalog.Target(target.ID); !ok || listed.Incarnation() != target {
+		return o, wait, false
+	}
 	o, ok = s.orders.Probe(now, target)
 	return o, wait, ok
 }
--- a/pkg/fulmarcrash/answers.go
+++ b/pkg/fulmarcrash/answers.go
@@ -3,9 +3,8 @@
 import "time"
 
 // answersSize is the number of answers that are remembered, in 2 MB: at 2,100 requests a second, with two fingerprints each, those of
-// about half a minute.
-// A request that crashes its target comes again after about two seconds, and the end of a silent target is known after 8 s at
-// most.
+// about half a minute. A request that crashes its target comes again after about two seconds, and the end of a silent target is known
+// after 8 s at most.
 const answersSize = 1 << 17
 
 // answers remembers when work was answered that is under no suspicion yet: the first crash may be known to another daemon
--- a/pkg/fulmarcrash/board.go
+++ b/pkg/fulmarcrash/board.go
@@ -68,7 +68,7 @@
 	return true
 }
 
-// RecordLife records that a target has run a request that was sent at the given time, so that it has not ended before. It takes back
+// RecordLife records that a target has run a request that was sent at the given time, so that it has not ended before. It withdraws
 // the crashes of the target up to then, with those before them, and reports whether there were any.
 func (b *Board) RecordLife(target fulmarrange.Incarnation, sentAt time.Time) (taken bool) {
 	if b.IsEmpty() {
--- a/pkg/fulmarcrash/doc.go
+++ b/pkg/fulmarcrash/doc.go
@@ -9,5 +9,6 @@
 // Work is condemned once three targets have ended under it without an answer to
 // the same work in between. Other requests that were at these targets as well
 // are told apart by that: they are answered by the next one, or do not come
-// again.
+// again. The recorded end of a target
+// that runs a later request is withdrawn.
 package fulmarcrash
--- a/pkg/fulmarreach/board.go
+++ b/pkg/fulmarreach/board.go
@@ -77,7 +77,6 @@
 	Failures  int           // orders in a row that have failed
 	Failing   time.Duration // time since the first of them
 	Unsent    bool          // the last one could not be sent
-	Answering time.Duration // time since the first answer after the last failure, for a lost target
 	Trial     time.Duration // time for which a lost target must answer, or has answered last; zero if it was never lost
 }
 
@@ -164,9 +163,6 @@
 	if r.failures > 0 {
 		s.Failing = now.Sub(r.failingSince)
 	}
-	if r.lost && !r.answeringSince.IsZero() {
-		s.Answering = now.Sub(r.answeringSince)
-	}
 	return s
 }
 
