Tests: probes and data centres, crashes into silence without an entry

Cause: two mechanisms of the change had no test where they are called: failed probes that say nothing of a data centre, and ErrUnacknowledged.

Change: TestProbesSayNothingOfDataCentre fails if failed probes count (the data centre is given up with its last target); TestSilentCrashAfterEntry fails if a connection that is given up counts as closed by its target (200 for 503). No other code is changed.

--- a/internal/fulmarfollower/returned_test.go
+++ b/internal/fulmarfollower/returned_test.go
@@ -277,6 +277,29 @@
 	})
 }
 
+// Guards against a data centre that is given up, with its last target, as the probes of the lost ones fail: renewals of a weak leader
+// are rare, so that hardly any answer comes in between.
+func TestProbesSayNothingOfDataCentre(t *testing.T) {
+	simulate(t, func(ctx context.Context, t *testing.T, g *WithT, store *fulmarmemory.Store) {
+		const targets = 60
+		f := newFailingTargets()
+		store.Remove("targets/x")
+		for i := range targets {
+			f.add(t, store, inDC(i, 1))
+		}
+		v := (&fleet{orders: f}).startWithCPUShare(ctx, "a", 0.01, fulmarmemory.NewClient(store))
+		time.Sleep(12 * time.Second)
+		g.Expect(owners(v)).To(HaveLen(targets))
+		for i := 3; i < targets; i += 3 { // all of dc0 but t0, one after another
+			f.fail(fmt.Sprint("t", i), fulmarorder.ErrUnsent)
+			time.Sleep(3 * time.Second)
+		}
+		time.Sleep(20 * time.Second)
+		g.Expect(owners(v)).To(ContainElement("t0"))
+		g.Expect(f.count(f.grants, "t0")).To(Equal(1), "it has never lost its keys")
+	})
+}
+
 // Guards against probes of a target that is gone for good, or that serves its keys.
 func TestProbedTargets(t *testing.T) {
 	returnOf(t, 9, func(_ *testing.T, g *WithT, f *failingTargets, store *fulmarmemory.Store, _ *fulmarview.Holder) {
--- a/internal/fulmarforwarder/ended_test.go
+++ b/internal/fulmarforwarder/ended_test.go
@@ -6,13 +6,18 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fulmarbend/fulmarbend/internal/fulmarforwarder"
+	"github.com/fulmarbend/fulmarbend/internal/fulmarlink"
 	"github.com/fulmarbend/fulmarbend/internal/fulmarview"
 	"github.com/fulmarbend/fulmarbend/pkg/fulmarcatalog"
+	"github.com/fulmarbend/fulmarbend/pkg/fulmarroute"
 )
 
 // patience is the time after which an impatient caller leaves.
@@ -133,3 +138,33 @@
 	expectStatus(NewWithT(t), f.forwarder.Serve(t.Context(), request(t, "/f/2", "")), http.StatusOK)
 	expectVerdict(t, f, http.StatusOK)
 }
+
+// Guards against a request that goes on crashing targets into silence, each of which loses its entry before its connection is given up:
+// such a target has not left without saying so.
+func TestSilentCrashAfterEntry(t *testing.T) {
+	f := start(t, false, newTarget(t, "x"))
+	f.deps.Pool = fulmarlink.New(fulmarlink.Settings{
+		DialTimeout: time.Second, AcceptMargin: time.Millisecond, AckTimeout: 50 * time.Millisecond, IdleTimeout: time.Minute, BodyLimit: 1 << 20, RequestIDHeader: names.RequestID,
+	})
+	t.Cleanup(f.deps.Pool.Close)
+	f.forwarder = fulmarforwarder.New(f.deps)
+	config := f.views.Get().Routes.Config()
+	config.Routes = slices.Clone(config.Routes)
+	for i := range config.Routes {
+		config.Routes[i].Timeout = 20 * time.Second // longer than it takes until the connection is given up
+	}
+	routes, err := fulmarroute.New(config)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	f.views.Update(func(v *fulmarview.View) { v.Routes = routes })
+	body := strings.Repeat("b", 64<<20) // more than the buffers of both ends hold
+	for n := range 3 {
+		s := &target{id: fmt.Sprint("t", n)}
+		s.listener = listen(t, func(net.Conn) { f.list() }) // reads nothing
+		f.list(s.entry("free"))
+		expectStatus(NewWithT(t), f.forwarder.Serve(t.Context(), request(t, "/f/1", body)), http.StatusBadGateway)
+		s.listener.Close()
+		f.forwarder.RecordEndedTargets(t.Context(), f.views.Get().Catalog)
+	}
+	f.list(newTarget(t, "further").entry("free"))
+	expectStatus(NewWithT(t), f.forwarder.Serve(t.Context(), request(t, "/f/1", body)), http.StatusServiceUnavailable)
+}
