--- a/internal/fulmarfollower/returned_test.go
+++ b/internal/fulmarfollower/returned_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -95,6 +96,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if o.Kind == fulmarorder.Grant {
+		maps.DeleteFunc(f.held[id], func(_ [2]int, until time.Time) bool { return !time.Now().Before(until) })
 		if len(f.held[id]) == 0 {
 			f.grants[id]++
 			f.held[id] = make(map[[2]int]time.Time)
@@ -270,7 +272,7 @@
 			f.fail("t0", fulmarorder.ErrUnsent)
 			time.Sleep(3 * time.Second)
 			f.fail("t0", nil)
-			time.Sleep(900 * time.Millisecond)
+			time.Sleep(time.Second)
 		}
 		g.Expect(f.count(f.grants, "t0")).To(Equal(grants))
 		g.Expect(f.count(f.asked, "t0 1")).To(BeNumerically(">", 10))
